--- /dev/null
+++ b/cometdoor/__init__.py
@@ -0,0 +1,1 @@
+"""The real proxy round the decision module of jasperhall: sockets, time and bookkeeping, no decisions."""
--- /dev/null
+++ b/cometdoor/__main__.py
@@ -0,0 +1,75 @@
+"""One real proxy: `python -m cometdoor`, told what it is by NODE_CONFIG."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+
+import uvloop
+
+from cometdoor.config import BadConfig, NodeConfig, load_config
+from cometdoor.frontend import Frontend, RequestReader
+from cometdoor.proxy import Proxy
+from cometdoor.upstream import Descriptors
+
+# After SIGTERM new connections come for 0.2 to 0.4 s. Connections in use are ended after that, the
+# listener a little later, and what has been taken is answered before the end.
+SERVE_ON_S = 0.45
+LISTEN_ON_S = 0.6
+LOOK_EVERY_S = 0.02
+
+log = logging.getLogger("cometdoor")
+
+
+async def serve(config: NodeConfig, stopping: asyncio.Event) -> None:
+    loop = asyncio.get_running_loop()
+    descriptors = Descriptors(config.sockets)
+    proxy = Proxy(config, loop, descriptors)
+    front = Frontend(loop, RequestReader(config), descriptors, proxy)
+    await front.listen(*config.listen)
+    proxy.start()
+    # Guards against long collector pauses: what the start made stays for good, and little else is cyclic.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    log.info("%s serves on %s:%d", config.name, *config.listen)
+    await stopping.wait()
+    await asyncio.sleep(SERVE_ON_S)
+    front.closing = True
+    front.close_idle()
+    await asyncio.sleep(LISTEN_ON_S - SERVE_ON_S)
+    front.stop_listening()
+    while front.connections or proxy.owes_answers():
+        front.close_idle()
+        await asyncio.sleep(LOOK_EVERY_S)
+    proxy.stop()
+
+
+async def run(config: NodeConfig) -> None:
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    await serve(config, stopping)
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    try:
+        config = load_config()
+    except BadConfig as problem:
+        print(f"cometdoor: bad configuration: {problem}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(run(config))
+    except OSError as problem:
+        print(f"cometdoor: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cometdoor/config.py
@@ -0,0 +1,85 @@
+"""What this proxy is told: the object that NODE_CONFIG names, read once at the start."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from jasperhall import api
+from jasperhall.simhost import part, read_settings
+
+Address = tuple[str, int]
+
+
+class BadConfig(Exception):
+    """The configuration can't be used; the message is for the operator."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: api.Settings
+    classes: dict[str, int]  # name -> place in settings.classes
+    tenants: dict[str, int]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    load_fields: tuple[str, ...]  # of load reports that come with answers; none where they don't
+    known: dict[str, Any]  # the list of backends as this proxy last had it, in discovery's form
+    sockets: int
+    max_open: int
+    idle_close_ms: float
+    connect_timeout_ms: float
+    may_advise_pause: bool  # clients may be told when to come back
+
+
+def read_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def read_config(raw: dict[str, Any], environment: Mapping[str, str]) -> NodeConfig:
+    """Keys that are not known here are skipped; what the file leaves out comes from the environment."""
+    info = raw["settings"]
+    limits, report = part(info, "limits", {}), part(info, "report", {})
+    seed = raw["seed"]
+    settings = read_settings(info)
+    return NodeConfig(
+        name=str(raw.get("name") or environment.get("NODE_NAME", "")),
+        listen=read_address(raw.get("listen") or environment["NODE_LISTEN"]),
+        discovery=read_address(raw.get("discovery") or environment["NODE_DISCOVERY"]),
+        seed=seed if isinstance(seed, int) else int(seed, 16),
+        settings=settings,
+        classes={lane["name"]: place for place, lane in enumerate(info["lanes"])},
+        tenants={tenant["name"]: place for place, tenant in enumerate(part(info, "tenants", ()))},
+        zones=tuple(part(info, "zones", ())),
+        kinds=tuple(part(info, "host_types", ())),
+        load_fields=tuple(part(report, "columns", ())) if report.get("how") == "inline" else (),
+        known=part(raw, "known", {}),
+        sockets=int(part(part(raw, "limits", {}), "sockets", 1024)),
+        max_open=int(part(limits, "max_open", 20_000)),
+        idle_close_ms=float(part(limits, "idle_close_ms", 15_000.0)),
+        connect_timeout_ms=float(part(limits, "connect_timeout_ms", 250.0)),
+        may_advise_pause=bool(part(limits, "retry_after", False)),
+    )
+
+
+def load_config(environment: Mapping[str, str] = os.environ) -> NodeConfig:
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise BadConfig("NODE_CONFIG is not set")
+    try:
+        return read_config(orjson.loads(Path(path).read_bytes()), environment)
+    except KeyError as problem:
+        raise BadConfig(f"{path}: {problem} is missing or has an unknown value") from problem
+    except (OSError, ValueError, TypeError, AttributeError) as problem:
+        raise BadConfig(f"{path}: {problem}") from problem
--- /dev/null
+++ b/cometdoor/upstream.py
@@ -0,0 +1,281 @@
+"""Connections to backends, and what comes back as an Outcome of the decision module.
+
+One exchange on a connection at a time. Nothing is sent again here: a kept connection that breaks
+under a request is an outcome for the module.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from cometdoor.config import Address
+from jasperhall.api import Outcome
+
+MAX_ANSWER = 1 << 20  # bytes of an answer's body; the protocol allows 64 KiB, more is no answer
+NEVER_RAN_STATUS = (503, 504)
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+Done = Callable[[Outcome, Answer | None], None]
+
+
+def outcome_of(answer: Answer) -> Outcome:
+    """Only 200 has been served, and only a marked 503 or 504 has not run; all else may have."""
+    if answer.status == 200:
+        return Outcome.OK
+    if answer.status in NEVER_RAN_STATUS:
+        for name, value in answer.headers:
+            if name.lower() == b"x-never-ran" and value.strip() == b"1":
+                return Outcome.FULL
+    return Outcome.ERROR
+
+
+class Descriptors:
+    """Guards against running out of file descriptors: what all sockets together may be."""
+
+    RESERVE = 32  # standard streams, the loop's own, discovery, and sockets that are just closing
+
+    def __init__(self, limit: int) -> None:
+        self.limit = max(limit - self.RESERVE, 1)
+        self.used = 0
+
+    def is_full(self) -> bool:
+        return self.used >= self.limit
+
+
+class Exchange:
+    """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
+
+    __slots__ = ("connection", "done", "payload")
+
+    def __init__(self, payload: Callable[[], bytes], done: Done) -> None:
+        self.payload = payload  # made when it is written: it says how much time is left then
+        self.done = done
+        self.connection: Connection | None = None
+
+    def is_written(self) -> bool:
+        return self.connection is not None and self.connection.is_written()
+
+    def abort(self) -> None:
+        """Close the connection: the backend sees that nobody waits, and no late answer can be mixed up."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.exchange = None
+            connection.abort()
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self, pool: Pool, server: str, address: Address, exchange: Exchange) -> None:
+        self.pool = pool
+        self.server = server
+        self.address = address
+        self.exchange: Exchange | None = exchange
+        self.idle_timer: asyncio.TimerHandle | None = None
+        self.closed = False
+        self._transport: asyncio.Transport | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._wrote = self._paused = False
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._answer: Answer | None = None
+        self._reusable = False
+
+    # --- opening ---
+
+    def open(self, timeout_ms: float) -> None:
+        loop = self.pool.loop
+        self._opening = loop.create_task(self._connect())
+        self.idle_timer = loop.call_later(timeout_ms / 1000.0, self._not_connected)
+
+    async def _connect(self) -> None:
+        try:
+            await self.pool.loop.create_connection(lambda: self, *self.address)
+        except OSError:
+            self._not_connected()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._stop_timer()
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # With no slack for buffered bytes, pause_writing says exactly that some are not yet written.
+        self._transport.set_write_buffer_limits(high=0)
+        if self.closed or self.exchange is None:
+            self._transport.abort()
+        else:
+            self._write()
+
+    def _not_connected(self) -> None:
+        if self._transport is None:
+            self._finish(Outcome.CONNECT_FAILED)
+
+    # --- one exchange ---
+
+    def start(self, exchange: Exchange) -> None:
+        self._stop_timer()
+        self.exchange = exchange
+        exchange.connection = self
+        self._write()
+
+    def _write(self) -> None:
+        assert self._transport is not None and self.exchange is not None
+        self._wrote = True
+        self._answer = None
+        self._transport.write(self.exchange.payload())
+        if self._transport.is_closing():
+            # The very first write failed: the kernel took no byte of it.
+            self._wrote = False
+            self._finish(Outcome.CONNECT_FAILED)
+
+    def is_written(self) -> bool:
+        return self._wrote and not self._paused
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            self.abort()  # an answer that nobody asked for
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self._answer is None:
+                self._broken()
+                return
+            self._reusable = False
+        if self._size > MAX_ANSWER:
+            self._finish(Outcome.ERROR)
+        elif self._answer is not None:
+            self._finish(outcome_of(self._answer), self._answer)
+
+    def on_message_begin(self) -> None:
+        self._headers, self._body, self._size = [], [], 0
+        self._reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value or b""))
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size <= MAX_ANSWER:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200 or self._answer is not None:
+            return
+        self._answer = Answer(status, self._headers, b"".join(self._body))
+        self._reusable = self._parser.should_keep_alive()
+
+    def eof_received(self) -> None:
+        self._broken()
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self._broken()
+
+    def _broken(self) -> None:
+        """Before the request's last byte was written nothing can have run, after it all may have."""
+        self._finish(Outcome.RESET if self.is_written() else Outcome.CONNECT_FAILED)
+
+    def _finish(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        exchange, self.exchange = self.exchange, None
+        if answer is not None and self._reusable and self.is_written() and not self.closed:
+            self._wrote = False
+            self.pool.keep(self)
+        else:
+            self.abort()
+        if exchange is not None:
+            exchange.connection = None
+            exchange.done(outcome, answer)
+
+    # --- end ---
+
+    def abort(self) -> None:
+        self._stop_timer()
+        if not self.closed:
+            self.closed = True
+            self.pool.forget(self)
+        if self._transport is not None:
+            self._transport.abort()
+        elif self._opening is not None:
+            self._opening.cancel()
+
+    def _stop_timer(self) -> None:
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+            self.idle_timer = None
+
+
+class Pool:
+    """Idle connections by backend, the most recently used last."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, idle_close_ms: float,
+                 connect_timeout_ms: float) -> None:
+        self.loop = loop
+        self._descriptors = descriptors
+        # Guards against a request written to a connection that the backend is just closing.
+        self._keep_s = max(0.5 * idle_close_ms, 0.9 * idle_close_ms - 250.0) / 1000.0
+        self._connect_timeout_ms = connect_timeout_ms
+        self._idle: dict[str, list[Connection]] = {}
+        self._by_age: dict[Connection, None] = {}  # all idle ones, the longest idle first
+
+    def send(self, server: str, address: Address, exchange: Exchange) -> bool:
+        """False: no connection may be opened, and no byte will be written."""
+        if idle := self._idle.get(server):
+            connection = idle[-1]
+            self._take_out(connection)
+            connection.start(exchange)
+            return True
+        if self._descriptors.is_full() and not self.close_oldest_idle():
+            return False
+        connection = Connection(self, server, address, exchange)
+        exchange.connection = connection
+        self._descriptors.used += 1
+        connection.open(self._connect_timeout_ms)
+        return True
+
+    def keep(self, connection: Connection) -> None:
+        self._idle.setdefault(connection.server, []).append(connection)
+        self._by_age[connection] = None
+        connection.idle_timer = self.loop.call_later(self._keep_s, connection.abort)
+
+    def forget(self, connection: Connection) -> None:
+        self._descriptors.used -= 1
+        if connection in self._by_age:
+            self._take_out(connection)
+
+    def close_idle(self, server: str) -> None:
+        for connection in list(self._idle.get(server, ())):
+            connection.abort()
+
+    def close_oldest_idle(self) -> bool:
+        oldest = next(iter(self._by_age), None)
+        if oldest is None:
+            return False
+        oldest.abort()
+        return True
+
+    def _take_out(self, connection: Connection) -> None:
+        del self._by_age[connection]
+        idle = self._idle[connection.server]
+        idle.remove(connection)
+        if not idle:
+            del self._idle[connection.server]
