Answer all before the kill, and let new callers in at the cost of idle connections

Seen in review, each then shown by a test on loopback sockets: (1) after SIGTERM a request whose deadline lies beyond the kill (6 s here, SIGKILL from 3.7 s on) was left to the kill; it fails 0.15 s before now. (2) A caller that stopped in the middle of a request kept the program from exiting. (3) Callers' connections beyond the limit were only refused while idle ones stood about; idle ones go first now. (4) What was sent ahead on a connection was dropped when the front end closed. At fault: the closing loop of __main__.py, Frontend.opened and ClientConnection.answer. The last-word timer is cancelled with the answer, it held each request for its deadline.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -20,6 +20,10 @@
 SERVE_ON_S = 0.45
 LISTEN_ON_S = 0.6
 LOOK_EVERY_S = 0.02
+# SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
+LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
+BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
+FLUSH_S = 1.5  # callers may take so long to read their last answers
 
 log = logging.getLogger("cometdoor")
 
@@ -37,12 +41,20 @@
     gc.set_threshold(20_000, 20, 50)
     log.info("%s serves on %s:%d", config.name, *config.listen)
     await stopping.wait()
+    longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
+    last_word_at = loop.time() + min(longest_s, LONGEST_WAIT_S) + KILL_AFTER_S - BEFORE_KILL_S
     await asyncio.sleep(SERVE_ON_S)
     front.closing = True
     front.close_idle()
     await asyncio.sleep(LISTEN_ON_S - SERVE_ON_S)
     front.stop_listening()
-    while front.connections or proxy.owes_answers():
+    # A caller that stopped in the middle of a request is owed nothing, and must not keep the program.
+    flushed_by = loop.time() + FLUSH_S
+    while proxy.owes_answers() or (front.connections and loop.time() < flushed_by):
+        if proxy.owes_answers():
+            flushed_by = loop.time() + FLUSH_S
+            if loop.time() >= last_word_at:
+                proxy.fail_all()
         front.close_idle()
         await asyncio.sleep(LOOK_EVERY_S)
     proxy.stop()
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -56,6 +56,8 @@
 class Handler(Protocol):
     ready: bool
 
+    def make_room(self) -> bool: ...
+
     def take(self, connection: ClientConnection, request: ClientRequest) -> None: ...
 
     def client_gone(self, connection: ClientConnection) -> None: ...
@@ -226,7 +228,8 @@
         request, self.request = self.request, None
         if request is None or self._transport is None or self._is_over():
             return
-        keep = request.keep_alive and not self._front.closing
+        # While the front end is closing, what was sent ahead on the connection is still answered first.
+        keep = request.keep_alive and not (self._front.closing and not self._ahead)
         lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body))]
         lines += [b"%s: %s\r\n" % header for header in headers if header[0].lower() not in PER_HOP]
         lines.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
@@ -284,7 +287,7 @@
     descriptors: Descriptors
     handler: Handler
     closing: bool = False  # answers end their connections
-    connections: set[ClientConnection] = field(default_factory=set)
+    connections: dict[ClientConnection, None] = field(default_factory=dict)  # the oldest first
     _server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -307,11 +310,17 @@
                 connection.close()
 
     def opened(self, connection: ClientConnection) -> None:
-        self.connections.add(connection)
+        """Guards against running out of descriptors: idle connections go, to backends before callers'."""
+        self.connections[connection] = None
         self.descriptors.used += 1
+        if self.is_over_limit() and not self.handler.make_room():
+            for other in self.connections:
+                if other is not connection and other.is_idle():
+                    other.close()
+                    break
 
     def closed(self, connection: ClientConnection) -> None:
-        self.connections.discard(connection)
+        del self.connections[connection]
         self.descriptors.used -= 1
 
     def is_over_limit(self) -> bool:
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -31,7 +31,7 @@
 
 
 class LiveRequest:
-    __slots__ = ("attempts", "client", "id", "message", "until")
+    __slots__ = ("attempts", "client", "id", "message", "timer", "until")
 
     def __init__(self, id: str, client: ClientConnection, message: ClientRequest, until: float) -> None:
         self.id = id
@@ -39,6 +39,7 @@
         self.message = message
         self.until = until  # when its attempts are over at the latest
         self.attempts: list[Attempt] = []
+        self.timer: Timer | None = None  # for the host's own last word
 
     def is_over(self) -> bool:
         return self.client is None and all(attempt.ended for attempt in self.attempts)
@@ -172,7 +173,7 @@
         until = message.arrived_at * 1000.0 + left_ms - margin
         request = LiveRequest(str(self._last_id), connection, message, until)
         self._requests[request.id] = self._by_client[connection] = request
-        Timer(self._loop, until + margin * LAST_WORD, lambda: self._out_of_time(request))
+        request.timer = Timer(self._loop, until + margin * LAST_WORD, lambda: self._out_of_time(request))
         self._dispatch(api.RequestArrived(
             request.id, message.class_index, max(until - now_ms(), 0.0), message.tenant, message.cost_ms,
             message.is_retry))
@@ -181,6 +182,7 @@
         request = self._by_client.pop(connection, None)
         if request is not None:
             request.client = None
+            self._stop_timer(request)
             self._dispatch(api.ClientGone(request.id))
             self._clean_up(request)
 
@@ -191,6 +193,20 @@
             self._dispatch(api.ClientGone(request.id))
             self._clean_up(request)
 
+    @staticmethod
+    def _stop_timer(request: LiveRequest) -> None:
+        if request.timer is not None:
+            request.timer.cancel()
+            request.timer = None  # it holds the request in turn
+
+    def fail_all(self) -> None:
+        """The last word before the program is killed: what is still out fails, and is not lost."""
+        for request in list(self._by_client.values()):
+            self._out_of_time(request)
+
+    def make_room(self) -> bool:
+        return self._pool.close_oldest_idle()
+
     def _abandon(self, request_id: str) -> None:
         request = self._requests.get(request_id)
         if request is None:
@@ -234,6 +250,7 @@
     def _answer(self, request: LiveRequest, status: int, headers: Headers, body: bytes) -> None:
         client, request.client = request.client, None
         if client is not None:
+            self._stop_timer(request)
             del self._by_client[client]
             client.answer(status, headers, body)
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.rig import Caller, FakeServer, make_config, member, run
+from tests.rig import LANES, Caller, FakeServer, make_config, member, run
 
 ROOT = Path(__file__).parent.parent
 
@@ -90,3 +90,25 @@
         assert await process.wait() == 0
 
     run(test)
+
+
+def test_what_is_still_out_before_the_kill_fails_and_half_a_request_holds_nothing_up(tmp_path: Path) -> None:
+    """SIGKILL finds nothing unanswered: with a longest deadline of 0.2 s it comes 0.9 s after SIGTERM."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        port = free_port()
+        config = make_config(f"127.0.0.1:{port}", "127.0.0.1:1", member("s1", backend.address), group_size=1)
+        config["settings"]["lanes"] = [{**lane, "aim_ms": 200.0, "deadline_ms": 200.0} for lane in LANES]
+        process = await launch(json.dumps(config), tmp_path)
+        await until_serving(process)
+        held = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        half = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        held.ask("pay", left="60.0")
+        call = await backend.next()
+        half.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
+        process.send_signal(signal.SIGTERM)
+        assert (await held.answer()).status == 502
+        await call.closed()
+        assert await process.wait() == 0
+
+    run(test)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -283,3 +283,26 @@
             assert (await callers[0].answer()).body == b"fine"
 
     run(test)
+
+
+def test_a_new_caller_is_let_in_at_the_cost_of_idle_connections() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address), sockets=Descriptors.RESERVE + 2)
+            first = await rig.caller()
+            first.ask()
+            kept = await backend.next()
+            kept.reply(200)
+            await first.answer()
+            second = await rig.caller()
+            await kept.closed()  # the idle connection to the backend goes first
+            third = await rig.caller()
+            assert await first.ended()  # then the caller that has been idle for longest
+            third.ask()
+            assert (await third.answer()).status == 502  # no descriptor is left to send it
+            assert script.outcomes()[-1] == (0, Outcome.CONNECT_FAILED, False)
+            assert not second.reader.at_eof()
+
+    run(test)
