Tell refused clients when to come back

The users ask that what was given up on is answered at once and the client told when to return; the module gave no time (Balancer._give_up). Ruled out: a random spread of the advice, since it would draw from the rotation's random numbers.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -618,11 +618,16 @@
         return member is not None
 
     def _give_up(self, request: Request) -> None:
-        """A refusal invites the client's retry, so it is said wherever rule 2 allows."""
+        """A refusal invites the client's retry, so it is said wherever rule 2 allows, and at once.
+
+        Guards against retries into the same crowd: the client is told to come back after as long as it may
+        wait for room here. It harms where room is made sooner, and is unseen where clients get no advice.
+        """
         cls = request.cls
         harmless = request.may_have_run() is None or cls.effect is Effect.SAFE or (
             cls.effect is Effect.KEYED and cls.dedup_scope is Scope.ALL)
-        self._actions.append(api.Refuse(request.id) if harmless else api.Fail(request.id))
+        refusal = api.Refuse(request.id, retry_after_ms=HOLD_SHARE * cls.aim_ms)
+        self._actions.append(refusal if harmless else api.Fail(request.id))
         self._close(request.id)
 
     def _close(self, request_id: str) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -202,3 +202,14 @@
             assert (await caller.answer()).status == 502
 
     run(test)
+
+
+def test_the_module_itself_tells_a_refused_client_when_to_come_back() -> None:
+    async def test() -> None:
+        rig = await Rig().start()  # no backend is known: nothing can be sent anywhere
+        caller = await rig.caller()
+        caller.ask()
+        answer = await caller.answer()
+        assert (answer.status, answer.headers["retry-after"]) == (503, "0.250")
+
+    run(test)
