End the connection of a caller that stops in the middle of a request

Seen in review, shown by a test: nothing limited the time from a request's first byte to its last (ClientConnection.data_received), so such callers held descriptors for ever. 408 after 10 s now; the timer is set only for requests that are not whole with their first bytes.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -19,8 +19,10 @@
 
 MAX_BODY = MAX_HEAD = 64 * 1024
 MAX_AHEAD = 4  # requests read ahead on one connection, before reading from it pauses
+READ_S = 10.0  # from a request's first byte to its last
 LINGER_S = 1.0  # a caller whose input was bad may go on sending for so long; it is read and dropped
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout",
            413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
            503: b"Service Unavailable"}
 # Headers that belong to a connection or that are written anew at each hop.
@@ -121,6 +123,7 @@
         self._reading_paused = False
         self._deaf = False  # what comes is dropped: the input was bad, or the connection is over
         self._linger: asyncio.TimerHandle | None = None
+        self._read_timer: asyncio.TimerHandle | None = None
         self.request: ClientRequest | None = None  # the one that an answer is owed to
 
     # --- asyncio's calls ---
@@ -144,13 +147,29 @@
             # What a callback raises comes wrapped.
             cause = problem.__context__
             self._bad_input(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed"))
+        if not self._in_request:
+            self._stop_read_timer()
+        elif self._read_timer is None:
+            self._read_timer = self._front.loop.call_later(READ_S, self._too_slow)
         self._next()
 
+    def _too_slow(self) -> None:
+        """Guards against callers that stop in the middle of a request and keep their connection for ever."""
+        self._read_timer = None
+        self._bad_input(BadRequest(408, "the request did not come in time"))
+        self._next()
+
+    def _stop_read_timer(self) -> None:
+        if self._read_timer is not None:
+            self._read_timer.cancel()
+            self._read_timer = None
+
     def eof_received(self) -> None:
         self._gone()
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._gone()
+        self._stop_read_timer()
         if self._linger is not None:
             self._linger.cancel()
         self._front.closed(self)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+from unittest import mock
 
 import pytest
 
@@ -182,3 +183,15 @@
             assert answer.headers.get("retry-after") == ("0.250" if allowed else None)
 
     run(test)
+
+
+def test_a_caller_that_stops_in_the_middle_of_a_request_does_not_keep_its_connection() -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+            caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
+            assert (await caller.answer()).status == 408
+            assert await caller.ended()
+
+    run(test)
