Move to another discovery on SIGHUP instead of ending

Now __main__ installs one before the listener, so before /up can say 200. It reads NODE_CONFIG again; a bad file is logged and nothing changes; a new discovery address gets a watch at once, with no FAILED told, from index 0. SILENCE_S 5.0 was longer than the 4 s after which news counts as told: 2.8 now (beats come every 2 s). Changed keys other than discovery are named in the log. SIGHUP while stopping does nothing.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -1,4 +1,4 @@
-"""One real proxy: `python -m cometdoor`, told what it is by NODE_CONFIG."""
+"""One real proxy: `python -m cometdoor`, told what it is by NODE_CONFIG; SIGHUP has it read that again."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from cometdoor.config import BadConfig, NodeConfig, load_config
+from cometdoor.config import BadConfig, NodeConfig, load_config, need_restart
 from cometdoor.frontend import Frontend, RequestReader
 from cometdoor.proxy import Proxy
 from cometdoor.upstream import Descriptors
@@ -28,10 +28,26 @@
 log = logging.getLogger("cometdoor")
 
 
+def reload(running: NodeConfig, proxy: Proxy, stopping: asyncio.Event) -> None:
+    """Only discovery can move under a running proxy. What can't be read changes nothing."""
+    if stopping.is_set():
+        return
+    try:
+        new = load_config()
+    except BadConfig as problem:
+        log.error("the configuration stays as it was: %s", problem)
+        return
+    if names := need_restart(running, new):
+        log.warning("changed, but used only after a restart: %s", ", ".join(names))
+    proxy.move_discovery(new.discovery)
+
+
 async def serve(config: NodeConfig, stopping: asyncio.Event) -> None:
     loop = asyncio.get_running_loop()
     descriptors = Descriptors(config.sockets)
     proxy = Proxy(config, loop, descriptors)
+    # Before anybody can learn that the program is up: without a handler the signal ends it.
+    loop.add_signal_handler(signal.SIGHUP, reload, config, proxy, stopping)
     front = Frontend(loop, RequestReader(config), descriptors, proxy)
     await front.listen(*config.listen)
     proxy.start()
--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -1,10 +1,10 @@
-"""What this proxy is told: the object that NODE_CONFIG names, read once at the start."""
+"""What this proxy is told: the object that NODE_CONFIG names, read at the start and at each SIGHUP."""
 
 from __future__ import annotations
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -83,3 +83,10 @@
         raise BadConfig(f"{path}: {problem} is missing or has an unknown value") from problem
     except (OSError, ValueError, TypeError, AttributeError) as problem:
         raise BadConfig(f"{path}: {problem}") from problem
+
+
+def need_restart(running: NodeConfig, new: NodeConfig) -> list[str]:
+    """What a running proxy does not take over; seed and known list mean something at a start only."""
+    taken_over = {"discovery", "seed", "known"}
+    return [field.name for field in fields(NodeConfig)
+            if field.name not in taken_over and getattr(running, field.name) != getattr(new, field.name)]
--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -23,7 +23,9 @@
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENCE_S = 5.0  # a watch says something every 2 s; one that doesn't for so long is broken
+# A watch says something every 2 s; one that doesn't for so long is broken. After a move news counts as told
+# within 4 s, and a call to a new address that is silent must leave time for another.
+SILENCE_S = 2.8
 MAX_LINE = 8 << 20
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 5.0  # between watches where lists are pushed
 
@@ -179,6 +181,16 @@
             self, f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}")
         self._watch.open(self._address)
 
+    def move(self, address: Address) -> None:
+        """A watch at the new address at once. The old service's revisions mean nothing to the new one."""
+        if address == self._address:
+            return
+        log.info("discovery: now at %s:%d", *address)
+        self._address = address
+        self._revision = 0
+        self._pause_s = FIRST_PAUSE_S
+        self.watch()
+
     def stop(self) -> None:
         if self._watch is not None:
             self._watch.end("stopped", tell=False)
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -112,6 +112,9 @@
     def stop(self) -> None:
         self._discovery.stop()
 
+    def move_discovery(self, address: Address) -> None:
+        self._discovery.move(address)
+
     def owes_answers(self) -> bool:
         return bool(self._by_client)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cometdoor.config import read_address
 from cometdoor.discovery import ListReader
 from jasperhall import api
 from jasperhall.api import ListKind, State
@@ -79,6 +80,30 @@
     run(test)
 
 
+@pytest.mark.parametrize("asked", [True, False])
+def test_a_move_of_discovery_is_a_watch_there_at_once_and_no_failure(asked: bool) -> None:
+    async def test() -> None:
+        old, new = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script:
+            rig = await started(script, old, member("s1", "127.0.0.1:9"), asked=asked)
+            before = await old.next()
+            before.open_stream()
+            before.send_list(47, False, member("s1", "127.0.0.1:9", phase="terminating"))
+            await script.until(api.ListChanged)
+            rig.proxy.move_discovery(read_address(old.address))  # it is there already
+            rig.proxy.move_discovery(read_address(new.address))
+            after = await new.next()
+            assert after.message.start == b"GET /discovery/hosts?stream=1&index=0 HTTP/1.1"
+            await before.closed()
+            after.open_stream()
+            after.send_list(3, False, member("s2", "127.0.0.1:9"))
+            change = await script.until(api.ListChanged)
+            assert [server.name for server in change.servers] == ["s2"]
+            assert old.calls.empty()
+
+    run(test)
+
+
 def test_where_it_is_pushed_the_watch_is_kept_up_without_the_module() -> None:
     async def test() -> None:
         discovery = await FakeServer().start()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -112,3 +112,44 @@
         assert await process.wait() == 0
 
     run(test)
+
+
+def test_sighup_moves_to_the_discovery_that_the_configuration_now_names(tmp_path: Path) -> None:
+    """A file that can't be read, or the same again, changes nothing; requests in hand go on untouched."""
+    async def test() -> None:
+        old, new, backend = await FakeServer().start(), await FakeServer().start(), await FakeServer().start()
+        port = free_port()
+        config = make_config(f"127.0.0.1:{port}", old.address, member("s1", backend.address), group_size=1,
+                             discovery_mode="subscribe", obligations={"ask_within_ms": 10.0})
+        process = await launch(json.dumps(config), tmp_path)
+        await until_serving(process)
+        before = await old.next()
+        assert before.message.start.endswith(b"index=41 HTTP/1.1")
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        caller.ask()
+        call = await backend.next()
+        path = tmp_path / "config.json"
+        for text, word in (("{", b"stays as it was"),
+                           (json.dumps({**config, "discovery": new.address, "listen": "127.0.0.1:1"}),
+                            b"after a restart: listen")):
+            path.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            while word not in (line := await process.stderr.readline()):
+                assert line, "the program ended"
+        after = await new.next()
+        assert after.message.start == b"GET /discovery/hosts?stream=1&index=0 HTTP/1.1"
+        await before.closed()
+        call.reply(200, b"untouched")
+        assert (await caller.answer()).body == b"untouched"
+        after.open_stream()
+        other = await FakeServer().start()
+        after.send_list(1, True, member("s2", other.address))
+        caller.ask()
+        (await other.next()).reply(200, b"new")
+        assert (await caller.answer()).body == b"new"
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)  # changes nothing while stopping
+        assert await process.wait() == 0
+
+    run(test)
