--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -36,19 +36,43 @@
     def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
         self._zones = {name: number for number, name in enumerate(zones)}
         self._kinds = {name: number for number, name in enumerate(kinds)}
+        self._last: dict[str, tuple[Server, Address]] = {}  # of all that are listed
         # Fixed at the start: a clock that is set later must not make every backend look restarted.
         self._unix_ahead_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
 
     def read(self, message: dict[str, Any]) -> tuple[list[Server], dict[str, Address]]:
-        servers, addresses = [], {}
+        servers: list[Server] = []
+        addresses: dict[str, Address] = {}
+        listed: dict[str, tuple[Server, Address]] = {}
         for member in message.get("members") or ():
-            server = self._read_member(member)
+            try:
+                server = self._read_member(member)
+                if server.state is not State.GONE:
+                    listed[server.name] = server, read_address(member["host_port"])
+            except (ValueError, KeyError, TypeError, AttributeError) as problem:
+                # The others are still news. The one stays as it was last read, if it ever was.
+                log.warning("discovery: an entry not understood: %s: %s", type(problem).__name__, problem)
+                name = member.get("id") if isinstance(member, dict) else None
+                if isinstance(name, str) and name in self._last:
+                    listed[name] = self._last[name]
+                    servers.append(listed[name][0])
+                continue
             servers.append(server)
-            if server.state is not State.GONE or member.get("host_port"):
-                addresses[server.name] = read_address(member["host_port"])
+        if message.get("complete"):
+            self._last = listed
+        else:
+            self._last.update(listed)
+            for server in servers:
+                if server.state is State.GONE:
+                    self._last.pop(server.name, None)
+        for server in servers:
+            if server.name in self._last:
+                addresses[server.name] = self._last[server.name][1]
         return servers, addresses
 
     def _read_member(self, member: dict[str, Any]) -> Server:
+        if not isinstance(member["id"], str):
+            raise ValueError("an id that is no text")
         cell = member.get("cell") or 0
         since = float(member.get("up_since_ms") or 0.0)
         weight = member.get("size")
