Leave nothing behind: cycles of bad requests and watches, turns of gone backends, seconds of the gate

By reading the module: _rotation keeps turns of gone servers that lie far ahead (40 entries for 4 servers after 300 replacements), the gate's seconds were dropped only when a copy was due.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -97,7 +97,7 @@
     def __init__(self, owner: Discovery, target: str, host: str) -> None:
         self._owner = owner
         self._head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._line = bytearray()
         self._transport: asyncio.Transport | None = None
         self._opening: asyncio.Task[None] | None = None
@@ -122,6 +122,8 @@
             self._transport.write(self._head)
 
     def data_received(self, data: bytes) -> None:
+        if self._parser is None:
+            return
         self._heard_at = self._owner.loop.time()
         try:
             self._parser.feed_data(data)
@@ -129,7 +131,7 @@
             self.end(f"not understood: {problem}")
 
     def on_body(self, body: bytes) -> None:
-        if self._ended or self._parser.get_status_code() != 200:
+        if self._parser is None or self._parser.get_status_code() != 200:
             return
         self._line += body
         if len(self._line) > MAX_LINE:
@@ -149,8 +151,7 @@
             self.end(f"a line not understood: {type(problem).__name__}: {problem}")
 
     def on_message_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status >= 200:
+        if self._parser is not None and (status := self._parser.get_status_code()) >= 200:
             self.end(f"over, status {status}")
 
     def eof_received(self) -> None:
@@ -171,6 +172,7 @@
         if self._ended:
             return
         self._ended = True
+        self._parser = None  # parser and protocol hold one another
         self._silence.cancel()
         if self._transport is not None:
             self._transport.abort()
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -214,7 +214,11 @@
         except httptools.HttpParserError as problem:
             # What a callback raises comes wrapped.
             cause = problem.__context__
-            self._bad_input(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed"))
+            if isinstance(cause, BadRequest):
+                # Its traceback's frames hold this connection and the exception itself.
+                self._bad_input(cause.with_traceback(None))
+            else:
+                self._bad_input(BadRequest(400, "malformed"))
         else:
             self._raw_size += len(data)
             if self._in_request and self._raw_size - self._body_size > MAX_HEAD:
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from zlib import crc32
 
 from jasperhall import api
@@ -295,6 +295,7 @@
         second = now // 1000.0
         if not self._seconds or self._seconds[-1][0] != second:
             self._seconds.append([second, 0, 0])
+            self._expire(now)  # where no copy is ever due, nobody else asks
         self._seconds[-1][1 + column] += 1
         self._lifetime[column] += 1
 
@@ -306,8 +307,7 @@
 
         With few legs a single copy can be above the cap. The first of a window leaves all the same.
         """
-        while self._seconds and self._seconds[0][0] * 1000.0 < now - WINDOW_MS:
-            self._seconds.popleft()
+        self._expire(now)
         backups, legs = (sum(row[column] for row in self._seconds) for column in (1, 2))
         if not legs:
             backups, legs = self._lifetime
@@ -315,6 +315,10 @@
         # A request that is slow because it is heavy is as heavy for its copy: such copies only cost.
         return ratio < MAX_BACKUP_RATIO * self.wins.mean(1.0, KIND_SAMPLES, now)
 
+    def _expire(self, now: float) -> None:
+        while self._seconds and self._seconds[0][0] * 1000.0 < now - WINDOW_MS:
+            self._seconds.popleft()
+
     def backup_sent(self, now: float) -> None:
         self._count(now, 0)
 
@@ -414,6 +418,10 @@
         for member in self._members.values():
             if not member.ready:
                 member.weight = 0.0  # so that it is given a turn when it returns
+        if len(self._rotation) > 2 * len(self._members):
+            # Turns of servers that are gone lie far ahead where those were slow or failing: they pile up.
+            self._rotation = [turn for turn in self._rotation if turn[0] == turn[2].turn and turn[2].weight]
+            heapify(self._rotation)
         settings = self._settings
         weights = [max(member.entry.weight, 1e-3) for member in ring]
         total = sum(weights)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -34,6 +34,10 @@
     uvloop.run(limited())
 
 
+def head_of(*lines: str) -> bytes:
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 class Message:
     """A request or an answer as it came over a socket."""
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -734,3 +734,23 @@
 def test_a_lost_connection_is_not_held_against_its_server() -> None:
     checker = after_a_reset(2000.0, 1.0)
     assert checker.balancer._members["s0"].failures.total == 0.0
+
+
+def test_backends_that_come_and_go_leave_nothing_behind() -> None:
+    """Turns of small or failing ones lie far ahead in virtual time: their entries were not met again."""
+    checker = Checker()
+    for round_ in range(300):
+        checker.list_servers(*(replace(entry, name=f"r{round_}-{entry.name}", weight=1.0 if place else 0.01)
+                               for place, entry in enumerate(servers(4))))
+        for place in range(4):
+            name = f"q{round_}-{place}"
+            checker.request(name)
+            checker.end(name, 0, Outcome.ERROR if place % 2 else Outcome.OK)
+            checker.gone(name)
+            for attempt in checker.owed[name].outstanding():
+                checker.end(name, attempt, Outcome.CANCELLED)
+        checker.advance(20_000.0)
+    module = checker.balancer
+    assert len(module._members) == 4
+    assert len(module._rotation) <= 12
+    assert not module._requests and len(module._timers) <= 1
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -13,11 +13,7 @@
 from cometdoor.upstream import Descriptors
 from jasperhall import api
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
-
-
-def head(*lines: str) -> bytes:
-    return "\r\n".join([*lines, "", ""]).encode()
-
+from tests.rig import head_of as head
 
 GOOD = ("X-Trace-Id: 1", "X-Qos: read", "X-Expires-In: 1.0")
 PAY = ("POST /pay/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: pay", "X-Expires-In: 1.0")
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -75,3 +75,10 @@
     for _ in range(5):
         gate.leg_completed(AFTER_WINDOW)
     assert do_backup(gate, AFTER_WINDOW)
+
+
+def test_a_gate_that_is_never_asked_keeps_no_more_than_its_window() -> None:
+    gate = BackupGate()
+    for second in range(1000):
+        gate.leg_completed(1000.0 * second)
+    assert len(gate._seconds) <= balancer.WINDOW_MS / 1000.0 + 2
