Use no connection again that was under way when its backend left, moved or started anew

By reading: _list_changed closed idle connections only; one in use at that moment went back to Pool._idle afterwards, under a name that was gone (a descriptor for up to 27 s) or that meant another address by then. Pool now knows all open connections by backend and retires them. The test fails without it: the connection stays open.

--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -156,7 +156,7 @@
                 name = server.name
                 if (server.state is not State.READY or addresses.get(name) != self._addresses.get(name)
                         or server.started_at != self._started_at.get(name)):
-                    self._pool.close_idle(name)
+                    self._pool.retire(name)
                 if server.state is State.GONE:
                     self._forget_server(name)
                 else:
@@ -166,7 +166,7 @@
         self._dispatch(event)
 
     def _forget_server(self, name: str) -> None:
-        self._pool.close_idle(name)
+        self._pool.retire(name)
         self._addresses.pop(name, None)
         self._started_at.pop(name, None)
 
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -102,6 +102,7 @@
         self.timer: asyncio.TimerHandle | None = None  # until it is open, or the answer whole, or it is idle
         self.idle_since = 0.0
         self.closed = False
+        self.is_retired = False  # its backend leaves, has moved or started anew: it is not used again
         self._transport: asyncio.Transport | None = None
         self._opening: asyncio.Task[None] | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -260,7 +261,8 @@
         exchange, self.exchange = self.exchange, None
         self._stop_timer()
         self._headers, self._body, self._answer = [], [], None
-        if answer is not None and self._reusable and self.is_written() and not self.closed:
+        if (answer is not None and self._reusable and self.is_written() and not self.closed
+                and not self.is_retired):
             self._wrote = False
             self.pool.keep(self)
         else:
@@ -302,6 +304,7 @@
         # Guards against a request written to a connection that the backend is just closing.
         self._keep_s = max(0.5 * idle_close_ms, 0.9 * idle_close_ms - 250.0) / 1000.0
         self._connect_timeout_ms = connect_timeout_ms
+        self._open: dict[str, set[Connection]] = {}  # all by backend, those in use too
         self._idle: dict[str, list[Connection]] = {}
         self._by_age: dict[Connection, None] = {}  # all idle ones, the longest idle first
 
@@ -314,6 +317,7 @@
             return False
         connection = Connection(self, server, address, exchange)
         exchange.connection = connection
+        self._open.setdefault(server, set()).add(connection)
         self._descriptors.used += 1
         connection.open(self._connect_timeout_ms)
         return True
@@ -338,6 +342,10 @@
 
     def forget(self, connection: Connection) -> None:
         self._descriptors.used -= 1
+        of_server = self._open[connection.server]
+        of_server.remove(connection)
+        if not of_server:
+            del self._open[connection.server]
         if connection in self._by_age:
             self._take_out(connection)
 
@@ -345,6 +353,12 @@
         for connection in list(self._idle.get(server, ())):
             connection.abort()
 
+    def retire(self, server: str) -> None:
+        """Nothing of what is open now is used again; what is under way on it may end."""
+        for connection in self._open.get(server, ()):
+            connection.is_retired = True
+        self.close_idle(server)
+
     def close_oldest_idle(self) -> bool:
         oldest = next(iter(self._by_age), None)
         if oldest is None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -137,7 +137,7 @@
     assert list(reader._last) == ["s2"]
 
 
-def test_idle_connections_to_a_backend_that_leaves_are_closed() -> None:
+def test_connections_to_a_backend_that_leaves_are_not_used_again() -> None:
     async def test() -> None:
         discovery, backend = await FakeServer().start(), await FakeServer().start()
         for change in ("terminating", "terminated", "left out", "restarted"):
@@ -147,9 +147,11 @@
                 call.open_stream()
                 script.react = lambda event: (
                     [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else [])
-                caller = await rig.caller()
+                caller, other = await rig.caller(), await rig.caller()
                 caller.ask()
                 served = await backend.next()
+                other.ask()
+                in_use = await backend.next()
                 served.reply(200)
                 await caller.answer()
                 if change == "left out":
@@ -159,6 +161,9 @@
                 else:
                     call.send_list(42, False, member("s1", backend.address, phase=change))
                 await served.closed()
+                in_use.reply(200, b"to the end")  # and never used again: the name may mean another by then
+                assert (await other.answer()).body == b"to the end"
+                await in_use.closed()
 
     run(test)
 
