End connections of callers that leave their last answers unread

By reading: a caller that ends its sending while answers are still in the write buffer has no time limit running, as the transport closes only once all is flushed. The test fails without it (it never ends).

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -182,6 +182,7 @@
         self._deaf = False  # what comes is dropped: the input was bad, or the connection is over
         self._is_ending = False
         self._dropped = 0
+        self._graces = 10  # so often is it looked whether a caller has read its last answer
 
     # --- asyncio's calls ---
 
@@ -234,6 +235,7 @@
 
     def eof_received(self) -> None:
         self._gone()
+        self._front.wait(self, self._front.ending)  # it may leave answers unread
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._gone()
@@ -389,6 +391,13 @@
             return False
         return True
 
+    def finish(self) -> None:
+        if self._transport is not None and self._transport.get_write_buffer_size() and self._graces:
+            self._graces -= 1
+            self._front.wait(self, self._front.ending)
+        else:
+            self.abort()
+
     def abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
@@ -528,7 +537,7 @@
         for connection in self._due(self.idle, now - (SPARE_IDLE_S if crowded else IDLE_S)):
             connection.close_if_idle()
         for connection in self._due(self.ending, now - LINGER_S):
-            connection.abort()
+            connection.finish()
         if self._listener is not None and not self._accepts:
             self._accepts = True
             self.loop.add_reader(self._listener, self._accept)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -350,10 +350,12 @@
     run(test)
 
 
-def test_a_caller_that_reads_no_answers_is_not_served_on_and_on() -> None:
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_caller_that_reads_no_answers_is_not_served_on_and_on(leaves: bool) -> None:
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.frontend.IDLE_S", 0.05):
+        with Script().in_place() as script, mock.patch.multiple(
+                "cometdoor.frontend", IDLE_S=60.0 if leaves else 0.05, LINGER_S=0.01):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             with socket.socket() as raw:
@@ -372,6 +374,8 @@
                         sent.cancel()
                         break
                     sent.result().reply(200, b"x" * 65536)
+                if leaves:
+                    writer.write_eof()
                 while rig.front.connections:
                     await asyncio.sleep(0.01)
 
