Ask a discovery that failed again within 1.2 s: growing pauses broke the rule on drains

News counts as told after 6 s. Ruled out: the host tells each failure at once, and a list that came was applied.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -25,7 +25,7 @@
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 # A watch says something every 2 s; one that doesn't for so long is broken. After a move news counts as told
 # within 4 s, and a call to a new address that is silent must leave time for another.
-SILENCE_S = 2.8
+SILENCE_S = 2.5
 MAX_LINE = 8 << 20
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 5.0  # between watches where lists are pushed
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -32,6 +32,7 @@
 WORTH_ORDER = 0.3  # a request worth nothing finds this much less of the limit open to it
 SPARE_SHARE = 0.5  # of the limit is open to what earns next to nothing: above a share, or past its aim
 SHARE_BURST_MS = 5_000.0  # of its allowance that a tenant may save up: its calls come in clumps
+WATCH_PAUSE = 0.12  # of the time to ask within that passes at most before a failed call is made again
 FLOOR = 3.0  # requests a server, from all balancers together, that may be out before any answer is in
 QUEUE_SHARE = 0.35  # of its aim that the mean answer may take, more where a late answer keeps some worth
 CLUMP = 3.0  # standard deviations of chance arrivals that are let through while answers are well in time
@@ -350,7 +351,6 @@
         self._timers: dict[int, str | None] = {}  # token -> request, or None for a renewed watch
         self._last_token = 0
         self._watch_due = False  # a timer to ask for the list is set
-        self._watch_failures = 0  # in a row
         self._actions: list[api.Action] = []
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
@@ -376,11 +376,10 @@
 
     def _list_changed(self, event: api.ListChanged, now: float) -> None:
         failed = event.kind is ListKind.FAILED
-        self._watch_failures = self._watch_failures + 1 if failed else 0
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
-            # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
-            widest = self._settings.ask_within_ms * min(2.0 ** self._watch_failures / 8, 0.5)
-            self._set_timer(None, self._random.uniform(0.0, widest))
+            # Random pauses spare a slow discovery. Not longer ones after several failures: what the list has
+            # to tell soon counts as told, and two calls in a row may fail.
+            self._set_timer(None, self._random.uniform(0.0, WATCH_PAUSE * self._settings.ask_within_ms))
             self._watch_due = True
         if failed:
             return
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -754,3 +754,18 @@
     assert len(module._members) == 4
     assert len(module._rotation) <= 12
     assert not module._requests and len(module._timers) <= 1
+
+
+def test_a_discovery_that_fails_again_and_again_is_asked_again_soon() -> None:
+    """Incident rac2dfd: pauses that grew to 5 s after failed calls broke the rule on drains.
+
+    What discovery has to tell counts as told after 6 s: a silent watch and two failed calls must fit in.
+    """
+    for seed in range(30):
+        checker = Checker(replace(SETTINGS, must_ask=True, ask_within_ms=10_000.0), seed)
+        checker.list_servers(*servers(3), kind=ListKind.CACHED)
+        for _ in range(5):
+            checker.advance(5_000.0)
+            pauses = [action.after_ms for action in checker.list_servers(kind=ListKind.FAILED)
+                      if isinstance(action, api.SetTimer)]
+            assert len(pauses) == 1 and pauses[0] <= 1_200.0
