Pass over servers that take no connection

At fault: _judge and _weight, where a refused connection only moves the mean of failures (prior 3, memory 10 s), so a server known for its good answers keeps half of its turns for seconds. Ruled out: CPU, descriptors, connection tables (refused at once, by the same five at all proxies), list changes (later).

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -29,6 +29,10 @@
 CROWDED = 1.0  # a server holding one call more than this multiple of the mean passes its turn
 FAILURE_POWER = 4.0  # a server that fails half of its calls keeps a sixteenth of its turns
 FAILURE_FLOOR = 0.02  # and one that fails all still sees a call now and then
+# A server that takes no connection is passed over for so long, twice as long each time in a row, up to
+# where the list has mostly told: at a turn or so a second the failures' mean alone took seconds to see it.
+REST_MS = 1_000.0
+LONGEST_REST_MS = 4_000.0
 WORTH_ORDER = 0.3  # a request worth nothing finds this much less of the limit open to it
 SPARE_SHARE = 0.5  # of the limit is open to what earns next to nothing: above a share, or past its aim
 SHARE_BURST_MS = 5_000.0  # of its allowance that a tenant may save up: its calls come in clumps
@@ -80,7 +84,7 @@
     """A server as this balancer sees it."""
 
     __slots__ = ("allowed", "allowed_at", "entry", "failures", "name", "order", "outstanding", "place",
-                 "ready", "slowness", "turn", "used_at", "weight")
+                 "ready", "rest_ms", "rests_until", "slowness", "turn", "used_at", "weight")
 
     def __init__(self, entry: api.Server, order: int) -> None:
         self.order = order  # no two are alike, so that equal turns compare
@@ -90,6 +94,8 @@
         self.name = entry.name
         self.ready = entry.state is State.READY
         self.failures = Average()
+        self.rest_ms = 0.0  # how long it was last passed over; 0 once it has answered
+        self.rests_until = -math.inf
         self.slowness = Average()  # its answer times, each as a multiple of its class's mean
         # Hashed places mix kinds and zones; a cell stays together, so that a keyed call finds its copy.
         self.place = (crc32(b"%d" % entry.cell), crc32(entry.name.encode()), entry.name)
@@ -98,6 +104,20 @@
         self.outstanding = 0
         self.used_at = math.inf  # when a connection to it last fell idle; infinite where there is none
 
+    def reached(self, outcome: Outcome, now: float) -> None:
+        """Guards against a process that is gone, a machine cut off or a full table of connections.
+
+        Each try there fails, spends one of a request's few attempts and of the budget, and where several
+        servers die at once calls fail that others had room for. Harms where a single connection fails by
+        chance: unless something else it has is answered, the server is idle for the first rest.
+        """
+        if outcome is Outcome.CONNECT_FAILED:
+            if now >= self.rests_until:  # else one of several that were under way together
+                self.rest_ms = min(max(2.0 * self.rest_ms, REST_MS), LONGEST_REST_MS)
+                self.rests_until = now + self.rest_ms
+        elif outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+            self.rest_ms, self.rests_until = 0.0, -math.inf
+
     def group(self, scope: Scope) -> int | None:
         return {Scope.ALL: None, Scope.ZONE: self.entry.zone, Scope.CELL: self.entry.cell}[scope]
 
@@ -514,6 +534,7 @@
 
     def _judge(self, attempt: Attempt, request: Request, outcome: Outcome, now: float) -> None:
         latency, member = now - attempt.sent_at, attempt.member
+        member.reached(outcome, now)
         if outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             failed = float(outcome is not Outcome.OK)
             member.failures.add(failed, now)
@@ -530,7 +551,7 @@
         self._zone_slowness[member.entry.zone != self._settings.zone].add(ratio, now)
         self._kind_slowness.setdefault(member.entry.kind, Average()).add(ratio, now)
 
-    def _pick(self, request: Request, now: float) -> Member | None:
+    def _pick(self, request: Request, now: float, resting: bool = False) -> Member | None:
         """The next ready server in turn that this request has not tried and may go to."""
         tried = [attempt.member for attempt in request.attempts]
         first = request.may_have_run()
@@ -546,6 +567,10 @@
             if member in tried or member.group(scope) != group:
                 passed.append(entry)
                 continue
+            if now < member.rests_until and not resting:
+                member.turn = turn + 1.0 / self._weight(member, now)  # lost, not saved up
+                passed.append((member.turn, member.order, member))
+                continue
             if member.name in crowded and not self._may_warm(member, now):
                 passed.append(entry)
                 continue
@@ -608,7 +633,9 @@
         return request.cls.effect is Effect.KEYED and now - first.sent_at < request.cls.key_ttl_ms
 
     def _send(self, request: Request, now: float) -> bool:
-        member = self._pick(request, now) if self._may_send(request, now) else None
+        member = None
+        if self._may_send(request, now):
+            member = self._pick(request, now) or self._pick(request, now, resting=True)
         if member:
             if request.attempts:
                 self._budget.sent(now)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from itertools import pairwise
 
 import pytest
 
@@ -769,3 +770,47 @@
             pauses = [action.after_ms for action in checker.list_servers(kind=ListKind.FAILED)
                       if isinstance(action, api.SetTimer)]
             assert len(pauses) == 1 and pauses[0] <= 1_200.0
+
+
+def test_a_server_that_takes_no_connection_rests_longer_each_time() -> None:
+    checker = started(*servers(4))
+    tried: list[float] = []
+    start = checker.now
+    for number in range(1500):
+        (server,) = sent_to(checker.request(f"r{number}", UNSAFE_INDEX))
+        if server == "s0":
+            tried.append(checker.now - start)
+            (server,) = sent_to(checker.end(f"r{number}", 0, Outcome.CONNECT_FAILED))
+        assert server != "s0"
+        checker.end(f"r{number}", len(checker.owed[f"r{number}"].sent) - 1, Outcome.OK)
+        checker.advance(10.0)
+    pauses = [after - before for before, after in pairwise(tried)]
+    assert len(pauses) >= 4
+    for pause, least in zip(pauses, [1000.0, 2000.0, 4000.0, 4000.0], strict=False):
+        assert least <= pause < least + 2500.0
+
+
+def test_a_server_that_rests_is_back_once_it_answers_or_has_started_anew() -> None:
+    checker = started(*servers(2))
+    for name in ("a", "b", "c", "d"):
+        checker.request(name, UNSAFE_INDEX)
+    held, failing = [name for name, owed in checker.owed.items() if owed.sent[0].server.name == "s0"][:2]
+    checker.end(failing, 0, Outcome.CONNECT_FAILED)
+    assert "s0" not in serve(checker, 10, tag="while")
+    checker.end(held, 0, Outcome.OK)
+    assert "s0" in serve(checker, 10, tag="after")
+    checker.request("e", UNSAFE_INDEX)
+    checker.request("f", UNSAFE_INDEX)
+    again = next(name for name in ("e", "f") if checker.owed[name].sent[0].server.name == "s0")
+    checker.end(again, 0, Outcome.CONNECT_FAILED)
+    assert "s0" not in serve(checker, 10, tag="again")
+    checker.list_servers(replace(servers(2)[0], started_at=checker.now), kind=ListKind.DELTA)
+    assert "s0" in serve(checker, 10, tag="anew")
+
+
+def test_where_all_rest_one_is_tried_all_the_same() -> None:
+    checker = started(*servers(2))
+    checker.request("r", UNSAFE_INDEX)
+    assert sent_to(checker.end("r", 0, Outcome.CONNECT_FAILED))
+    checker.end("r", 1, Outcome.CONNECT_FAILED)
+    assert sent_to(checker.request("s", UNSAFE_INDEX))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -10,6 +10,7 @@
 from jasperhall import api
 from jasperhall.api import Outcome
 from tests.rig import FakeServer, Rig, Script, first_to, member, run
+from tests.test_simhost import INFO
 
 
 def test_a_request_goes_on_unchanged_and_the_answer_comes_back_unchanged() -> None:
@@ -213,3 +214,27 @@
         assert (answer.status, answer.headers["retry-after"]) == (503, "0.250")
 
     run(test)
+
+
+def test_servers_that_take_no_connection_are_passed_over_while_others_serve() -> None:
+    """Several died at once, unseen by discovery: each call that tried them again was a call wasted."""
+
+    async def test() -> None:
+        gone, alive = [await FakeServer().start() for _ in range(2)], await FakeServer().start()
+        for server in gone:
+            server.stop()
+        # Four further tries for all requests together: those after the first refused connections.
+        obligations = {**INFO["obligations"], "extra_floor": 4.0,  # type: ignore[dict-item]
+                       "extra_per_request": 0.0, "ratio_span_ms": 10_000.0}
+        rig = await Rig().start(*(member(f"s{place}", server.address) for place, server in
+                                  enumerate([*gone, alive])), obligations=obligations)
+        caller = await rig.caller()
+        for _ in range(40):
+            caller.ask("pay")
+            call, answer = asyncio.ensure_future(alive.next()), asyncio.ensure_future(caller.answer())
+            await asyncio.wait({call, answer}, return_when=asyncio.FIRST_COMPLETED)
+            assert not answer.done(), "given up on though a server was there"
+            call.result().reply()
+            assert (await answer).status == 200
+
+    run(test)
