Pass by servers that hold more of a proxy's calls than the mean

At fault: _is_crowded, which let a second call go to a busy server while the mean was below one, as it is in booking, where each front server's proxy has 4 to 6 calls out.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -26,7 +26,6 @@
 KIND_SAMPLES = 3.0  # a server is taken to be like its kind until so many answers of its own are in
 SPEED_POWER = 1.0  # queues make an answer slower than the server: weigh down by more than the ratio
 SPEED_LIMIT = 3.0  # slowness counts up to here: some turns are kept, so that a recovery is seen
-CROWDED = 1.0  # a server holding one call more than this multiple of the mean passes its turn
 FAILURE_POWER = 4.0  # a server that fails half of its calls keeps a sixteenth of its turns
 FAILURE_FLOOR = 0.02  # and one that fails all still sees a call now and then
 # A server that takes no connection is passed over for so long, twice as long each time in a row, up to
@@ -521,8 +520,13 @@
             self._warm_rate = self._warm_sends.total / MEMORY_MS
 
     def _is_crowded(self, member: Member) -> bool:
-        """Whether it holds more of this balancer's calls than the mean, by more than chance."""
-        return member.outstanding >= 1.0 + CROWDED * self._outstanding / self._in_rotation
+        """Whether it holds more of this balancer's calls than the mean.
+
+        With a call or less for each server that is any it holds: those that stand still, are slow or have a
+        heavy call at work are passed by before any answer or time-out tells. Harms where servers
+        are so unlike that the best should hold several before the worst holds one.
+        """
+        return member.outstanding > self._outstanding / self._in_rotation
 
     def _slowness(self, member: Member, now: float) -> float:
         """How slowly the server answers, as a multiple of the mean over all."""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -238,3 +238,25 @@
             assert (await answer).status == 200
 
     run(test)
+
+
+def test_a_server_that_holds_a_call_is_passed_by_while_another_is_idle() -> None:
+    """With twenty calls on twelve servers of two cores some held five and others none."""
+
+    async def test() -> None:
+        backends = [await FakeServer().start() for _ in range(2)]
+        rig = await Rig().start(*(member(f"s{place}", backend.address)
+                                  for place, backend in enumerate(backends)))
+        holding, asking = await rig.caller(), await rig.caller()
+        holding.ask("pay")
+        coming = [asyncio.ensure_future(backend.next()) for backend in backends]
+        await asyncio.wait(coming, return_when=asyncio.FIRST_COMPLETED)
+        (place,) = [place for place, task in enumerate(coming) if not task.done()]
+        call = coming[place]
+        for _ in range(20):
+            asking.ask("pay")
+            (await call).reply()
+            assert (await asking.answer()).status == 200
+            call = asyncio.ensure_future(backends[place].next())
+
+    run(test)
