Attempts that never ran no longer spend the module's own budget

Ruled out: the admission's limit, list changes (none), time-outs (none). At fault: _may_send and _send, which counted a try after one that never ran like a retry or copy of work under way.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -621,13 +621,25 @@
         if request.open:
             request.timer = self._set_timer(request.id, request.copy_delay_ms(now))
 
+    def _spends_budget(self, request: Request) -> bool:
+        """Whether one more attempt is a further one. A budget that is stated counts all past the first.
+
+        By our own, an attempt that is known never to have run took no work from anyone, here or in a tier
+        below: the next stands in its place. Guards against servers that turn away or take no connection
+        using up what the others' requests need. Harms where turning away is dear: all servers full,
+        a request is turned away as often as it has attempts.
+        """
+        if self._settings.attempt_budget:
+            return bool(request.attempts)
+        return request.may_have_run() is not None
+
     def _may_send(self, request: Request, now: float) -> bool:
         """Rules 1, 2 and 5: nothing after the answer, no effect twice, no attempt beyond the budget."""
         if request.streaming or not request.open or now >= request.gives_up_at:
             return False
         if len(request.attempts) >= self._settings.max_attempts:
             return False
-        if request.attempts and not self._budget.allows_one(now):
+        if self._spends_budget(request) and not self._budget.allows_one(now):
             return False
         if request.outstanding() and not self._settings.may_duplicate:
             return False
@@ -641,7 +653,7 @@
         if self._may_send(request, now):
             member = self._pick(request, now) or self._pick(request, now, resting=True)
         if member:
-            if request.attempts:
+            if self._spends_budget(request):
                 self._budget.sent(now)
             if self._idle.distrusts(member, now):
                 self._actions.append(api.Close(member.name))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -260,3 +260,25 @@
             call = asyncio.ensure_future(backends[place].next())
 
     run(test)
+
+
+def test_what_was_turned_away_unseen_goes_on_to_the_next_server_each_time() -> None:
+    """Two of four servers turned away half of their calls: the own budget of further tries ran out by it."""
+
+    async def test() -> None:
+        backends = [await FakeServer().start() for _ in range(2)]
+        rig = await Rig().start(*(member(f"s{place}", backend.address)
+                                  for place, backend in enumerate(backends)))
+        caller = await rig.caller()
+        for _ in range(30):
+            caller.ask("pay")
+            coming = [asyncio.ensure_future(backend.next()) for backend in backends]
+            (first,), (second,) = await asyncio.wait(coming, return_when=asyncio.FIRST_COMPLETED)
+            first.result().reply(503, b"", "X-Never-Ran: 1")
+            answer = asyncio.ensure_future(caller.answer())
+            await asyncio.wait({second, answer}, return_when=asyncio.FIRST_COMPLETED)
+            assert not answer.done(), "given up on though nothing had run"
+            second.result().reply()
+            assert (await answer).status == 200
+
+    run(test)
