--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -23,6 +23,7 @@
 OWN_BUDGET = api.AttemptBudget(floor=3.0, per_request=0.2, span_ms=10_000.0)
 EDGE_MS = 0.002  # a host may count in whole microseconds: what is so near a window's edge is taken amiss
 MEMORY_MS = 10_000.0  # what was seen of a server fades with this time constant, as the gate's window
+FAILURE_MEMORY_MS = 3_000.0  # its failures sooner: one that turned half away kept most turns for 4 s
 KIND_SAMPLES = 3.0  # a server is taken to be like its kind until so many answers of its own are in
 SPEED_POWER = 1.0  # queues make an answer slower than the server: weigh down by more than the ratio
 SPEED_LIMIT = 3.0  # slowness counts up to here: some turns are kept, so that a recovery is seen
@@ -92,7 +93,7 @@
         self.entry = entry
         self.name = entry.name
         self.ready = entry.state is State.READY
-        self.failures = Average()
+        self.failures = Average(FAILURE_MEMORY_MS)
         self.rest_ms = 0.0  # how long it was last passed over; 0 once it has answered
         self.rests_until = -math.inf
         self.slowness = Average()  # its answer times, each as a multiple of its class's mean
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from unittest import mock
 
 import pytest
@@ -282,3 +283,38 @@
             assert (await answer).status == 200
 
     run(test)
+
+
+def test_a_server_known_for_good_answers_soon_loses_its_turns_when_it_turns_calls_away() -> None:
+    async def test() -> None:
+        passed = 0.0  # seconds, besides those that really pass
+        clock = time.monotonic
+        with mock.patch("time.monotonic", lambda: clock() + passed):
+            backends = [await FakeServer().start() for _ in range(4)]
+            rig = await Rig().start(*(member(f"s{place}", backend.address)
+                                      for place, backend in enumerate(backends)))
+            counts = [0, 0, 0, 0]
+            turns_away = False
+
+            async def serve(place: int) -> None:
+                while True:
+                    call = await backends[place].next()
+                    counts[place] += 1
+                    if turns_away and place == 0:
+                        call.reply(503, b"", "X-Never-Ran: 1")
+                    else:
+                        call.reply()
+
+            serving = [asyncio.ensure_future(serve(place)) for place in range(4)]
+            caller = await rig.caller()
+            for number in range(300):
+                if number == 200:
+                    turns_away, counts[:] = True, [0, 0, 0, 0]
+                caller.ask("pay")
+                assert (await caller.answer()).status == 200
+                passed += 0.1
+            assert counts[0] < 12, "as many of its 25 turns as when what failed counted for 10 s"
+            for task in serving:
+                task.cancel()
+
+    run(test)
