--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -10,11 +10,11 @@
 
 import orjson
 
+from cometdoor.core.host import Address
+from cometdoor.core.words import read_address
 from jasperhall import api
 from jasperhall.simhost import part, read_settings
 
-Address = tuple[str, int]
-
 
 class BadConfig(Exception):
     """The configuration can't be used; the message is for the operator."""
@@ -39,13 +39,6 @@
     may_advise_pause: bool  # clients may be told when to come back
 
 
-def read_address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is no HOST:PORT")
-    return host.strip("[]"), int(port)
-
-
 def read_config(raw: dict[str, Any], environment: Mapping[str, str]) -> NodeConfig:
     """Keys that are not known here are skipped; what the file leaves out comes from the environment."""
     info = raw["settings"]
--- /dev/null
+++ b/cometdoor/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Where lists of servers come from."""
--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery/platform.py
@@ -17,7 +17,8 @@
 import httptools
 import orjson
 
-from cometdoor.config import Address, read_address
+from cometdoor.core.host import Address
+from cometdoor.core.words import read_address
 from jasperhall.api import ListChanged, ListKind, Server, State
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/cometdoor/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 callers and backends."""
--- a/cometdoor/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import socket
 import time
 from collections import deque
@@ -13,12 +12,19 @@
 
 import httptools
 
-from cometdoor.config import Address, NodeConfig
-from cometdoor.upstream import Descriptors, is_readable
-from jasperhall.api import Effect
+from cometdoor.core.host import Address
+from cometdoor.core.shares import Descriptors
+from cometdoor.http.messages import (
+    MAX_BODY,
+    MAX_HEAD,
+    BadRequest,
+    ClientRequest,
+    Headers,
+    Reader,
+    end_to_end,
+)
+from cometdoor.http.upstream import BODILESS, Answer, is_readable
 
-MAX_BODY = 64 * 1024
-MAX_HEAD = 32 * 1024  # bytes of a request that are not body, as they came: chunk heads and trailers too
 PIECE = 8 * 1024  # what came is read in such pieces, so that a count is never further off than by one
 MAX_AHEAD = 4  # requests read ahead on one connection, before reading from it pauses
 MAX_AT_ONCE = 16  # that come together in one read: who sends more is turned away
@@ -35,131 +41,15 @@
            408: b"Request Timeout", 409: b"Conflict",
            413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
            503: b"Service Unavailable"}
-# Headers that belong to a connection or that are written anew at each hop.
-PER_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
-                     b"transfer-encoding", b"content-length", b"expect", b"x-expires-in"})
-FRAMING = frozenset({b"content-length", b"transfer-encoding"})
-# Of two that differ, this proxy and a backend might each believe another.
-ONCE = FRAMING | {b"host", b"x-trace-id", b"x-expires-in", b"x-qos", b"x-customer", b"x-size-hint",
-                  b"x-second-try", b"idempotency-key"}
-NUMBER = re.compile(rb"\d{1,9}(\.\d{0,20})?")
-
-Headers = list[tuple[bytes, bytes]]
-
-
-class BadRequest(Exception):
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-@dataclass(slots=True)
-class ClientRequest:
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes = b""
-    keep_alive: bool = True
-    arrived_at: float = 0.0  # on the system's monotonic clock, seconds
-    bad: tuple[int, bytes] | None = None  # the answer to what can't be taken
-    is_up_check: bool = False
-    trace: bytes = b""
-    class_index: int = 0
-    tenant: int = 0
-    left_ms: float = 0.0
-    cost_ms: float | None = None
-    is_retry: bool = False
 
 
 class Handler(Protocol):
-    ready: bool
+    @property
+    def ready(self) -> bool: ...
 
     def take(self, connection: ClientConnection, request: ClientRequest) -> None: ...
 
-    def client_gone(self, connection: ClientConnection) -> None: ...
-
-
-def read_number(text: bytes) -> float:
-    """Plain decimals only: float() also takes 1_0, 1e300 and nan."""
-    if not NUMBER.fullmatch(text):
-        raise ValueError(f"{text!r} is no number")
-    return float(text)
-
-
-def named_by_connection(headers: Headers) -> set[bytes]:
-    return {token.strip().lower() for name, value in headers if name.lower() == b"connection"
-            for token in value.split(b",")}
-
-
-def end_to_end(headers: Headers) -> Headers:
-    """What goes on to the next hop."""
-    dropped = PER_HOP | named_by_connection(headers)
-    return [header for header in headers if header[0].lower() not in dropped]
-
-
-class RequestReader:
-    """What a request says of itself, by its head; raises BadRequest."""
-
-    def __init__(self, config: NodeConfig) -> None:
-        self._classes = {name.encode(): place for name, place in config.classes.items()}
-        self._of_class = config.settings.classes
-        self._tenants = {name.encode(): place for name, place in config.tenants.items()}
-
-    def read(self, request: ClientRequest) -> None:
-        headers: dict[bytes, bytes] = {}
-        for name, value in request.headers:
-            name = name.lower()
-            if name in headers and name in ONCE:
-                raise BadRequest(400, f"{name.decode()} is repeated")
-            if b"_" in name and name.replace(b"_", b"-") in FRAMING:
-                raise BadRequest(400, f"{name.decode()} is misspelt")
-            headers[name] = value
-        self._check_framing(headers)
-        if b"connection" in headers and named_by_connection(request.headers) & ONCE:
-            raise BadRequest(400, "Connection names what must go on")
-        if request.method == b"GET" and request.target.split(b"?", 1)[0] == b"/up":
-            request.is_up_check = True
-        else:
-            self._read_fields(request, headers)
-
-    @staticmethod
-    def _check_framing(headers: dict[bytes, bytes]) -> None:
-        """Guards against a second request hidden in the body, and against bodies that can't be held."""
-        length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
-        if length is not None and coding is not None:
-            raise BadRequest(400, "both Content-Length and Transfer-Encoding")
-        if coding is not None and coding.strip().lower() != b"chunked":
-            raise BadRequest(400, "an unknown Transfer-Encoding")
-        if length is not None and (len(length) > 9 or int(length) > MAX_BODY):
-            raise BadRequest(413, "the body is too large")
-
-    def _read_fields(self, request: ClientRequest, headers: dict[bytes, bytes]) -> None:
-        in_path = request.target.split(b"?", 1)[0].split(b"/")[1:2]
-        name = headers.get(b"x-qos") or (in_path[0] if in_path else b"")
-        if in_path != [name]:
-            raise BadRequest(400, "the path names another class than X-Qos")
-        class_index = self._classes.get(name)
-        if class_index is None:
-            raise BadRequest(404, "unknown class")
-        request.class_index = class_index
-        cls = self._of_class[class_index]
-        if request.method != (b"GET" if cls.effect is Effect.SAFE else b"POST"):
-            raise BadRequest(405, "the class has another method")
-        if cls.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise BadRequest(400, "Idempotency-Key is missing")
-        request.trace = headers.get(b"x-trace-id", b"")
-        if not request.trace:
-            raise BadRequest(400, "X-Trace-Id is missing")
-        try:
-            request.left_ms = min(read_number(headers[b"x-expires-in"]) * 1000.0, cls.deadline_ms)
-            hint = headers.get(b"x-size-hint")
-            request.cost_ms = read_number(hint) / 1000.0 if hint else None
-        except (KeyError, ValueError):
-            raise BadRequest(400, "X-Expires-In or X-Size-Hint is missing or no number") from None
-        if request.left_ms <= 0:
-            raise BadRequest(400, "X-Expires-In is not above 0")
-        request.tenant = self._tenants.get(headers.get(b"x-customer", b""), 0)
-        request.is_retry = headers.get(b"x-second-try") == b"1"
+    def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None: ...
 
 
 class ClientConnection(asyncio.Protocol):
@@ -327,7 +217,9 @@
             return
         # While the front end is closing, what was sent ahead on the connection is still answered first.
         keep = request.keep_alive and not (self._front.closing and not self._ahead)
-        lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body))]
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b""))]
+        if status not in BODILESS:
+            lines.append(b"Content-Length: %d\r\n" % len(body))
         lines += [b"%s: %s\r\n" % header for header in end_to_end(headers)]
         lines.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
         lines.append(body)
@@ -338,6 +230,20 @@
             self._front.loop.call_soon(self._next)
         self._settle()
 
+    # --- the core's calls ---
+
+    def served(self, answer: Answer) -> None:
+        self.answer(answer.status, answer.headers, answer.body)
+
+    def refused(self, retry_after_ms: float) -> None:
+        headers: Headers = []
+        if retry_after_ms > 0:
+            headers.append((b"Retry-After", b"%.3f" % (retry_after_ms / 1000.0)))
+        self.answer(503, headers, b"")
+
+    def failed(self) -> None:
+        self.answer(502, [], b"")
+
     def _bad_input(self, problem: BadRequest) -> None:
         """What follows can't be read, and what came with it unread by anybody is not passed on."""
         self._deaf = True
@@ -363,8 +269,8 @@
         self._ahead.clear()
         self._front.wait(self, None)
         if self.request is not None:
-            self.request = None
-            self._front.handler.client_gone(self)
+            request, self.request = self.request, None
+            self._front.handler.client_gone(self, request)
 
     # --- end ---
 
@@ -408,7 +314,7 @@
 @dataclass
 class Frontend:
     loop: asyncio.AbstractEventLoop
-    reader: RequestReader
+    reader: Reader
     descriptors: Descriptors
     handler: Handler
     closing: bool = False  # answers end their connections
@@ -418,27 +324,29 @@
     checking: dict[ClientConnection, float] = field(default_factory=dict)  # for a next one, checks up to now
     idle: dict[ClientConnection, float] = field(default_factory=dict)
     ending: dict[ClientConnection, float] = field(default_factory=dict)
-    _listener: socket.socket | None = None
+    _listeners: list[socket.socket] = field(default_factory=list)
     _accepts: bool = False
     _swept_at: float = 0.0
 
     async def listen(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.create_server((host, port), family=family, backlog=1024)
-        self._listener.setblocking(False)
-        self._swept_at = self.loop.time()
-        self._sweep()
-
-    def address(self) -> Address:
-        assert self._listener is not None
-        host, port = self._listener.getsockname()[:2]
+        listener = socket.create_server((host, port), family=family, backlog=1024)
+        listener.setblocking(False)
+        self._stop_accepting()
+        self._listeners.append(listener)
+        if len(self._listeners) == 1:
+            self._swept_at = self.loop.time()
+            self._sweep()
+
+    def address(self, place: int = 0) -> Address:
+        host, port = self._listeners[place].getsockname()[:2]
         return host, port
 
     def stop_listening(self) -> None:
-        if self._listener is not None:
-            self._stop_accepting()
-            self._listener.close()
-            self._listener = None
+        self._stop_accepting()
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
 
     def close_idle(self) -> None:
         for connection in list(self.connections):
@@ -451,11 +359,11 @@
         """So many connections callers may hold together: the other half is left to backends."""
         return max(self.descriptors.limit // 2, 1)
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         """Not the loop's own server: that takes in all that wait at once, and ends when descriptors do."""
         for _ in range(ACCEPTS):
             try:
-                raw = self._accept_one()
+                raw = self._accept_one(listener)
             except BlockingIOError:
                 return
             except ConnectionError:
@@ -473,9 +381,8 @@
             self.wait(connection, self.reading)
             connection.opening = self.loop.create_task(self._open(connection, raw))
 
-    def _accept_one(self) -> socket.socket:
-        assert self._listener is not None
-        return self._listener.accept()[0]
+    def _accept_one(self, listener: socket.socket) -> socket.socket:
+        return listener.accept()[0]
 
     async def _open(self, connection: ClientConnection, raw: socket.socket) -> None:
         try:
@@ -486,8 +393,9 @@
         connection.opening = None
 
     def _stop_accepting(self) -> None:
-        if self._accepts and self._listener is not None:
-            self.loop.remove_reader(self._listener)
+        if self._accepts:
+            for listener in self._listeners:
+                self.loop.remove_reader(listener)
         self._accepts = False
 
     def _make_room(self) -> bool:
@@ -551,10 +459,11 @@
                 connection.close_if_idle()
         for connection in self._due(self.ending, now - LINGER_S):
             connection.finish()
-        if self._listener is not None and not self._accepts:
+        if self._listeners and not self._accepts:
             self._accepts = True
-            self.loop.add_reader(self._listener, self._accept)
-        if self._listener is not None or self.connections:
+            for listener in self._listeners:
+                self.loop.add_reader(listener, self._accept, listener)
+        if self._listeners or self.connections:
             self.loop.call_later(SWEEP_S, self._sweep)
 
     def _due(self, waiting: dict[ClientConnection, float], since: float) -> list[ClientConnection]:
--- /dev/null
+++ b/cometdoor/http/messages.py
@@ -0,0 +1,98 @@
+"""What an HTTP/1.1 request is to this proxy, and the fields that it must not misread (RFC 9110, RFC 9112)."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import Protocol
+
+MAX_BODY = 64 * 1024  # bytes, of a request or an answer
+MAX_HEAD = 32 * 1024  # bytes of a message that are not body, as they came: chunk heads and trailers too
+# Headers that belong to a connection or that are written anew at each hop.
+PER_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
+                     b"transfer-encoding", b"content-length", b"expect", b"x-expires-in"})
+FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+# Of two that differ, this proxy and a backend might each believe another.
+ONCE = FRAMING | {b"host", b"x-trace-id", b"x-expires-in", b"x-qos", b"x-customer", b"x-size-hint",
+                  b"x-second-try", b"idempotency-key"}
+NUMBER = re.compile(rb"\d{1,9}(\.\d{0,20})?")
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BadRequest(Exception):
+    """The answer to what can't be taken; nothing of it is sent on."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+    keep_alive: bool = True
+    arrived_at: float = 0.0  # on the system's monotonic clock, seconds
+    bad: tuple[int, bytes] | None = None  # the answer to what can't be taken
+    is_up_check: bool = False
+    trace: bytes = b""
+    class_index: int = 0
+    tenant: int = 0
+    left_ms: float = 0.0
+    cost_ms: float | None = None
+    is_retry: bool = False
+
+
+class Reader(Protocol):
+    """Reads what a request says of itself, by its head alone."""
+
+    def read(self, request: ClientRequest) -> None:
+        """Raises BadRequest."""
+
+
+def read_number(text: bytes) -> float:
+    """Plain decimals only: float() also takes 1_0, 1e300 and nan."""
+    if not NUMBER.fullmatch(text):
+        raise ValueError(f"{text!r} is no number")
+    return float(text)
+
+
+def named_by_connection(headers: Headers) -> set[bytes]:
+    return {token.strip().lower() for name, value in headers if name.lower() == b"connection"
+            for token in value.split(b",")}
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """What goes on to the next hop."""
+    dropped = PER_HOP | named_by_connection(headers)
+    return [header for header in headers if header[0].lower() not in dropped]
+
+
+def check_framing(headers: dict[bytes, bytes]) -> None:
+    """Guards against a second request hidden in the body, and against bodies that can't be held."""
+    length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
+    if length is not None and coding is not None:
+        raise BadRequest(400, "both Content-Length and Transfer-Encoding")
+    if coding is not None and coding.strip().lower() != b"chunked":
+        raise BadRequest(400, "an unknown Transfer-Encoding")
+    if length is not None and (len(length) > 9 or int(length) > MAX_BODY):
+        raise BadRequest(413, "the body is too large")
+
+
+def read_fields(request: ClientRequest) -> dict[bytes, bytes]:
+    """All fields by lower-case name, once nothing in them can be read in two ways; raises BadRequest."""
+    headers: dict[bytes, bytes] = {}
+    for name, value in request.headers:
+        name = name.lower()
+        if name in headers and name in ONCE:
+            raise BadRequest(400, f"{name.decode()} is repeated")
+        if b"_" in name and name.replace(b"_", b"-") in FRAMING:
+            raise BadRequest(400, f"{name.decode()} is misspelt")
+        headers[name] = value
+    check_framing(headers)
+    if b"connection" in headers and named_by_connection(request.headers) & ONCE:
+        raise BadRequest(400, "Connection names what must go on")
+    return headers
--- a/cometdoor/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -15,22 +15,24 @@
 
 import httptools
 
-from cometdoor.config import Address
+from cometdoor.core.host import Address
+from cometdoor.core.shares import Places
+from cometdoor.http.messages import MAX_BODY, MAX_HEAD, Headers
 from jasperhall.api import Outcome
 
-MAX_ANSWER = 64 * 1024  # bytes of an answer's body
-MAX_HEAD = 32 * 1024  # bytes of an answer that are not body, as they came: 1xx ahead and chunk heads too
 MAX_INTERIM = 16
 ANSWER_S = 1.0  # from an answer's first byte to its last: backends write answers whole
 # A connection rests for so long after an answer: what came behind it shows before it is used again.
 REST_S = 0.05
 NEVER_RAN_STATUS = (503, 504)
+BODILESS = (204, 304)  # RFC 9112, 6.3: they end with the head, whatever it says
+REFUSALS = (429, 503)
 
 
 @dataclass(slots=True)
 class Answer:
     status: int
-    headers: list[tuple[bytes, bytes]]
+    headers: Headers
     body: bytes
 
 
@@ -42,7 +44,7 @@
 
 
 def outcome_of(answer: Answer) -> Outcome:
-    """Only 200 has been served, and only a marked 503 or 504 has not run; all else may have."""
+    """The platform's: only 200 has been served, only a marked 503 or 504 has not run; all else may have."""
     if answer.status == 200:
         return Outcome.OK
     if answer.status in NEVER_RAN_STATUS:
@@ -52,6 +54,14 @@
     return Outcome.ERROR
 
 
+def outcome_of_any(answer: Answer) -> Outcome:
+    """Elsewhere what a server has to say is an answer, but for its own faults and for what invites another
+    try: an unmarked refusal does not prove that nothing ran."""
+    if answer.status < 500 and answer.status not in REFUSALS:
+        return Outcome.OK
+    return outcome_of(answer)
+
+
 def is_readable(transport: asyncio.Transport) -> bool:
     """Whether the machine's own buffer holds bytes, or an end, that the loop has not come to yet."""
     poll = select.poll()
@@ -59,19 +69,6 @@
     return bool(poll.poll(0))
 
 
-class Descriptors:
-    """Guards against running out of file descriptors: what all sockets together may be."""
-
-    RESERVE = 32  # standard streams, the loop's own, discovery, and sockets that are just closing
-
-    def __init__(self, limit: int) -> None:
-        self.limit = max(limit - self.RESERVE, 1)
-        self.used = 0
-
-    def is_full(self) -> bool:
-        return self.used >= self.limit
-
-
 class Exchange:
     """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
 
@@ -107,7 +104,7 @@
         self._opening: asyncio.Task[None] | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._wrote = self._paused = False
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers: Headers = []
         self._body: list[bytes] = []
         self._raw_size = self._size = self._interim = 0
         self._in_head = self._in_answer = False
@@ -184,7 +181,7 @@
                 return
             self._reusable = False  # good, with more behind it than belongs to it
         if self._answer is not None:
-            self._finish(outcome_of(self._answer), self._answer)
+            self._finish(self.pool.outcome_of(self._answer), self._answer)
         elif self._raw_size - self._size > MAX_HEAD:
             self._spoilt()  # httptools keeps a value until it ends: only bytes as they came bound it
         elif not self._in_answer:
@@ -215,6 +212,8 @@
         self._in_head = False
         if self._answer is not None:
             raise BadAnswer("a second answer")
+        if self._parser.get_status_code() in BODILESS:
+            return
         framing = [(name.lower(), value.strip().lower()) for name, value in self._headers
                    if name.lower() in (b"content-length", b"transfer-encoding")]
         if self._parser.get_status_code() < 200:
@@ -229,12 +228,12 @@
         if name == b"transfer-encoding":
             if value != b"chunked":
                 raise BadAnswer("an unknown coding")
-        elif not value.isdigit() or len(value) > 9 or int(value) > MAX_ANSWER:
+        elif not value.isdigit() or len(value) > 9 or int(value) > MAX_BODY:
             raise BadAnswer("too long")
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > MAX_ANSWER:
+        if self._size > MAX_BODY:
             raise BadAnswer("too long")
         self._body.append(body)
 
@@ -297,10 +296,15 @@
 class Pool:
     """Idle connections by backend, the most recently used last."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, idle_close_ms: float,
-                 connect_timeout_ms: float) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, places: Places, idle_close_ms: float,
+                 connect_timeout_ms: float, most: int | None = None,
+                 outcome_of: Callable[[Answer], Outcome] = outcome_of) -> None:
+        """`most`: connections that may be open at once, beside what `places` allow."""
         self.loop = loop
-        self._descriptors = descriptors
+        self.outcome_of = outcome_of
+        self._places = places
+        self._most = most
+        self._count = 0
         # Guards against a request written to a connection that the backend is just closing.
         self._keep_s = max(0.5 * idle_close_ms, 0.9 * idle_close_ms - 250.0) / 1000.0
         self._connect_timeout_ms = connect_timeout_ms
@@ -313,15 +317,22 @@
         if kept := self._take_kept(server):
             kept.start(exchange)
             return True
-        if self._descriptors.is_full() and not self.close_oldest_idle():
+        if not self._take_place():
             return False
         connection = Connection(self, server, address, exchange)
         exchange.connection = connection
         self._open.setdefault(server, set()).add(connection)
-        self._descriptors.used += 1
         connection.open(self._connect_timeout_ms)
         return True
 
+    def _take_place(self) -> bool:
+        if self._most is not None and self._count >= self._most and not self.close_oldest_idle():
+            return False
+        if not self._places.take() and not (self.close_oldest_idle() and self._places.take()):
+            return False
+        self._count += 1
+        return True
+
     def _take_kept(self, server: str) -> Connection | None:
         """Guards against a stray behind an answer that would be taken for the next request's."""
         rested = self.loop.time() - REST_S
@@ -341,7 +352,8 @@
         connection.timer = self.loop.call_later(self._keep_s, connection.abort)
 
     def forget(self, connection: Connection) -> None:
-        self._descriptors.used -= 1
+        self._places.give()
+        self._count -= 1
         of_server = self._open[connection.server]
         of_server.remove(connection)
         if not of_server:
@@ -366,6 +378,10 @@
         oldest.abort()
         return True
 
+    def close_all_idle(self) -> None:
+        while self.close_oldest_idle():
+            pass
+
     def _take_out(self, connection: Connection) -> None:
         del self._by_age[connection]
         idle = self._idle[connection.server]
--- /dev/null
+++ b/cometdoor/node.py
@@ -0,0 +1,39 @@
+"""The platform's proxy: one service, told its servers by the platform's discovery."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cometdoor.config import NodeConfig
+from cometdoor.core.host import Address, HostSettings
+from cometdoor.core.shares import Descriptors
+from cometdoor.discovery.platform import Discovery, ListReader
+from cometdoor.http.frontend import Frontend
+from cometdoor.http.platform import PlatformReader
+from cometdoor.http.service import HttpService
+from jasperhall import api
+from jasperhall.api import ListKind
+
+
+class Node:
+    def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop) -> None:
+        self.descriptors = Descriptors(config.sockets)
+        self.service = HttpService(
+            HostSettings(config.settings, config.seed, config.may_advise_pause), loop, self.descriptors,
+            max_open=config.max_open, idle_close_ms=config.idle_close_ms,
+            connect_timeout_ms=config.connect_timeout_ms, watch=lambda: self.discovery.watch())
+        reader = ListReader(config.zones, config.kinds)
+        self.discovery = Discovery(
+            loop, config.discovery, reader, config.settings.must_ask,
+            int(config.known.get("revision") or 0), self.service.list_changed)
+        self.front = Frontend(loop, PlatformReader(config.settings, config.classes, config.tenants),
+                              self.descriptors, self.service)
+        servers, addresses = reader.read(config.known)
+        self.service.list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
+
+    async def start(self, address: Address) -> None:
+        await self.front.listen(*address)
+        self.discovery.start()
+
+    def stop(self) -> None:
+        self.discovery.stop()
--- a/tests/test_frontend.py
+++ b/tests/http/test_frontend.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from cometdoor.upstream import Descriptors
+from cometdoor.core.shares import Descriptors
 from jasperhall import api
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 from tests.rig import head_of as head
@@ -211,7 +211,7 @@
     async def test() -> None:
         rig = await Rig().start()
         caller = await rig.caller()
-        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+        with mock.patch("cometdoor.http.frontend.READ_S", 0.05):
             caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
             assert (await caller.answer()).status == 408
             assert await caller.ended()
@@ -223,7 +223,7 @@
 def test_a_caller_that_says_nothing_does_not_keep_its_connection(said: bytes) -> None:
     async def test() -> None:
         rig = await Rig().start()
-        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+        with mock.patch("cometdoor.http.frontend.READ_S", 0.05):
             caller = await rig.caller()
             caller.writer.write(said)
             assert await caller.ended()
@@ -235,7 +235,7 @@
 def test_dripping_bytes_buy_no_time() -> None:
     async def test() -> None:
         rig = await Rig().start()
-        with mock.patch("cometdoor.frontend.READ_S", 0.3):
+        with mock.patch("cometdoor.http.frontend.READ_S", 0.3):
             caller = await rig.caller()
             caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
             answer = asyncio.ensure_future(caller.answer())
@@ -250,7 +250,7 @@
 def test_an_idle_caller_is_let_go_and_a_busy_one_is_not() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
-        with mock.patch("cometdoor.frontend.IDLE_S", 0.05), Script().in_place() as script:
+        with mock.patch("cometdoor.http.frontend.IDLE_S", 0.05), Script().in_place() as script:
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             idle, busy = await rig.caller(), await rig.caller()
@@ -303,7 +303,7 @@
 def test_newcomers_find_room_at_the_cost_of_those_that_say_nothing_or_are_long_idle() -> None:
     """Hundreds of silent connections must not shut out the usual callers, nor take the backends' part."""
     async def test() -> None:
-        with mock.patch.multiple("cometdoor.frontend", SILENT_S=0.0, SPARE_IDLE_S=0.0):
+        with mock.patch.multiple("cometdoor.http.frontend", SILENT_S=0.0, SPARE_IDLE_S=0.0):
             rig = await Rig().start(sockets=Descriptors.RESERVE + 8)
             silent = [await rig.caller() for _ in range(12)]
             usual = await rig.caller()
@@ -377,7 +377,7 @@
     async def test() -> None:
         backend = await FakeServer().start()
         with Script().in_place() as script, mock.patch.multiple(
-                "cometdoor.frontend", IDLE_S=60.0 if leaves else 0.05, LINGER_S=0.01):
+                "cometdoor.http.frontend", IDLE_S=60.0 if leaves else 0.05, LINGER_S=0.01):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             with socket.socket() as raw:
--- a/tests/test_memory.py
+++ b/tests/http/test_memory.py
@@ -41,7 +41,7 @@
                     caller.writer.close()
                     while rig.descriptors.used:
                         await asyncio.sleep(0)
-                while rig.front.connections or rig.proxy._requests:
+                while rig.front.connections or rig.proxy._host._requests:
                     await asyncio.sleep(0)
                 gc.collect()
                 ours = Counter(type(found).__name__ for found in gc.garbage
@@ -51,7 +51,7 @@
                 gc.garbage.clear()
                 gc.enable()
             assert not ours
-            assert not rig.proxy._open_traces and not rig.proxy._by_client
+            assert not rig.proxy._open_traces and not rig.proxy._host._by_caller
             assert not (rig.front.reading or rig.front.idle or rig.front.ending)
 
     run(test)
--- a/tests/test_proxy.py
+++ b/tests/http/test_proxy.py
@@ -10,8 +10,8 @@
 
 from jasperhall import api
 from jasperhall.api import Outcome
+from tests.jasperhall.test_simhost import INFO
 from tests.rig import LANES, FakeServer, Rig, Script, first_to, member, run
-from tests.test_simhost import INFO
 
 
 def test_a_request_goes_on_unchanged_and_the_answer_comes_back_unchanged() -> None:
@@ -141,7 +141,7 @@
 def test_the_client_is_answered_before_its_time_is_up_while_the_module_is_silent() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.proxy.MARGIN_MS", 300.0):
+        with Script().in_place() as script, mock.patch("cometdoor.core.host.MARGIN_MS", 300.0):
             script.react = lambda event: (
                 [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else [])
             rig = await Rig().start(member("s1", backend.address))
--- a/tests/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from cometdoor.config import read_address
-from cometdoor.upstream import Answer, Descriptors, Exchange, Pool
+from cometdoor.core.shares import Descriptors
+from cometdoor.core.words import read_address
+from cometdoor.http.upstream import Answer, Exchange, Pool
 from jasperhall import api
 from jasperhall.api import Outcome
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
@@ -129,7 +130,7 @@
     """Its connection stays open. It is not taken for a kept one that was dropped, as a reset might be."""
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.upstream.ANSWER_S", 0.02):
+        with Script().in_place() as script, mock.patch("cometdoor.http.upstream.ANSWER_S", 0.02):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             caller = await rig.caller()
@@ -171,7 +172,7 @@
 def test_a_stray_that_the_loop_has_not_read_yet_is_seen_before_the_connection_is_used() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.upstream.REST_S", -1.0):
+        with Script().in_place() as script, mock.patch("cometdoor.http.upstream.REST_S", -1.0):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             caller = await rig.caller()
@@ -226,7 +227,7 @@
     run(test)
 
 
-@mock.patch("cometdoor.upstream.REST_S", -1.0)
+@mock.patch("cometdoor.http.upstream.REST_S", -1.0)
 def test_a_stale_connection_that_breaks_is_an_outcome_and_nothing_is_sent_again() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
@@ -248,7 +249,7 @@
     run(test)
 
 
-@mock.patch("cometdoor.upstream.REST_S", -1.0)
+@mock.patch("cometdoor.http.upstream.REST_S", -1.0)
 def test_the_most_recently_used_connection_is_taken() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
--- a/tests/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -11,7 +11,7 @@
 from jasperhall import api, balancer
 from jasperhall.api import ListKind, Outcome, State
 from jasperhall.balancer import Admission
-from tests.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, servers
+from tests.jasperhall.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, servers
 
 SAFE_INDEX, KEYED_INDEX, KEYED_ALL_INDEX, UNSAFE_INDEX = range(4)
 DELAY = SAFE.aim_ms * balancer.BACKUP_DELAY
--- a/tests/test_limits.py
+++ b/tests/jasperhall/test_limits.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "jasperhall" / "balancer.py"
+MODULE = Path(__file__).parents[2] / "jasperhall" / "balancer.py"
 
 
 def test_the_decision_module_stays_within_its_size() -> None:
--- a/tests/test_rules.py
+++ b/tests/jasperhall/test_rules.py
@@ -11,7 +11,7 @@
 
 from jasperhall import api
 from jasperhall.api import ListKind, Outcome, State
-from tests.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, RuleBroken, servers
+from tests.jasperhall.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, RuleBroken, servers
 
 STEPS = st.lists(
     st.one_of(
--- a/tests/test_settings.py
+++ b/tests/jasperhall/test_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from jasperhall import Balancer, api
-from tests.harness import SAFE, SETTINGS
+from tests.jasperhall.harness import SAFE, SETTINGS
 
 
 @pytest.mark.parametrize(("field", "value"), [
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,11 +14,12 @@
 import uvloop
 
 from cometdoor.config import read_config
-from cometdoor.frontend import Frontend, RequestReader
-from cometdoor.proxy import Proxy
-from cometdoor.upstream import Descriptors
+from cometdoor.core.shares import Descriptors
+from cometdoor.http.frontend import Frontend
+from cometdoor.http.service import HttpService
+from cometdoor.node import Node
 from jasperhall import api
-from tests.test_simhost import INFO
+from tests.jasperhall.test_simhost import INFO
 
 LANES = [{**INFO["lanes"][0], "name": "read"},  # type: ignore[index]
          {**INFO["lanes"][1], "name": "book"},  # type: ignore[index]
@@ -150,7 +151,7 @@
 
     @contextmanager
     def in_place(self) -> Iterator[Script]:
-        with mock.patch("cometdoor.proxy.Balancer", lambda settings, seed: self):
+        with mock.patch("cometdoor.core.host.Balancer", lambda settings, seed: self):
             yield self
 
 
@@ -210,20 +211,18 @@
 
 class Rig:
     def __init__(self) -> None:
+        self.node: Node
         self.front: Frontend
-        self.proxy: Proxy
+        self.proxy: HttpService
         self.descriptors: Descriptors
 
     async def start(self, *members: dict[str, Any], discovery: str = "127.0.0.1:1", sockets: int = 1024,
                     asked: bool = False, **settings: Any) -> Rig:
         settings["discovery_mode"] = "subscribe" if asked else "automatic"
         config = read_config(make_config("127.0.0.1:1", discovery, *members, sockets=sockets, **settings), {})
-        loop = asyncio.get_running_loop()
-        self.descriptors = Descriptors(config.sockets)
-        self.proxy = Proxy(config, loop, self.descriptors)
-        self.front = Frontend(loop, RequestReader(config), self.descriptors, self.proxy)
-        await self.front.listen("127.0.0.1", 0)
-        self.proxy.start()
+        self.node = Node(config, asyncio.get_running_loop())
+        self.front, self.proxy, self.descriptors = self.node.front, self.node.service, self.node.descriptors
+        await self.node.start(("127.0.0.1", 0))
         return self
 
     async def caller(self) -> Caller:
