--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -93,7 +93,6 @@
     module: api.Settings
     seed: int
     may_advise_pause: bool = False  # clients may be told when to come back
-    max_waiting: int | None = None  # requests that may wait for the module to send them at all
 
 
 class LiveRequest(Generic[RequestT, AnswerT]):
@@ -132,6 +131,7 @@
                  over: Callable[[RequestT], None] = lambda request: None) -> None:
         """`watch` carries out the module's wish to ask for the list; `over` hears of each request of which
         nothing is left, neither an answer owed nor an attempt out."""
+        self.max_waiting: int | None = None  # requests that may wait to be sent for the first time
         self._settings = settings
         self._loop = loop
         self._carrier = carrier
@@ -220,10 +220,20 @@
         self._dispatch(api.RequestArrived(
             live.id, request.class_index, max(until - now_ms(), 0.0), request.tenant, request.cost_ms,
             request.is_retry))
-        if (self._settings.max_waiting is not None and self._waiting > self._settings.max_waiting
-                and live.caller is not None and not live.attempts):
-            # Nothing was sent for it: a refusal is harmless, and at once is better than late.
-            self._release(live)
+        if self.max_waiting is not None and self._waiting > self.max_waiting:
+            self._refuse_unsent(live)
+
+    def refuse_waiting(self) -> None:
+        """Of all requests that no attempt was made of."""
+        for live in list(self._by_caller.values()):
+            self._refuse_unsent(live)
+
+    def _refuse_unsent(self, live: LiveRequest[RequestT, AnswerT]) -> None:
+        """Nothing was sent for it: a refusal is harmless, and at once is better than late."""
+        if live.attempts:
+            return
+        caller = self._release(live)
+        if caller is not None:
             self._dispatch(api.ClientGone(live.id))
             caller.refused(0.0)
             self._clean_up(live)
--- a/cometdoor/core/shares.py
+++ b/cometdoor/core/shares.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
 # Of the places that are guaranteed to nobody, the part that one owner may hold while there are others.
 ONE_MAY_HOLD = 0.5
 
 
+def callers_part(limit: int) -> int:
+    """Connections that callers may hold together: half of all descriptors, the other half is for servers."""
+    return max(limit // 2, 1)
+
+
 class Places(Protocol):
     """What one owner may hold."""
 
@@ -42,82 +47,85 @@
 
     __slots__ = ("_stock", "guaranteed", "held", "reclaim")
 
-    def __init__(self, stock: Stock, guaranteed: int, reclaim: Callable[[], bool]) -> None:
+    def __init__(self, stock: Stock, reclaim: Callable[[], bool]) -> None:
         self._stock = stock
-        self.guaranteed = guaranteed
+        self.guaranteed = 0
         self.reclaim = reclaim  # gives up one place that is held without need, if there is one
         self.held = 0
 
     def take(self) -> bool:
-        if not self._stock.has_room(self):
-            return False
-        self.held += 1
-        return True
+        return self._stock.take(self)
 
     def give(self) -> None:
-        self.held -= 1
-        self._stock.given(self)
+        self._stock.give(self)
 
-    def over(self) -> int:
-        """Places held beyond the guaranteed ones: those come out of what all share."""
-        return max(self.held - self.guaranteed, 0)
+    def claim(self) -> int:
+        """Places that nobody else can have."""
+        return max(self.held, self.guaranteed)
 
 
 class Stock:
     """Places of which each owner has a guaranteed part, and all share the rest, no one the whole of it.
 
-    An owner that left (`leave`) keeps what it holds until it gives it back, on account of the rest.
+    An owner that left keeps what it holds until it gives it back, on account of the rest. Taking and giving
+    cost the same however many owners there are.
     """
 
     def __init__(self, total: int) -> None:
         self.total = total
+        self.held = 0
+        self._guaranteed = 0
+        self._claimed = 0  # the sum of all claims, also of those that left
         self._shares: dict[Share, None] = {}
-        self._leaving: dict[Share, None] = {}
 
     def join(self, guaranteed: int, reclaim: Callable[[], bool] = lambda: False) -> Share:
-        share = Share(self, guaranteed, reclaim)
+        share = Share(self, reclaim)
         self._shares[share] = None
+        self.guarantee(share, guaranteed)
         return share
 
     def leave(self, share: Share) -> None:
-        share.guaranteed = 0
-        if self._shares.pop(share, 0) is None and share.held:
-            self._leaving[share] = None
-
-    def given(self, share: Share) -> None:
-        if not share.held:
-            self._leaving.pop(share, None)
+        self.guarantee(share, 0)
+        self._shares.pop(share, None)
 
-    def shared(self) -> int:
-        """Places that are guaranteed to nobody."""
-        return max(self.total - sum(share.guaranteed for share in self._shares), 0)
+    def guarantee(self, share: Share, places: int) -> None:
+        self._claimed -= share.claim()
+        self._guaranteed += places - share.guaranteed
+        share.guaranteed = places
+        self._claimed += share.claim()
 
     def most(self, share: Share) -> int:
         """What the owner may hold when the others hold nothing beyond their guaranteed parts."""
-        rest = self.shared()
+        rest = max(self.total - self._guaranteed, 0)
         return share.guaranteed + (rest if len(self._shares) < 2 else int(rest * ONE_MAY_HOLD))
 
-    def has_room(self, share: Share) -> bool:
-        if share.held < share.guaranteed:
-            # Its own, unless parts were cut anew and others have yet to give back.
-            return self._free() > 0 or self._reclaim(share)
-        if share.held >= self.most(share):
+    def take(self, share: Share) -> bool:
+        if not self._has_room(share) and not (self._within(share) and self._reclaim(share)
+                                              and self._has_room(share)):
             return False
-        return self._rest() > 0 or self._reclaim(share)
+        self._claimed -= share.claim()
+        share.held += 1
+        self.held += 1
+        self._claimed += share.claim()
+        return True
 
-    def _everyone(self) -> Iterable[Share]:
-        yield from self._shares
-        yield from self._leaving
+    def give(self, share: Share) -> None:
+        self._claimed -= share.claim()
+        share.held -= 1
+        self.held -= 1
+        self._claimed += share.claim()
 
-    def _free(self) -> int:
-        return self.total - sum(share.held for share in self._everyone())
+    def _within(self, share: Share) -> bool:
+        return share.held < max(share.guaranteed, self.most(share))
 
-    def _rest(self) -> int:
-        """What is left of the shared places: what others are guaranteed and don't use is not to be had."""
-        return self.total - sum(max(share.held, share.guaranteed) for share in self._everyone())
+    def _has_room(self, share: Share) -> bool:
+        if share.held < share.guaranteed:
+            # Its own, unless parts were cut anew and others have yet to give back.
+            return self.held < self.total
+        return self._within(share) and self._claimed < self.total
 
     def _reclaim(self, wanted_by: Share) -> bool:
         """From who is furthest over its guaranteed part."""
-        others = sorted((share for share in self._everyone() if share is not wanted_by and share.over()),
-                        key=Share.over, reverse=True)
-        return any(share.reclaim() for share in others)
+        over = {share: share.held - share.guaranteed for share in self._shares
+                if share is not wanted_by and share.held > share.guaranteed}
+        return any(share.reclaim() for share in sorted(over, key=lambda share: -over[share]))
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -8,12 +8,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 from itertools import islice
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 
 import httptools
 
 from cometdoor.core.host import Address
-from cometdoor.core.shares import Descriptors
+from cometdoor.core.shares import Descriptors, callers_part
 from cometdoor.http.messages import (
     MAX_BODY,
     MAX_HEAD,
@@ -65,7 +65,7 @@
         self._target = bytearray()
         self._headers: Headers = []
         self._body: list[bytes] = []
-        self._raw_size = self._body_size = 0
+        self._raw_size = self._body_size = self._piece = 0
         self._coming: ClientRequest | None = None  # its head is in, its body not yet
         self._in_request = self._in_head = False  # some bytes of a request are in, but not all
         self._ahead: deque[ClientRequest] = deque()
@@ -73,6 +73,8 @@
         self._deaf = False  # what comes is dropped: the input was bad, or the connection is over
         self._is_ending = False
         self._dropped = 0
+        self.owner: str | None = None  # where several services are served: the one that it asked last
+        self._unread: tuple[Any, int] | None = None  # a service, and bytes of its answers that lie here
         self._graces = 10  # so often is it looked whether a caller has read its last answer
 
     # --- asyncio's calls ---
@@ -96,6 +98,7 @@
     def _read(self, data: bytes) -> None:
         """httptools keeps a value until it ends: only bytes counted as they come bound what is held."""
         assert self._parser is not None
+        self._piece = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -132,6 +135,8 @@
         self._gone()
         self._front.closed(self)
         self._transport = self._parser = None  # parser and protocol hold one another
+        if self._unread is not None:
+            self.count_unread()
 
     # --- httptools' calls ---
 
@@ -169,6 +174,7 @@
         request, self._coming = self._coming, None
         self._in_request = False
         request.body = b"".join(self._body)
+        request.size = self._raw_size + self._piece  # at most a piece too much
         request.keep_alive = self._parser.should_keep_alive()
         request.arrived_at = time.monotonic()
         self._ahead.append(request)
@@ -186,6 +192,8 @@
                 self.answer(200 if self._front.handler.ready else 503, [], b"")
             else:
                 self.only_checks = False
+                if request.service is not None:
+                    self._front.asks(self, request.service.name)
                 self._front.handler.take(self, request)
         self._settle()
 
@@ -224,6 +232,8 @@
         lines.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
         lines.append(body)
         self._transport.write(b"".join(lines))
+        if request.service is not None:
+            self.count_unread(request.service.http)
         if not keep:
             self._end()
         elif self._ahead:
@@ -244,6 +254,21 @@
     def failed(self) -> None:
         self.answer(502, [], b"")
 
+    def count_unread(self, service: Any = None) -> None:
+        """Bytes of answers that lie here unread are on the account of the service that was asked last."""
+        if self._unread is not None:
+            before, size = self._unread
+            before.unread_bytes -= size
+            service = service or before
+            self._unread = None
+        size = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        if size and service is not None:
+            service.unread_bytes += size
+            self._unread = service, size
+            self._front.unread[self] = None
+        else:
+            self._front.unread.pop(self, None)
+
     def _bad_input(self, problem: BadRequest) -> None:
         """What follows can't be read, and what came with it unread by anybody is not passed on."""
         self._deaf = True
@@ -324,6 +349,10 @@
     checking: dict[ClientConnection, float] = field(default_factory=dict)  # for a next one, checks up to now
     idle: dict[ClientConnection, float] = field(default_factory=dict)
     ending: dict[ClientConnection, float] = field(default_factory=dict)
+    unread: dict[ClientConnection, None] = field(default_factory=dict)  # whose answers lie here
+    # Where several services are served, of each by name: callers that asked it last, and the idle of them.
+    asked: dict[str, int] = field(default_factory=dict)
+    idle_of: dict[str, dict[ClientConnection, None]] = field(default_factory=dict)
     _listeners: list[socket.socket] = field(default_factory=list)
     _accepts: bool = False
     _swept_at: float = 0.0
@@ -356,8 +385,7 @@
     # --- newcomers ---
 
     def most(self) -> int:
-        """So many connections callers may hold together: the other half is left to backends."""
-        return max(self.descriptors.limit // 2, 1)
+        return callers_part(self.descriptors.limit)
 
     def _accept(self, listener: socket.socket) -> None:
         """Not the loop's own server: that takes in all that wait at once, and ends when descriptors do."""
@@ -427,14 +455,43 @@
             if connection.close_if_idle():
                 self.closed(connection)
                 return True
+        return self._take_back()
+
+    def _take_back(self) -> bool:
+        """Guards against one service's callers that hold on to all places: of those with more than an equal
+        part, the one with the most gives up an idle connection, however lately it was used."""
+        for name in sorted(self.asked, key=lambda name: -self.asked[name]):
+            if self.asked[name] * (len(self.asked) + 1) <= self.most():  # the newcomer may be another's
+                break
+            for connection in islice(self.idle_of.get(name, ()), LOOK_AT):
+                if connection.close_if_idle():
+                    self.closed(connection)
+                    return True
         return False
 
+    def asks(self, connection: ClientConnection, service: str) -> None:
+        if connection.owner != service:
+            self._disown(connection)
+            connection.owner = service
+            self.asked[service] = self.asked.get(service, 0) + 1
+            if connection.waits_in is self.idle:
+                self._sort_idle(connection, service, True)
+
+    def _disown(self, connection: ClientConnection) -> None:
+        name, connection.owner = connection.owner, None
+        if name is not None:
+            self._sort_idle(connection, name, False)
+            self.asked[name] -= 1
+            if not self.asked[name]:
+                del self.asked[name]
+
     def closed(self, connection: ClientConnection) -> None:
         """Called again for one that went to make room, when it is closed indeed."""
         self.wait(connection, None)
         if connection in self.connections:
             del self.connections[connection]
             self.descriptors.used -= 1
+            self._disown(connection)
 
     # --- time limits ---
 
@@ -443,10 +500,20 @@
             return
         if connection.waits_in is not None:
             del connection.waits_in[connection]
+        if connection.owner is not None:
+            self._sort_idle(connection, connection.owner, where is self.idle)
         connection.waits_in = where
         if where is not None:
             where[connection] = self.loop.time()
 
+    def _sort_idle(self, connection: ClientConnection, service: str, is_idle: bool) -> None:
+        if is_idle:
+            self.idle_of.setdefault(service, {})[connection] = None
+        elif service in self.idle_of:
+            self.idle_of[service].pop(connection, None)
+            if not self.idle_of[service]:
+                del self.idle_of[service]
+
     def _sweep(self) -> None:
         """One for all limits. Judged by the time of the sweep before: after a stall of the whole program
         what lies in the machine's buffers is read first."""
@@ -457,6 +524,8 @@
         for idle in (self.idle, self.checking):
             for connection in self._due(idle, now - (SPARE_IDLE_S if crowded else IDLE_S)):
                 connection.close_if_idle()
+        for connection in list(self.unread):
+            connection.count_unread()
         for connection in self._due(self.ending, now - LINGER_S):
             connection.finish()
         if self._listeners and not self._accepts:
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -4,7 +4,7 @@
 
 import re
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 MAX_BODY = 64 * 1024  # bytes, of a request or an answer
 MAX_HEAD = 32 * 1024  # bytes of a message that are not body, as they came: chunk heads and trailers too
@@ -35,6 +35,7 @@
     headers: Headers
     body: bytes = b""
     keep_alive: bool = True
+    size: int = 0  # bytes as they came, head and body
     arrived_at: float = 0.0  # on the system's monotonic clock, seconds
     bad: tuple[int, bytes] | None = None  # the answer to what can't be taken
     is_up_check: bool = False
@@ -44,6 +45,7 @@
     left_ms: float = 0.0
     cost_ms: float | None = None
     is_retry: bool = False
+    service: Any = None  # where several are served: the one that it was routed to
 
 
 class Reader(Protocol):
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from cometdoor.core.clock import now_ms
 from cometdoor.core.host import Address, Host, HostSettings, OnWire
@@ -15,21 +16,43 @@
 from jasperhall.api import Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class Caps:
+    """What a service may hold at most; None: no more is said."""
+
+    open: int | None = None  # requests that are owed an answer
+    waiting: int | None = None  # of these, that wait to be sent for the first time
+    connections: int | None = None  # to servers
+    held_bytes: int | None = None  # of requests, of answers that come in or that callers leave unread
+
+
 class HttpService:
     """Handler of a front end, and the carrier of its host."""
 
     def __init__(self, settings: HostSettings, loop: asyncio.AbstractEventLoop, places: Places, *,
-                 max_open: int, idle_close_ms: float, connect_timeout_ms: float,
-                 watch: Callable[[], None] = lambda: None, max_connections: int | None = None,
-                 shortage: Outcome = Outcome.CONNECT_FAILED,
-                 judge: Callable[[Answer], Outcome] = outcome_of) -> None:
-        """`shortage`: the outcome of an attempt for which no connection may be opened."""
-        self._max_open = max_open
+                 caps: Caps, idle_close_ms: float, connect_timeout_ms: float,
+                 watch: Callable[[], None] = lambda: None, callers: Places | None = None,
+                 shortage: Outcome = Outcome.CONNECT_FAILED, judge: Callable[[Answer], Outcome] = outcome_of,
+                 emptied: Callable[[], None] | None = None) -> None:
+        """`places`: for connections to servers; `callers`: for requests that keep a caller's connection busy;
+        `shortage`: the outcome of an attempt for which no connection may be opened; `emptied`: called
+        whenever nothing is open any more."""
+        self._callers = callers
         self._shortage = shortage
-        self._pool = Pool(loop, places, idle_close_ms, connect_timeout_ms, max_connections, judge)
+        self._emptied = emptied
+        self._pool = Pool(loop, places, idle_close_ms, connect_timeout_ms, judge)
         self._open_traces: set[bytes] = set()
+        self._request_bytes = 0
+        self.unread_bytes = 0  # of answers, kept by the front end
         self.ready = False  # a server was listed once
         self._host: Host[ClientRequest, Answer] = Host(settings, loop, self, watch=watch, over=self._over)
+        self.set_caps(caps)
+
+    def set_caps(self, caps: Caps) -> None:
+        """What is over a new cap already stays; newcomers are held to it."""
+        self._caps = caps
+        self._host.max_waiting = caps.waiting
+        self._pool.most = caps.connections
 
     def list_changed(self, event: api.ListChanged, addresses: Mapping[str, Address]) -> None:
         self._host.list_changed(event, addresses)
@@ -38,6 +61,21 @@
     def open_requests(self) -> int:
         return self._host.open_requests()
 
+    def is_empty(self) -> bool:
+        return self._host.is_empty()
+
+    def refuse_waiting(self) -> None:
+        self._host.refuse_waiting()
+
+    def close_all_idle(self) -> None:
+        self._pool.close_all_idle()
+
+    def close_oldest_idle(self) -> bool:
+        return self._pool.close_oldest_idle()
+
+    def held_bytes(self) -> int:
+        return self._request_bytes + self._pool.held_bytes + self.unread_bytes
+
     def owes_answers(self) -> bool:
         return bool(self._host.open_requests())
 
@@ -47,20 +85,33 @@
     # --- the front's calls ---
 
     def take(self, connection: ClientConnection, request: ClientRequest) -> None:
-        if self._host.open_requests() >= self._max_open:
+        if self._is_full():
             connection.refused(0.0)
         elif request.trace in self._open_traces:
             # A backend would take it for a second copy of the other caller's request.
             connection.answer(409, [], b"X-Trace-Id is that of an open request")
+        elif self._callers is not None and not self._callers.take():
+            connection.refused(0.0)
         else:
             self._open_traces.add(request.trace)
+            self._request_bytes += request.size
             self._host.take(connection, request)
 
+    def _is_full(self) -> bool:
+        caps = self._caps
+        return ((caps.open is not None and self._host.open_requests() >= caps.open)
+                or (caps.held_bytes is not None and self.held_bytes() >= caps.held_bytes))
+
     def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
         self._host.caller_gone(connection)
 
     def _over(self, request: ClientRequest) -> None:
         self._open_traces.discard(request.trace)
+        self._request_bytes -= request.size
+        if self._callers is not None:
+            self._callers.give()
+        if self._emptied is not None and self._host.is_empty():
+            self._emptied()
 
     # --- the host's calls ---
 
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -152,7 +152,7 @@
         assert self._transport is not None and self.exchange is not None
         self._wrote = True
         self._answer = None
-        self._raw_size = self._size = self._interim = 0
+        self._raw_size = self._size = self._interim = 0  # _finish or abort gave back what it held
         self._transport.write(self.exchange.payload())
         if self._transport.is_closing():
             # The very first write failed: the kernel took no byte of it.
@@ -173,6 +173,7 @@
             self.abort()  # an answer that nobody asked for
             return
         self._raw_size += len(data)
+        self.pool.held_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -259,6 +260,7 @@
     def _finish(self, outcome: Outcome, answer: Answer | None = None) -> None:
         exchange, self.exchange = self.exchange, None
         self._stop_timer()
+        self._let_go()
         self._headers, self._body, self._answer = [], [], None
         if (answer is not None and self._reusable and self.is_written() and not self.closed
                 and not self.is_retired):
@@ -274,6 +276,7 @@
 
     def abort(self) -> None:
         self._stop_timer()
+        self._let_go()
         if not self.closed:
             self.closed = True
             self.pool.forget(self)
@@ -283,6 +286,10 @@
         elif self._opening is not None:
             self._opening.cancel()
 
+    def _let_go(self) -> None:
+        self.pool.held_bytes -= self._raw_size
+        self._raw_size = 0
+
     def _stop_timer(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -297,13 +304,12 @@
     """Idle connections by backend, the most recently used last."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, places: Places, idle_close_ms: float,
-                 connect_timeout_ms: float, most: int | None = None,
-                 outcome_of: Callable[[Answer], Outcome] = outcome_of) -> None:
-        """`most`: connections that may be open at once, beside what `places` allow."""
+                 connect_timeout_ms: float, outcome_of: Callable[[Answer], Outcome] = outcome_of) -> None:
         self.loop = loop
         self.outcome_of = outcome_of
+        self.most: int | None = None  # connections that may be open at once, beside what `places` allow
+        self.held_bytes = 0  # of answers that are coming in
         self._places = places
-        self._most = most
         self._count = 0
         # Guards against a request written to a connection that the backend is just closing.
         self._keep_s = max(0.5 * idle_close_ms, 0.9 * idle_close_ms - 250.0) / 1000.0
@@ -326,7 +332,7 @@
         return True
 
     def _take_place(self) -> bool:
-        if self._most is not None and self._count >= self._most and not self.close_oldest_idle():
+        if self.most is not None and self._count >= self.most and not self.close_oldest_idle():
             return False
         if not self._places.take() and not (self.close_oldest_idle() and self._places.take()):
             return False
--- a/cometdoor/node.py
+++ b/cometdoor/node.py
@@ -10,7 +10,7 @@
 from cometdoor.discovery.platform import Discovery, ListReader
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.platform import PlatformReader
-from cometdoor.http.service import HttpService
+from cometdoor.http.service import Caps, HttpService
 from jasperhall import api
 from jasperhall.api import ListKind
 
@@ -20,7 +20,7 @@
         self.descriptors = Descriptors(config.sockets)
         self.service = HttpService(
             HostSettings(config.settings, config.seed, config.may_advise_pause), loop, self.descriptors,
-            max_open=config.max_open, idle_close_ms=config.idle_close_ms,
+            caps=Caps(open=config.max_open), idle_close_ms=config.idle_close_ms,
             connect_timeout_ms=config.connect_timeout_ms, watch=lambda: self.discovery.watch())
         reader = ListReader(config.zones, config.kinds)
         self.discovery = Discovery(
--- /dev/null
+++ b/cometdoor/services/__init__.py
@@ -0,0 +1,1 @@
+"""Several services in one process: routes, pools, and what each may hold."""
--- /dev/null
+++ b/cometdoor/services/reader.py
@@ -0,0 +1,97 @@
+"""Requests to the operators' services: by whom they are served, their class, and what time they have."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from collections.abc import Mapping
+from typing import Generic, Protocol, TypeVar
+
+from cometdoor.http.messages import BadRequest, ClientRequest, read_fields, read_number
+from cometdoor.services.routes import Routes, Unroutable, read_host, split_target
+from jasperhall import api
+from jasperhall.api import Effect
+
+WRITING = frozenset({b"POST", b"PUT", b"PATCH", b"DELETE"})
+
+
+class Routed(Protocol):
+    """A service as a route names it."""
+
+    @property
+    def classes(self) -> Mapping[bytes, int]:
+        """Places in the settings, by name."""
+
+    @property
+    def class_settings(self) -> tuple[api.RequestClass, ...]: ...
+
+
+ServiceT = TypeVar("ServiceT", bound=Routed)
+
+
+class ServicesReader(Generic[ServiceT]):
+    """`routes` and `services` are replaced together when the configuration changes."""
+
+    def __init__(self, routes: Routes, services: Mapping[str, ServiceT], up: bytes) -> None:
+        self.change(routes, services, up)
+        # Ids that we make up: a server may keep them for a while, so that no two starts share any.
+        self._made_up = os.urandom(5).hex().encode()
+        self._count = itertools.count()
+
+    def change(self, routes: Routes, services: Mapping[str, ServiceT], up: bytes) -> None:
+        self._routes, self._services, self._up = routes, services, up
+
+    def read(self, request: ClientRequest) -> None:
+        headers = read_fields(request)
+        try:
+            self._route(request, headers)
+        except Unroutable as problem:
+            raise BadRequest(problem.status, str(problem)) from None
+
+    def _route(self, request: ClientRequest, headers: dict[bytes, bytes]) -> None:
+        if b"host" not in headers:
+            raise Unroutable(400, "Host is missing")
+        host = read_host(headers[b"host"])
+        authority, target = split_target(request.target)
+        path = target.partition(b"?")[0]
+        if request.method == b"GET" and path == self._up:
+            request.is_up_check = True
+            return
+        if authority is not None:
+            # RFC 9112, 3.2.2: the target's counts, and goes on as Host.
+            host = read_host(authority)
+            request.headers = [(name, authority if name.lower() == b"host" else value)
+                               for name, value in request.headers]
+            request.target = target
+        stated = headers.get(b"x-qos")
+        match = self._routes.find(host, path, stated.decode("latin-1") if stated else None)
+        service = self._services[match.service]
+        self._read_class(request, headers, service, match.cls)
+        request.service = service
+
+    def _read_class(self, request: ClientRequest, headers: dict[bytes, bytes], service: ServiceT,
+                    name: str | None) -> None:
+        if name is None and len(service.classes) > 1:
+            raise BadRequest(400, "X-Qos is missing: the service has several classes")
+        place = 0 if name is None else service.classes.get(name.encode("latin-1"))
+        if place is None:
+            raise BadRequest(404, "unknown class")
+        request.class_index = place
+        cls = service.class_settings[place]
+        if request.method not in ((b"GET",) if cls.effect is Effect.SAFE else WRITING):
+            raise BadRequest(405, "the class has other methods")
+        if cls.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+            raise BadRequest(400, "Idempotency-Key is missing")
+        stated = headers.get(b"x-expires-in")
+        try:
+            left_ms = cls.deadline_ms if stated is None else read_number(stated) * 1000.0
+        except ValueError:
+            raise BadRequest(400, "X-Expires-In is no number") from None
+        if left_ms <= 0:
+            raise BadRequest(400, "X-Expires-In is not above 0")
+        request.left_ms = min(left_ms, cls.deadline_ms)
+        request.is_retry = headers.get(b"x-second-try") == b"1"
+        request.trace = headers.get(b"x-trace-id", b"")
+        if not request.trace:
+            request.trace = b"%s%06x" % (self._made_up, next(self._count))
+            request.headers.append((b"X-Trace-Id", request.trace))
--- /dev/null
+++ b/cometdoor/services/running.py
@@ -0,0 +1,240 @@
+"""The services of one process: their instances, and a change of them while serving."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Mapping
+from dataclasses import replace
+
+from cometdoor.core.clock import now_ms
+from cometdoor.core.host import Address, HostSettings
+from cometdoor.core.shares import Descriptors, Stock, callers_part
+from cometdoor.core.words import read_address
+from cometdoor.discovery.platform import Discovery, ListReader
+from cometdoor.http.frontend import ClientConnection, Frontend
+from cometdoor.http.messages import BadRequest, ClientRequest
+from cometdoor.http.service import Caps, HttpService
+from cometdoor.http.upstream import outcome_of, outcome_of_any
+from cometdoor.services.membership import Membership, Told
+from cometdoor.services.plan import Plan, plan
+from cometdoor.services.reader import ServicesReader
+from cometdoor.services.routes import Routes
+from cometdoor.settings import ServiceEntry, Settings
+from jasperhall import api
+from jasperhall.api import Effect, ListChanged, ListKind, Outcome, Scope, Server, State
+
+log = logging.getLogger(__name__)
+
+
+def class_settings(service: ServiceEntry) -> tuple[api.RequestClass, ...]:
+    return tuple(api.RequestClass(
+        aim_ms=entry.aim_ms, deadline_ms=entry.deadline_ms, effect=Effect(entry.effect),
+        dedup_scope=Scope(entry.key_scope), key_ttl_ms=entry.key_ttl_ms, worth=entry.worth,
+        late_worth=entry.late_worth) for entry in service.classes.values())
+
+
+class Numbers:
+    """Names to small numbers, as the module knows zones and kinds."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, int] = {}
+
+    def of(self, name: str) -> int:
+        return self._known.setdefault(name, len(self._known))
+
+
+class Running:
+    """One service as one module instance serves it, until it was told to end and nothing is left open."""
+
+    def __init__(self, owner: Services, entry: ServiceEntry) -> None:
+        self.entry = entry
+        self.name = entry.name
+        self.classes = {name.encode("latin-1"): place for place, name in enumerate(entry.classes)}
+        self.class_settings = class_settings(entry)
+        self.is_leaving = False
+        self._owner = owner
+        self._zones, self._kinds = Numbers(), Numbers()
+        zone = self._zones.of(entry.zone)
+        cold, fleet = entry.cold, owner.settings.fleet
+        module = api.Settings(
+            classes=self.class_settings, balancers=fleet.proxies, position=fleet.place, zone=zone,
+            max_attempts=entry.limits.attempts)
+        if cold is not None:
+            module = replace(module, cold_from=cold.start, warm_up_ms=cold.warm_up_ms,
+                             overload_factor=cold.overload_factor, fall_ms=cold.fall_ms)
+        guaranteed = owner.guaranteed_of(entry)
+        self.servers_share = owner.servers.join(guaranteed, lambda: self.http.close_oldest_idle())
+        self.callers_share = owner.callers.join(guaranteed)
+        self.http = HttpService(
+            HostSettings(module, random.getrandbits(63), entry.retry_after), owner.loop, self.servers_share,
+            caps=self._caps(), callers=self.callers_share, idle_close_ms=entry.limits.idle_close_ms,
+            connect_timeout_ms=entry.limits.connect_timeout_ms, shortage=Outcome.MOOT,
+            judge=outcome_of if entry.answers == "platform" else outcome_of_any, emptied=self._emptied)
+        self._started: dict[tuple[str, Address], float] | None = None
+        self.discovery: Discovery | None = None
+        if entry.discovery is not None:
+            reader = ListReader([entry.zone] if entry.zone else [], [])
+            self.discovery = Discovery(owner.loop, read_address(entry.discovery), reader, must_ask=False,
+                                       revision=0, deliver=self._told)
+
+    def _caps(self) -> Caps:
+        limits = self.entry.limits
+        return Caps(limits.open, limits.waiting, limits.connections, limits.held_bytes)
+
+    def start(self) -> None:
+        if self.discovery is not None:
+            self.discovery.start()
+        else:
+            self.list_servers(self.entry)
+
+    def carry_over(self, entry: ServiceEntry) -> None:
+        """The routes are the reader's; servers and limits are taken over here."""
+        self.entry = entry
+        self.http.set_caps(self._caps())
+        guaranteed = self._owner.guaranteed_of(entry)
+        self._owner.servers.guarantee(self.servers_share, guaranteed)
+        self._owner.callers.guarantee(self.callers_share, guaranteed)
+        if entry.servers is not None:
+            self.list_servers(entry)
+
+    def list_servers(self, entry: ServiceEntry) -> None:
+        """The whole list of the file. A server that a running process is told of has just started, as far as
+        anyone can tell: so it is not pushed over where servers warm up."""
+        servers, addresses = [], {}
+        now, first = now_ms(), self._started is None
+        started: dict[tuple[str, Address], float] = {}
+        for listed in entry.servers or ():
+            address = read_address(listed.address)
+            key = listed.name, address
+            started[key] = (self._started or {}).get(key, 0.0 if first else now)
+            state = State.DRAINING if listed.drain else State.READY
+            servers.append(Server(listed.name, listed.weight, self._zones.of(listed.zone), listed.cell,
+                                  self._kinds.of(listed.kind), state, started[key]))
+            addresses[listed.name] = address
+        self._started = started
+        self._told(ListChanged(ListKind.FULL, tuple(servers)), addresses)
+
+    def _told(self, event: ListChanged, addresses: Mapping[str, Address]) -> None:
+        self._owner.deliver(self._owner.membership.told(self, event, addresses))
+
+    def leave(self, successor: ServiceEntry | None) -> None:
+        """What is open ends by its own deadline. Nothing new is sent to servers that nobody lists any more;
+        a successor's list holds for what is still open here."""
+        self.is_leaving = True
+        if successor is not None and successor.servers is not None:
+            self.list_servers(successor)
+        elif successor is None or successor.discovery != self.entry.discovery:
+            self._stop_discovery()
+            self._told(ListChanged(ListKind.FULL, ()), {})
+            self.http.refuse_waiting()
+        self.http.close_all_idle()
+        self._emptied()
+
+    def _stop_discovery(self) -> None:
+        if self.discovery is not None:
+            self.discovery.stop()
+            self.discovery = None
+
+    def _emptied(self) -> None:
+        if self.is_leaving and self.http.is_empty() and self in self._owner.leaving:
+            del self._owner.leaving[self]
+            self._stop_discovery()
+            self.http.close_all_idle()
+            self._owner.servers.leave(self.servers_share)
+            self._owner.callers.leave(self.callers_share)
+            self._owner.deliver(self._owner.membership.forget(self))
+            log.info("service %s: nothing is left of what was open before the change", self.name)
+
+
+class Services:
+    """Handler of the front end. Requests go to the service that they were routed to when they came in."""
+
+    ready = True  # one service's trouble must not take the process out of use for the others
+
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.descriptors = Descriptors(settings.sockets)
+        callers = callers_part(self.descriptors.limit)
+        self.callers = Stock(callers)
+        self.servers = Stock(self.descriptors.limit - callers)
+        self.membership: Membership[Running] = Membership()
+        self.running: dict[str, Running] = {}
+        self.leaving: dict[Running, None] = {}
+        self.reader: ServicesReader[Running] = ServicesReader(Routes(()), {}, b"")
+        self.front = Frontend(loop, self.reader, self.descriptors, self)
+        for entry in settings.service:
+            self.running[entry.name] = Running(self, entry)
+        self._change_routes()
+
+    async def start(self) -> None:
+        for service in self.running.values():
+            service.start()
+        for address in self.settings.listen():
+            await self.front.listen(*address)
+
+    def stop(self) -> None:
+        for service in [*self.running.values(), *self.leaving]:
+            if service.discovery is not None:
+                service.discovery.stop()
+
+    def guaranteed_of(self, entry: ServiceEntry) -> int:
+        """Where the file does not say: half of all places, in equal parts."""
+        if entry.limits.guaranteed_sockets is not None:
+            return entry.limits.guaranteed_sockets
+        return self.servers.total // (2 * len(self.settings.service))
+
+    def apply(self, settings: Settings) -> Plan:
+        """From now on this is the configuration. What is open ends under the one that it came in by."""
+        steps = plan(self.settings, settings)
+        self.settings = settings
+        entries = {entry.name: entry for entry in settings.service}
+        gone = {name: self.running.pop(name) for name in (*steps.end, *steps.rebuild)}
+        self.leaving.update(dict.fromkeys(gone.values()))
+        for name in (*steps.start, *steps.rebuild):
+            self.running[name] = Running(self, entries[name])
+        self._change_routes()
+        for name, service in gone.items():
+            service.leave(entries.get(name))
+        for name in steps.go_on:
+            self.running[name].carry_over(entries[name])
+        for name in (*steps.start, *steps.rebuild):
+            self.running[name].start()
+        return steps
+
+    def _change_routes(self) -> None:
+        self.reader.change(Routes(self.settings.routes()), self.running, self.settings.up.encode())
+
+    def deliver(self, events: list[Told[Running]]) -> None:
+        for told in events:
+            told.service.http.list_changed(told.event, told.addresses)
+
+    # --- the front's calls ---
+
+    def take(self, connection: ClientConnection, request: ClientRequest) -> None:
+        if request.service.is_leaving:
+            # It was read ahead, before the change.
+            try:
+                self.reader.read(request)
+            except BadRequest as problem:
+                connection.answer(problem.status, [], str(problem).encode())
+                return
+        request.service.http.take(connection, request)
+
+    def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
+        request.service.http.client_gone(connection, request)
+
+    # --- its end ---
+
+    def open_requests(self) -> int:
+        return sum(service.http.open_requests() for service in (*self.running.values(), *self.leaving))
+
+    def fail_all(self) -> None:
+        for service in (*self.running.values(), *self.leaving):
+            service.http.fail_all()
+
+    def longest_deadline_s(self) -> float:
+        return max(cls.deadline_ms for service in (*self.running.values(), *self.leaving)
+                   for cls in service.class_settings) / 1000.0
--- /dev/null
+++ b/cometdoor/services/serve.py
@@ -0,0 +1,81 @@
+"""`cometdoor serve FILE`: the operators' file served until SIGTERM, read again at each SIGHUP."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+from pathlib import Path
+
+from cometdoor.ending import end_serving
+from cometdoor.services.running import Services
+from cometdoor.settings import BadSettings, Settings, load_settings
+
+log = logging.getLogger(__name__)
+
+
+class Reloader:
+    """One change at a time: a signal that comes while the file is read has it read once more."""
+
+    def __init__(self, path: Path, services: Services, stopping: asyncio.Event) -> None:
+        self._path = path
+        self._services = services
+        self._stopping = stopping
+        self._wanted = False
+        self._task: asyncio.Task[None] | None = None
+
+    def ask(self) -> None:
+        if self._stopping.is_set():
+            log.info("stopping: the file is not read again")
+            return
+        self._wanted = True
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._reload())
+
+    async def _reload(self) -> None:
+        try:
+            while self._wanted and not self._stopping.is_set():
+                self._wanted = False
+                # In a thread: a large file takes tens of milliseconds to read and check.
+                settings = await asyncio.to_thread(self._load)
+                if settings is not None and not self._stopping.is_set():
+                    self._apply(settings)
+        finally:
+            self._task = None
+
+    def _load(self) -> Settings | None:
+        try:
+            return load_settings(self._path)
+        except BadSettings as problem:
+            for one in problem.problems:
+                log.error("%s", one)
+            log.error("%d problems: the configuration stays as it was", len(problem.problems))
+            return None
+
+    def _apply(self, settings: Settings) -> None:
+        before = asyncio.get_running_loop().time()
+        steps = self._services.apply(settings)
+        took_ms = (asyncio.get_running_loop().time() - before) * 1000.0
+        if steps.need_restart:
+            log.warning("changed, but used only after a restart: %s", ", ".join(steps.need_restart))
+        log.info("applied in %.1f ms: %s", took_ms, steps.text())
+
+
+async def serve(path: Path, settings: Settings) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    services = Services(settings, loop)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(path, services, stopping).ask)
+    await services.start()
+    gc.collect()
+    gc.freeze()
+    addresses = [services.front.address(place) for place in range(len(settings.listener))]
+    log.info("serves %d services on %s", len(services.running),
+             ", ".join(f"{host}:{port}" for host, port in addresses))
+    await stopping.wait()
+    await end_serving(services.front, services, services.longest_deadline_s())
+    services.stop()
+    log.info("ends")
--- /dev/null
+++ b/standins/discovery.py
@@ -0,0 +1,87 @@
+"""The platform's discovery: a list and watches of it, which may lag, be down, or end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import Any
+
+BEAT_S = 2.0  # an empty line so often while nothing changes
+
+
+class Discovery:
+    def __init__(self, lag_s: float = 0.0) -> None:
+        self.lag_s = lag_s  # how late watches are told of a change
+        self.address = ("127.0.0.1", 0)
+        self.revision = 1
+        self.told_at: dict[tuple[str, str], float] = {}  # (server, phase) -> when a watch was first told
+        self._members: dict[str, dict[str, Any]] = {}
+        self._changes: list[tuple[int, dict[str, Any]]] = []
+        self._watches: dict[asyncio.StreamWriter, None] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Discovery:
+        self._server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self._server.sockets[0].getsockname()[:2]
+        return self
+
+    def stop(self) -> None:
+        """Down: watches end and calls are refused."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._watches):
+            writer.transport.abort()
+        self._watches.clear()
+
+    def host_port(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
+    def set(self, name: str, address: str, phase: str = "in_service", **more: Any) -> None:
+        member = {"id": name, "host_port": address, "locality": "a", "flavor": "std", "cell": 0,
+                  "phase": phase, "size": 1.0, "up_since_ms": 0, **more}
+        self.revision += 1
+        if phase == "terminated":
+            self._members.pop(name, None)
+        else:
+            self._members[name] = member
+        self._changes.append((self.revision, member))
+        asyncio.get_running_loop().call_later(self.lag_s, self._tell, self.revision, member)
+
+    def _tell(self, revision: int, member: dict[str, Any]) -> None:
+        line = self._line(revision, False, [member])
+        for writer in list(self._watches):
+            writer.write(line)
+            self.told_at.setdefault((member["id"], member["phase"]), time.monotonic())
+
+    @staticmethod
+    def _line(revision: int, complete: bool, members: list[dict[str, Any]]) -> bytes:
+        text = json.dumps({"revision": revision, "complete": complete, "members": members}).encode() + b"\n"
+        return b"%x\r\n%s\r\n" % (len(text), text)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            query = head.split(b" ")[1].partition(b"?")[2]
+            if b"stream=1" not in query:
+                text = json.dumps({"revision": self.revision, "complete": True,
+                                   "members": list(self._members.values())}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+                             % (len(text), text))
+                await writer.drain()
+                writer.close()
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(self._line(self.revision, True, list(self._members.values())))
+            self._watches[writer] = None
+            while True:
+                await asyncio.sleep(BEAT_S)
+                writer.write(b"1\r\n\n\r\n")
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            with contextlib.suppress(ConnectionError):
+                writer.close()
+        finally:
+            self._watches.pop(writer, None)
--- /dev/null
+++ b/standins/process.py
@@ -0,0 +1,85 @@
+"""Stand-in servers in a process of their own.
+
+Orders come as JSON lines on standard input, each is answered with one line on standard output. It ends when
+its input does.
+
+    {"do": "start", "service": "a", "count": 3, "ms": 2.0}     -> {"addresses": {"a-0": "127.0.0.1:4001"}}
+    {"do": "freeze", "service": "a"}, thaw, stop               -> {}
+    {"do": "set", "service": "a", "behaviour": {"slow": 3.0}}  -> {}
+    {"do": "ledger", "service": "a"}                           -> {"entries": [...], "falls": [...]}
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from typing import Any
+
+import orjson
+import uvloop
+
+from standins.ledger import Ledger
+from standins.model import Behaviour, KeyStore, ServerModel, exponential, fixed
+from standins.server import StandIn
+
+
+class Group:
+    """The servers of one service, with one ledger and one memory of keys."""
+
+    def __init__(self) -> None:
+        self.ledger = Ledger()
+        self.servers: list[StandIn] = []
+
+    async def start(self, service: str, count: int, ms: float, body: int, spread: bool) -> dict[str, str]:
+        keys = KeyStore()
+        latency = exponential(ms / 1000.0) if spread else fixed(ms / 1000.0)
+        for number in range(count):
+            model = ServerModel(f"{service}-{number}", self.ledger, keys=keys,
+                                behaviour=Behaviour(latency=latency, body=b"x" * body))
+            self.servers.append(await StandIn(model).start())
+        return {server.model.name: server.host_port() for server in self.servers}
+
+
+class Groups:
+    def __init__(self) -> None:
+        self._groups: dict[str, Group] = {}
+
+    async def carry_out(self, order: dict[str, Any]) -> dict[str, Any]:
+        name = order["service"]
+        if order["do"] == "start":
+            group = self._groups[name] = Group()
+            addresses = await group.start(name, order.get("count", 3), order.get("ms", 2.0),
+                                          order.get("body", 64), order.get("spread", True))
+            return {"addresses": addresses}
+        group = self._groups[name]
+        match order["do"]:
+            case "ledger":
+                return group.ledger.dump()
+            case "set":
+                for server in group.servers:
+                    for key, value in order["behaviour"].items():
+                        setattr(server.model.behaviour, key, value)
+            case "freeze" | "thaw" | "stop" as what:
+                for server in group.servers:
+                    getattr(server, what)()
+            case unknown:
+                raise ValueError(f"no order {unknown!r}")
+        return {}
+
+
+async def main() -> None:
+    groups = Groups()
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        answer = await groups.carry_out(orjson.loads(line))
+        sys.stdout.buffer.write(orjson.dumps(answer) + b"\n")
+        sys.stdout.buffer.flush()
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        os.sched_setaffinity(0, {int(sys.argv[1])})
+    uvloop.run(main())
--- /dev/null
+++ b/standins/rig.py
@@ -0,0 +1,124 @@
+"""Processes for benchmarks and the demo: stand-in servers, and the proxy of an operators' file."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from standins.ledger import Ledger
+
+ROOT = Path(__file__).parent.parent
+LINE = 1 << 28  # bytes; a ledger comes as one line
+
+
+def cores() -> list[int]:
+    """The processors that this process may use; the last stands in for those that are missing."""
+    found = sorted(os.sched_getaffinity(0))
+    return found + found[-1:] * 4
+
+
+class Servers:
+    """Stand-in servers in a process of their own."""
+
+    def __init__(self) -> None:
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self, core: int | None = None) -> Servers:
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "standins.process", *([] if core is None else [str(core)]), cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=LINE)
+        return self
+
+    async def order(self, do: str, service: str, **more: Any) -> dict[str, Any]:
+        assert self._process is not None and self._process.stdin and self._process.stdout
+        self._process.stdin.write(orjson.dumps({"do": do, "service": service, **more}) + b"\n")
+        line = await self._process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"the stand-in servers ended on {do}")
+        answer: dict[str, Any] = orjson.loads(line)
+        return answer
+
+    async def add(self, service: str, count: int, ms: float, **more: Any) -> dict[str, str]:
+        """Addresses by name."""
+        answer = await self.order("start", service, count=count, ms=ms, **more)
+        addresses: dict[str, str] = answer["addresses"]
+        return addresses
+
+    async def ledger(self, service: str) -> Ledger:
+        return Ledger.load([await self.order("ledger", service)])
+
+    async def stop(self) -> None:
+        if self._process is not None and self._process.stdin is not None:
+            self._process.stdin.close()
+            await self._process.wait()
+
+
+class ProxyProcess:
+    """`python -m cometdoor serve FILE`, from its first word to its end."""
+
+    def __init__(self, file: Path) -> None:
+        self.file = file
+        self.address = ("127.0.0.1", 0)
+        self.log: list[str] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self, core: int | None = None) -> ProxyProcess:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cometdoor", "serve", str(self.file), cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE)
+        if core is not None:
+            os.sched_setaffinity(self.process.pid, {core})
+        assert self.process.stderr is not None
+        while line := (await self.process.stderr.readline()).decode():
+            self.log.append(line)
+            if " services on " in line:
+                host, port = line.split()[-1].rsplit(":", 1)
+                self.address = host, int(port)
+                self._reading = asyncio.ensure_future(self._read())
+                return self
+        raise RuntimeError("the proxy did not start: " + "".join(self.log))
+
+    async def _read(self) -> None:
+        assert self.process is not None and self.process.stderr is not None
+        while line := await self.process.stderr.readline():
+            self.log.append(line.decode())
+
+    async def said(self, text: str) -> str:
+        """The first line of its log that holds the text."""
+        while True:
+            for line in self.log:
+                if text in line:
+                    return line
+            if self._reading is not None and self._reading.done():
+                raise RuntimeError(f"the proxy ended without a word of {text!r}: " + "".join(self.log))
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> int:
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.terminate()
+        code = await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+        return code
+
+
+def operators_file(services: dict[str, dict[str, str]], classes: dict[str, dict[str, Any]], *,
+                   listen: str = "127.0.0.1:0", sockets: int = 1024, limits: str = "") -> str:
+    """A file for services whose servers are given by name and address; each has host NAME.example.org."""
+    lines = [f"sockets = {sockets}", "[[listener]]", f'address = "{listen}"']
+    for service, servers in services.items():
+        lines += ["[[service]]", f'name = "{service}"', f'routes = [{{host = "{service}.example.org"}}]']
+        for name, values in classes.items():
+            lines.append(f"[service.classes.{name}]")
+            lines += [f"{key} = {orjson.dumps(value).decode()}" for key, value in values.items()]
+        lines += ["[service.limits]", limits]
+        for name, address in servers.items():
+            lines += ["[[service.servers]]", f'name = "{name}"', f'address = "{address}"']
+    return "\n".join([*lines, ""])
--- /dev/null
+++ b/tests/services/test_routes.py
@@ -0,0 +1,180 @@
+"""Which service a request belongs to: hosts, paths and classes, and what must not be read in two ways."""
+
+from __future__ import annotations
+
+import string
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cometdoor.services.routes import (
+    BadPattern,
+    Route,
+    Routes,
+    Unroutable,
+    as_some_read,
+    as_written,
+    normal_host,
+    read_host,
+    read_host_pattern,
+    read_path_prefix,
+    same_right,
+    split_target,
+)
+
+
+def route(service: str, host: str = "", path: str = "/", cls: str | None = None) -> Route:
+    return Route(service, read_host_pattern(host), read_path_prefix(path), cls, service)
+
+
+TABLE = Routes([
+    route("search", "search.example.org"),
+    route("search-v2", "search.example.org", "/v2"),
+    route("search-v2-x", "search.example.org", "/v2/x"),
+    route("partner", "*.example.org"),
+    route("deep", "*.deep.example.org"),
+    route("pay", "pay.example.org", "/do", "charge"),
+    route("book", "pay.example.org", "/do", "book"),
+    route("rest", "pay.example.org", "/only", "charge"),
+    route("mixed", "mixed.example.org", "/", "charge"),
+    route("mixed-any", "mixed.example.org", "/"),
+    route("default", "", "/open"),
+])
+
+
+def found(host: str, path: str, cls: str | None = None) -> str | int:
+    try:
+        return TABLE.find(read_host(host.encode("latin-1")), path.encode(), cls).service
+    except Unroutable as problem:
+        return problem.status
+
+
+@pytest.mark.parametrize(("host", "path", "cls", "service"), [
+    ("search.example.org", "/", None, "search"),
+    ("SEARCH.Example.ORG:8080", "/any/thing", None, "search"),
+    ("search.example.org.", "/v1", None, "search"),
+    ("search.example.org:", "/", None, "search"),
+    ("search.example.org", "/v2", None, "search-v2"),
+    ("search.example.org", "/v2/", None, "search-v2"),
+    ("search.example.org", "/v2/x/y", None, "search-v2-x"),
+    ("search.example.org", "/v22", None, "search"),
+    ("search.example.org", "/%762", None, "search-v2"),  # an escape that was needless
+    ("a.example.org", "/", None, "partner"),
+    ("a.b.example.org", "/", None, "partner"),
+    ("a.deep.example.org", "/", None, "deep"),
+    ("deep.example.org", "/", None, "partner"),  # a wildcard stands for one label at the least
+    ("example.org", "/open/x", None, "default"),
+    ("[::1]:80", "/open", None, "default"),
+    ("127.0.0.1", "/open", None, "default"),
+    ("xn--bcher-kva.example.org", "/", None, "partner"),
+    ("pay.example.org", "/do/1", "charge", "pay"),
+    ("pay.example.org", "/do/1", "book", "book"),
+    ("pay.example.org", "/only", None, "rest"),
+    ("mixed.example.org", "/", "charge", "mixed"),
+    ("mixed.example.org", "/", "look", "mixed-any"),
+    ("mixed.example.org", "/", None, "mixed-any"),
+    # Each step is final: what is named more closely does not fall back.
+    ("pay.example.org", "/", None, 404),
+    ("pay.example.org", "/do/1", "look", 404),
+    ("pay.example.org", "/do/1", None, 400),
+    ("elsewhere.org", "/", None, 404),
+    ("elsewhere.org", "/opened", None, 404),
+])
+def test_the_closest_route_has_the_request(host: str, path: str, cls: str | None, service: str | int) -> None:
+    assert found(host, path, cls) == service
+
+
+@pytest.mark.parametrize("host", [
+    "", ".", "a..b", "a b", "a/b", "user@a", "a:b", "a:99999", "a:1:2", "[::1", "::1", "a%41", "bücher.de",
+    "-a.org", "a" * 64 + ".org", "a." * 127 + "org", "a\tb", "a,b", "[zz]"])
+def test_a_malformed_host_is_400(host: str) -> None:
+    assert found(host, "/open") == 400
+
+
+@pytest.mark.parametrize("path", [
+    "/v2/../v1", "/v2/%2e%2e/v1", "/v2/.%2E/v1", "/.", "/v2/./x", "/v2%2f..%2f..", "/v2%2Fx", "//v2",
+    "/v2//x", "/v2\\x", "/v2%5Cx", "/v2;a=1/x", "/x/..;/v2", "/%zz", "/v2%", "/v2%2", "/%00/..;/",
+    "/%76%32%2f%78"])
+def test_no_path_steps_from_one_route_into_another(path: str) -> None:
+    """Refused, or read in the one way that is as good for a strict server as for a careless one."""
+    got = found("search.example.org", path)
+    assert got == 400
+
+
+@pytest.mark.parametrize("path", ["/a%2Fb", "/a;v=1", "/a//b", "/a%20b", "/~a", "/a%7Eb", "/%C3%A9"])
+def test_what_only_looks_odd_goes_where_it_belongs(path: str) -> None:
+    assert found("search.example.org", path) == "search"
+
+
+NAMES = st.text(string.ascii_lowercase, min_size=1, max_size=2)
+PIECES = st.lists(st.sampled_from(["a", "b", "/", "..", ".", "%2f", "%2F", "%2e", "%61", ";x", "\\", "%5c",
+                                   "%"]), max_size=8).map("".join)
+
+
+@given(PIECES)
+def test_strict_and_careless_servers_agree_on_the_service(path: str) -> None:
+    """As a careless server resolves dot segments, escapes, backslashes and parameters, the request is still
+    in the service that it was routed to."""
+    table = Routes([route("a", "", "/a"), route("ab", "", "/a/b"), route("b", "", "/b"), route("root")])
+    try:
+        service = table.find("h", b"/" + path.encode(), None).service
+    except Unroutable:
+        return
+    resolved: list[bytes] = []
+    for segment in as_some_read(b"/" + path.encode()):
+        if segment == b"..":
+            del resolved[-1:]
+        elif segment != b".":
+            resolved.append(segment)
+    assert table.find("h", b"/" + b"/".join(resolved), None).service == service
+
+
+@given(st.lists(NAMES, max_size=4), st.lists(st.lists(NAMES, max_size=3), max_size=6))
+def test_the_longest_prefix_by_segments_wins(path: list[str], prefixes: list[list[str]]) -> None:
+    routes = {"/" + "/".join(prefix): route("/" + "/".join(prefix), "", "/" + "/".join(prefix))
+              for prefix in prefixes}
+    fitting = [prefix for prefix in prefixes if path[:len(prefix)] == prefix]
+    try:
+        got = Routes(routes.values()).find("h", b"/" + "/".join(path).encode(), None).service
+    except Unroutable as problem:
+        assert problem.status == 404 and not fitting
+    else:
+        longest: list[str] = max(fitting, key=len)
+        assert got == "/" + "/".join(longest)
+
+
+def test_two_routes_of_the_same_right_are_named() -> None:
+    one, two, three = route("a", "X.org", "/p"), route("b", "x.ORG.", "/%70/"), route("b", "x.org", "/p", "c")
+    assert list(same_right([one, two, three])) == [(one, two)]
+
+
+@pytest.mark.parametrize("text", ["a b", "*", "*.", "a.*.b", "x:80", "a/b", "*a.org"])
+def test_a_host_pattern_that_can_not_be_matched_is_refused(text: str) -> None:
+    with pytest.raises(BadPattern, match="a name"):
+        read_host_pattern(text)
+
+
+@pytest.mark.parametrize("text", ["", "a", "/a?b", "/a#b", "/a b", "/a/../b", "/a%2fb", "/a;b", "/a//b", "/é",
+                                  "/a%"])
+def test_a_path_prefix_that_can_be_read_in_two_ways_is_refused(text: str) -> None:
+    with pytest.raises(BadPattern):
+        read_path_prefix(text)
+
+
+@pytest.mark.parametrize(("target", "authority", "origin"), [
+    (b"/a?b", None, b"/a?b"), (b"http://h:1/a?b", b"h:1", b"/a?b"), (b"HTTPS://h", b"h", b"/"),
+    (b"http://h?x", b"h", b"/?x")])
+def test_targets_in_origin_and_absolute_form(target: bytes, authority: bytes | None, origin: bytes) -> None:
+    assert split_target(target) == (authority, origin)
+
+
+@pytest.mark.parametrize("target", [b"*", b"h:1", b"ftp://h/", b"/a#b", b"", b"http://h/#f"])
+def test_other_targets_are_400(target: bytes) -> None:
+    with pytest.raises(Unroutable):
+        split_target(target)
+
+
+def test_normal_forms_are_stable() -> None:
+    assert normal_host("A.org.") == normal_host(normal_host("A.org.")) == "a.org"
+    assert as_written(b"/%61/b%2f/") == (b"a", b"b%2F")
--- /dev/null
+++ b/tests/services/test_serve.py
@@ -0,0 +1,169 @@
+"""The operators' command line as they run it: check, serve, its signals and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.discovery import Discovery
+from standins.load import Load
+from standins.rig import ROOT, ProxyProcess
+from standins.rules import check
+from tests.rig import run
+from tests.services.town import Place, to_file
+
+
+def content(*entries: dict[str, Any], port: int = 0) -> bytes:
+    return to_file({"listener": [{"address": f"127.0.0.1:{port}"}], "service": list(entries)})
+
+
+def command(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "cometdoor", *words], cwd=ROOT, capture_output=True,
+                          text=True, timeout=60, check=False)
+
+
+def hang_up(proxy: ProxyProcess) -> None:
+    assert proxy.process is not None
+    proxy.process.send_signal(signal.SIGHUP)
+
+
+def test_check_says_what_goes_where() -> None:
+    done = command("check", "deploy/services.example.toml")
+    assert done.returncode == 0 and "reserve.example.org / -> reserve" in done.stdout
+
+
+@pytest.mark.parametrize("word", ["check", "serve"])
+def test_a_bad_file_is_refused_with_all_its_errors(word: str, tmp_path: Path) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text("sockets = 1\nlistener = []\nservice = 5\n")
+    done = command(word, str(file))
+    assert done.returncode == 2 and done.stdout == ""
+    assert sorted(done.stderr.splitlines()) == [
+        f"{file}: service: a list is needed, not a number", f"{file}: sockets: expected int >= 64; it is 1"]
+
+
+@pytest.mark.parametrize("words", [("fly",), ("check",), ("serve", "a", "b")])
+def test_a_wrong_command_line_is_refused(words: tuple[str, ...]) -> None:
+    done = command(*words)
+    assert done.returncode == 2 and "usage: cometdoor" in done.stderr
+
+
+def test_the_platforms_proxy_imports_nothing_of_the_operators(tmp_path: Path) -> None:
+    """Memory is scarce there."""
+    text = ("import sys; import cometdoor.__main__; print([name for name in sys.modules "
+            "if name.split('.')[0] in ('msgspec', 'rich', 'tomllib', 'argparse', 'standins') "
+            "or name.startswith(('cometdoor.services', 'cometdoor.settings', 'cometdoor.cli'))])")
+    done = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout == "[]\n"
+
+
+def test_sighup_changes_what_is_served_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        a, b = await Place("a").add(2), await Place("b").add(2)
+        file = tmp_path / "services.toml"
+        file.write_bytes(content(a.entry()))
+        proxy = await ProxyProcess(file).start()
+        assert proxy.process is not None
+        load = Load(proxy.address, [*a.load(100, 30, 30), *b.load(60)], 1)
+        running = asyncio.ensure_future(load.run(2.0))
+        while len(a.ledger.entries) < 40:
+            await asyncio.sleep(0.01)
+        file.write_bytes(content(a.entry())[:-40])
+        hang_up(proxy)
+        await proxy.said("stays as it was")
+        file.write_bytes(content(a.entry(), b.entry()))
+        hang_up(proxy)
+        hang_up(proxy)
+        assert "starts b; goes on a" in await proxy.said("starts b")
+        while len(b.ledger.entries) < 20:
+            await asyncio.sleep(0.01)
+        file.write_bytes(content(a.entry(), b.entry(), port=1))
+        hang_up(proxy)
+        await proxy.said("used only after a restart: listener")
+        book = await running
+        of_a, of_b = book.of("a"), book.of("b")
+        assert all(one.was_served for one in of_a)
+        assert {one.status for one in of_b} == {404, 200}
+        book.tries = of_a
+        assert not check(book, a.ledger)
+        assert await proxy.stop() == 0
+
+    run(test)
+
+
+def test_sighup_while_it_ends_changes_nothing_and_all_that_was_taken_is_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        a = await Place("a").add(2)
+        file = tmp_path / "services.toml"
+        file.write_bytes(content(a.entry()))
+        proxy = await ProxyProcess(file).start()
+        a.freeze()
+        load = Load(proxy.address, a.load(0, 0, 0), 1)
+        for _ in range(5):
+            load.order(load.classes[2])
+        running = asyncio.ensure_future(load.run(0.0))
+        while len(a.ledger.entries) < 2:
+            await asyncio.sleep(0.01)
+        assert proxy.process is not None
+        file.write_bytes(b"nothing")
+        proxy.process.terminate()
+        hang_up(proxy)
+        await proxy.said("is not read again")
+        a.thaw()
+        book = await running
+        assert not check(book, a.ledger) and len(book.tries) == 5
+        assert await proxy.stop() == 0
+
+    run(test)
+
+
+def test_a_drain_that_discovery_tells_is_kept_under_load(tmp_path: Path) -> None:
+    async def test() -> None:
+        a, discovery = await Place("a").add(3), await Discovery().start()
+        for server in a.servers:
+            discovery.set(server.model.name, server.host_port())
+        file = tmp_path / "services.toml"
+        file.write_bytes(content(a.entry(servers=None, discovery=discovery.host_port())))
+        proxy = await ProxyProcess(file).start()
+        load = Load(proxy.address, a.load(200, 50, 50), 1)
+        running = asyncio.ensure_future(load.run(1.5))
+        while len(a.ledger.entries) < 100:
+            await asyncio.sleep(0.01)
+        discovery.set("a-0", a.servers[0].host_port(), "terminating")
+        book = await running
+        told_at = discovery.told_at["a-0", "terminating"]
+        assert not check(book, a.ledger, {"a-0": told_at})
+        served = [one for one in book.tries if one.sent_at > book.tries[0].sent_at + 0.5]
+        assert served and all(one.was_served for one in served)
+        discovery.stop()
+        assert await proxy.stop() == 0
+
+    run(test)
+
+
+def test_a_taken_port_is_one_line_and_a_failure(tmp_path: Path) -> None:
+    async def test() -> None:
+        a = await Place("a").add(1)
+        file = tmp_path / "services.toml"
+        file.write_bytes(content(a.entry(), port=a.servers[0].address[1]))
+        done = await asyncio.to_thread(command, "serve", str(file))
+        assert done.returncode == 1 and "cometdoor: " in done.stderr and "Traceback" not in done.stderr
+
+    run(test)
+
+
+def test_the_demo_shows_one_service_fail_alone() -> None:
+    done = command("demo", "--seconds", "3", "--plain")
+    assert done.returncode == 0, done.stdout + done.stderr
+    rows = [[cell.strip() for cell in line.split("│")[1:-1]] for line in done.stdout.splitlines()
+            if line.startswith("│")]
+    (search, search_frozen, reserve, reserve_frozen) = rows
+    assert (search[0], search[-1], reserve[0], reserve[-1]) == ("search", "kept", "reserve", "kept")
+    assert int(search_frozen[3]) > 0
+    assert reserve[1] == reserve[2] and reserve_frozen[1] == reserve_frozen[2] != "0"
--- /dev/null
+++ b/tests/standins/test_model.py
@@ -0,0 +1,169 @@
+"""The model of a server: what it makes of requests, and what its ledger says."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from standins.ledger import Fate, Ledger
+from standins.model import (
+    Behaviour,
+    Call,
+    Cold,
+    KeyStore,
+    Reply,
+    ServerModel,
+    exponential,
+    fixed,
+    lognormal,
+)
+
+
+def model(**behaviour: object) -> ServerModel:
+    return ServerModel("s", Ledger(), behaviour=Behaviour(latency=fixed(1.0), **behaviour))  # type: ignore[arg-type]
+
+
+def fates(server: ServerModel) -> list[Fate]:
+    return [entry.fate for entry in server.ledger.entries]
+
+
+def test_work_takes_its_time_in_slots_and_the_rest_waits() -> None:
+    server = model(slots=1, body=b"x")
+    first, _ = server.arrive(0.0, "r1", "", 0.0)
+    second, _ = server.arrive(0.0, "r2", "", 0.0)
+    assert server.advance(0.0) == [] and fates(server) == [Fate.RUNNING, Fate.WAITING]
+    assert server.next_due() == 1.0 and server.held() == 2
+    assert server.advance(1.0) == [(first, Reply(200, b"x"))]
+    assert server.advance(2.0) == [(second, Reply(200, b"x"))]
+    assert fates(server) == [Fate.RAN, Fate.RAN] and server.next_due() is None
+
+
+def test_what_is_given_up_while_it_waits_never_ran_and_what_runs_has() -> None:
+    server = model(slots=1)
+    calls = [server.arrive(0.0, f"r{number}", "", 0.0)[0] for number in range(2)]
+    server.advance(0.0)
+    for call in calls:
+        server.give_up(0.5, call)
+        server.give_up(0.6, call)
+    assert fates(server) == [Fate.RAN, Fate.DROPPED]
+    assert list(server.ledger.effects()) == ["r0"]
+    assert server.advance(9.0) == []
+
+
+def test_a_key_has_its_effect_once_in_its_group_while_it_is_remembered() -> None:
+    ledger, keys = Ledger(), KeyStore(ttl_s=10.0)
+    one, two = (ServerModel(name, ledger, keys=keys) for name in ("s1", "s2"))
+    for server, at in ((one, 0.0), (two, 1.0), (two, 12.0)):
+        server.arrive(at, f"r{at}", "k", at)
+        server.advance(at)
+    assert [entry.has_run for entry in ledger.entries] == [True, False, True]
+
+
+def test_a_frozen_server_does_nothing_and_goes_on_where_it_stood() -> None:
+    server = model()
+    call, _ = server.arrive(0.0, "r", "", 0.0)
+    server.advance(0.0)
+    server.freeze(0.4)
+    server.freeze(0.5)
+    assert server.is_frozen and server.next_due() is None and server.advance(5.0) == []
+    server.thaw(5.4)
+    assert server.next_due() == pytest.approx(6.0)
+    assert server.advance(6.0) == [(call, Reply(200, b"ok"))]
+
+
+@pytest.mark.parametrize(("share", "status", "ran"), [
+    ("error_share", 500, True), ("turn_away_share", 503, False), ("reset_before_share", 0, False),
+    ("reset_after_share", 0, True)])
+def test_each_fault_leaves_its_mark(share: str, status: int, ran: bool) -> None:
+    server = model(**{share: 1.0})
+    _, reply = server.arrive(0.0, "r", "", 0.0)
+    if reply is None:
+        ((_, reply),) = [*server.advance(0.0), *server.advance(1.0)]
+    assert reply.status == status and reply.never_ran == (status == 503)
+    assert server.ledger.entries[0].has_run is ran
+
+
+def test_a_full_queue_turns_away() -> None:
+    server = model(slots=1, queue=1)
+    replies = []
+    for number in range(3):
+        replies.append(server.arrive(0.0, f"r{number}", "", 0.0)[1])
+        server.advance(0.0)
+    assert replies == [None, None, Reply(503, never_ran=True)]
+
+
+COLD = Cold(start=0.5, warm_up_s=10.0, rate=10.0, factor=2.0, window_s=1.0, slack=0.0)
+
+
+def test_a_cold_server_is_slow_and_falls_over_when_it_is_pushed() -> None:
+    server = ServerModel("s", Ledger(), behaviour=Behaviour(latency=fixed(1.0)), cold=COLD, started_at=0.0)
+    server.arrive(0.0, "r", "", 0.0)
+    server.advance(0.0)
+    assert server.next_due() == 2.0
+    replies = [server.arrive(0.1, f"r{number}", "", 0.1)[1] for number in range(10)]
+    assert replies[-1] == Reply(0) and replies[:-1] == [None] * 9
+    assert server.ledger.falls == [("s", 0.1)] and server.fallen
+    server.restart(20.0)
+    assert not server.fallen and server.warmth(20.0) == 0.5 and server.held() == 0
+    assert all(entry.ended_at is not None for entry in server.ledger.entries)
+
+
+def test_a_warm_server_is_not_pushed_over() -> None:
+    server = ServerModel("s", Ledger(), cold=COLD, started_at=-100.0)
+    assert all(server.arrive(0.0, f"r{number}", "", 0.0)[1] is None for number in range(200))
+
+
+@pytest.mark.parametrize("latency", [fixed(0.2), exponential(0.2), lognormal(0.2, 1.0)])
+def test_latencies_have_the_mean_that_they_say(latency: object) -> None:
+    random = Random(1)
+    drawn = [latency(random) for _ in range(20_000)]  # type: ignore[operator]
+    assert sum(drawn) / len(drawn) == pytest.approx(0.2, rel=0.05)
+
+
+def test_ledgers_of_several_processes_make_one() -> None:
+    server = model()
+    server.arrive(0.0, "r", "k", 0.0)
+    server.ledger.falls.append(("s", 1.0))
+    both = Ledger.load([server.ledger.dump(), server.ledger.dump()])
+    assert both.entries == server.ledger.entries * 2 and both.falls == [("s", 1.0)] * 2
+    assert both.of("s") == both.entries and both.of("t") == []
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["arrive", "advance", "give up", "freeze", "thaw", "restart"]),
+                           st.floats(0.0, 2.0), st.integers(0, 5)), max_size=80)
+
+
+@given(STEPS, st.integers(1, 3), st.integers(0, 2))
+def test_each_request_ends_once_and_takes_effect_once_at_most(
+        steps: list[tuple[str, float, int]], slots: int, queue: int) -> None:
+    server = ServerModel("s", Ledger(), behaviour=Behaviour(
+        latency=exponential(0.5), slots=slots, queue=queue, error_share=0.2, reset_after_share=0.1,
+        turn_away_share=0.1), cold=COLD, started_at=0.0)
+    now, out, ended = 0.0, list[Call](), set[str]()
+    for number, (what, wait, choice) in enumerate(steps):
+        now += wait
+        match what:
+            case "arrive":
+                call, reply = server.arrive(now, f"r{number}", "k" * (choice == 0), now)
+                if reply is None:
+                    out.append(call)
+            case "give up" if out:
+                server.give_up(now, out.pop(choice % len(out)))
+            case "freeze":
+                server.freeze(now)
+            case "thaw":
+                server.thaw(now)
+            case "restart":
+                server.restart(now)
+                out.clear()
+        for call, _ in server.advance(now):
+            assert call.entry.request not in ended
+            ended.add(call.entry.request)
+            out.remove(call)
+        assert server.held() == len(out)
+        assert len([entry for entry in server.ledger.entries if entry.fate is Fate.RUNNING]) <= slots
+        assert all((entry.ended_at is None) == any(call.entry is entry for call in out)
+                   for entry in server.ledger.entries)
