Play the hosts of services in virtual time: seeded schedules, invariants at every step

What talks was only tested on sockets, where a schedule is never the same twice. Refusals at a cap say when to come back where settings allow. A draining stand-in turns away what is new.

--- a/cometdoor/core/clock.py
+++ b/cometdoor/core/clock.py
@@ -1,10 +1,24 @@
-"""The host's clock, and timers on it."""
+"""The host's clock and timers. A simulation hands in its own."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 from collections.abc import Callable
+from typing import Protocol
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    def now_ms(self) -> float:
+        """Milliseconds; never runs back."""
+
+    def at(self, due_ms: float, call: Callable[[], None]) -> Timer:
+        """Call once, never early: a time-out that comes before its time would leave room for a senseless
+        further try."""
 
 
 def now_ms() -> float:
@@ -12,9 +26,18 @@
     return time.monotonic() * 1000.0
 
 
-class Timer:
-    """Never early: a time-out that comes before its time would leave room for a senseless further try."""
+class LoopClock:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now_ms(self) -> float:
+        return now_ms()
+
+    def at(self, due_ms: float, call: Callable[[], None]) -> Timer:
+        return _LoopTimer(self._loop, due_ms, call)
+
 
+class _LoopTimer:
     __slots__ = ("_call", "_due", "_handle", "_loop")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, due_ms: float, call: Callable[[], None]) -> None:
--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
-from cometdoor.core.clock import Timer, now_ms
+from cometdoor.core.clock import Clock, Timer
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
 
@@ -29,6 +28,7 @@
 # So much of the margin is left for the module's answer to the time-out of its attempts, before the host
 # answers in its place.
 LAST_WORD = 0.5
+CAP_PAUSE_SHARE = 0.25  # of its aim: as long as the module lets a request wait for room
 
 
 class Request(Protocol):
@@ -56,7 +56,7 @@
     def served(self, answer: AnswerT_contra) -> None: ...
 
     def refused(self, retry_after_ms: float) -> None:
-        """Nothing has run, or running again is harmless. 0 says nothing of when to come back."""
+        """Nothing has run, or running again is harmless. 0: nothing is said of when to come back."""
 
     def failed(self) -> None: ...
 
@@ -126,14 +126,14 @@
 
 
 class Host(Generic[RequestT, AnswerT]):
-    def __init__(self, settings: HostSettings, loop: asyncio.AbstractEventLoop,
+    def __init__(self, settings: HostSettings, clock: Clock,
                  carrier: Carrier[RequestT, AnswerT], *, watch: Callable[[], None] = lambda: None,
                  over: Callable[[RequestT], None] = lambda request: None) -> None:
         """`watch` carries out the module's wish to ask for the list; `over` hears of each request of which
         nothing is left, neither an answer owed nor an attempt out."""
         self.max_waiting: int | None = None  # requests that may wait to be sent for the first time
         self._settings = settings
-        self._loop = loop
+        self._clock = clock
         self._carrier = carrier
         self._watch = watch
         self._over = over
@@ -174,7 +174,7 @@
 
     def _handle(self, event: api.Event) -> None:
         try:
-            actions = self._balancer.handle(event, now_ms())
+            actions = self._balancer.handle(event, self._clock.now_ms())
         except Exception:
             # Guards against losing what a fault in the module touches: its request fails, all else goes on.
             log.exception("the module failed on %s", type(event).__name__)
@@ -216,10 +216,10 @@
         live = LiveRequest(str(self._last_id), caller, request, until)
         self._requests[live.id] = self._by_caller[caller] = live
         self._waiting += 1
-        live.timer = Timer(self._loop, until + margin * LAST_WORD, lambda: self._out_of_time(live))
+        live.timer = self._clock.at(until + margin * LAST_WORD, lambda: self._out_of_time(live))
         self._dispatch(api.RequestArrived(
-            live.id, request.class_index, max(until - now_ms(), 0.0), request.tenant, request.cost_ms,
-            request.is_retry))
+            live.id, request.class_index, max(until - self._clock.now_ms(), 0.0), request.tenant,
+            request.cost_ms, request.is_retry))
         if self.max_waiting is not None and self._waiting > self.max_waiting:
             self._refuse_unsent(live)
 
@@ -235,7 +235,7 @@
         caller = self._release(live)
         if caller is not None:
             self._dispatch(api.ClientGone(live.id))
-            caller.refused(0.0)
+            caller.refused(self.pause_ms(live.request))
             self._clean_up(live)
 
     def caller_gone(self, caller: Caller[AnswerT]) -> None:
@@ -300,7 +300,8 @@
                     self._clean_up(live)
             case api.SetTimer():
                 token = action.token
-                Timer(self._loop, now_ms() + action.after_ms, lambda: self._dispatch(api.TimerFired(token)))
+                self._clock.at(self._clock.now_ms() + action.after_ms,
+                               lambda: self._dispatch(api.TimerFired(token)))
             case api.Close():
                 self._carrier.close_idle(action.server)
             case api.Watch():
@@ -312,6 +313,12 @@
             caller.refused(retry_after_ms if self._settings.may_advise_pause else 0.0)
         self._clean_up(live)
 
+    def pause_ms(self, request: RequestT) -> float:
+        """When a caller that is refused at a cap may come back: places are free again as requests end, most
+        of them well within their aims. 0 where no advice may be given."""
+        aim_ms = self._settings.module.classes[request.class_index].aim_ms
+        return CAP_PAUSE_SHARE * aim_ms if self._settings.may_advise_pause else 0.0
+
     def _fail(self, live: LiveRequest[RequestT, AnswerT]) -> None:
         caller = self._release(live)
         if caller is not None:
@@ -321,7 +328,7 @@
         live = self._requests.get(action.request)
         if live is None:
             return
-        now = now_ms()
+        now = self._clock.now_ms()
         until = min(live.until, now + action.timeout_ms) if action.timeout_ms > 0 else live.until
         attempt = Attempt(live, len(live.attempts), action.server, now, until)
         if not live.attempts and live.caller is not None:
@@ -335,7 +342,7 @@
         if address is None:
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
             return
-        attempt.timer = Timer(self._loop, until, lambda: self._timed_out(attempt))
+        attempt.timer = self._clock.at(until, lambda: self._timed_out(attempt))
         begun = self._carrier.send(action.server, address, live.request, until,
                                    lambda outcome, answer: self._attempt_done(attempt, outcome, answer))
         if isinstance(begun, Outcome):
@@ -372,7 +379,7 @@
         live = attempt.live
         self._dispatch(api.AttemptEnded(
             live.id, attempt.index, attempt.server, outcome, live.caller is None,
-            now_ms() - attempt.sent_at))
+            self._clock.now_ms() - attempt.sent_at))
         self._clean_up(live)
 
     def _clean_up(self, live: LiveRequest[RequestT, AnswerT]) -> None:
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from cometdoor.core.clock import now_ms
+from cometdoor.core.clock import LoopClock, now_ms
 from cometdoor.core.host import Address, Host, HostSettings, OnWire
 from cometdoor.core.shares import Places
 from cometdoor.http.frontend import ClientConnection
@@ -45,7 +45,8 @@
         self._request_bytes = 0
         self.unread_bytes = 0  # of answers, kept by the front end
         self.ready = False  # a server was listed once
-        self._host: Host[ClientRequest, Answer] = Host(settings, loop, self, watch=watch, over=self._over)
+        self._host: Host[ClientRequest, Answer] = Host(
+            settings, LoopClock(loop), self, watch=watch, over=self._over)
         self.set_caps(caps)
 
     def set_caps(self, caps: Caps) -> None:
@@ -86,12 +87,12 @@
 
     def take(self, connection: ClientConnection, request: ClientRequest) -> None:
         if self._is_full():
-            connection.refused(0.0)
+            connection.refused(self._host.pause_ms(request))
         elif request.trace in self._open_traces:
             # A backend would take it for a second copy of the other caller's request.
             connection.answer(409, [], b"X-Trace-Id is that of an open request")
         elif self._callers is not None and not self._callers.take():
-            connection.refused(0.0)
+            connection.refused(self._host.pause_ms(request))
         else:
             self._open_traces.add(request.trace)
             self._request_bytes += request.size
--- a/standins/model.py
+++ b/standins/model.py
@@ -45,6 +45,7 @@
     reset_before_share: float = 0.0  # of requests whose connection breaks before they run
     reset_after_share: float = 0.0  # and of those that ran, before they are answered
     connections: int = 10_000  # more are reset
+    draining: bool = False  # finishes what it has and turns away what is new
     body: bytes = b"ok"
 
 
@@ -155,7 +156,8 @@
         if self._falls_over(now) or self._chance(behaviour.reset_before_share):
             self._end(call, now, "reset before it ran")
             return call, Reply(0)
-        if self._chance(behaviour.turn_away_share) or len(self._waiting) >= behaviour.queue:
+        if (behaviour.draining or self._chance(behaviour.turn_away_share)
+                or len(self._waiting) >= behaviour.queue):
             self._end(call, now, "turned away")
             return call, Reply(503, never_ran=True)
         self._waiting.append(call)
--- a/tests/services/test_bulkheads.py
+++ b/tests/services/test_bulkheads.py
@@ -87,7 +87,7 @@
         while town.services.running["a"].http.open_requests() < 2:
             await asyncio.sleep(0)
         answer = await town.ask("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look")
-        assert answer.startswith(b"HTTP/1.1 503")
+        assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: 0.075\r\n" in answer
         assert await town.status("GET /look/1 HTTP/1.1", "Host: b.example.org", "X-Qos: look") == 200
         a.thaw()
         assert [await one for one in held] == [200, 200]
--- a/tests/standins/test_model.py
+++ b/tests/standins/test_model.py
@@ -86,6 +86,15 @@
     assert server.ledger.entries[0].has_run is ran
 
 
+def test_a_draining_server_finishes_what_it_has_and_turns_away_what_is_new() -> None:
+    server = model()
+    call, _ = server.arrive(0.0, "r1", "", 0.0)
+    server.behaviour.draining = True
+    assert server.arrive(0.1, "r2", "", 0.1)[1] == Reply(503, never_ran=True)
+    server.advance(0.1)
+    assert server.advance(1.2) == [(call, Reply(200, b"ok"))]
+
+
 def test_a_full_queue_turns_away() -> None:
     server = model(slots=1, queue=1)
     replies = []
--- /dev/null
+++ b/tests/standins/test_simulation.py
@@ -0,0 +1,85 @@
+"""A thousand seeded schedules of the hosts in virtual time, and that broken hosts are seen to be broken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from cometdoor.core.host import Host
+from cometdoor.services.membership import Membership
+from jasperhall.balancer import Request
+from standins.rules import Breach
+from standins.simulation import Broken, World, main, play
+from standins.virtual import VirtualClock
+
+SEEDS = 1000
+
+
+def test_a_thousand_schedules_keep_the_rules() -> None:
+    failed = {}
+    for seed in range(1, SEEDS + 1):
+        try:
+            breaches = play(seed)
+        except Broken as problem:
+            breaches = [Breach(0, str(problem))]
+        if breaches:
+            failed[seed] = breaches
+    assert not failed
+
+
+def test_the_same_seed_plays_the_same_schedule() -> None:
+    def story(seed: int) -> list[Any]:
+        world = World(seed)
+        world.play()
+        return [*world.ledger.entries, *world.book.tries]
+
+    assert story(7) == story(7) != story(8)
+
+
+def sends_charges_again(request: Request) -> None:
+    """As if nothing that was sent had ever run."""
+
+
+
+
+def keeps_its_caller(self: Any, live: Any) -> Any:
+    self._by_caller.pop(live.caller, None)
+    return live.caller
+
+
+@pytest.mark.parametrize(("owner", "name", "broken", "said"), [
+    (Request, "may_have_run", sends_charges_again, "rule 2"),
+    (Membership, "_effective", lambda self, server, address: server, "drains or is not listed"),
+    (Host, "_release", keeps_its_caller, "a second final answer"),
+])
+def test_a_broken_part_is_seen(owner: type[Any], name: str, broken: Callable[..., Any], said: str) -> None:
+    with mock.patch.object(owner, name, broken):
+        for seed in range(1, 300):
+            try:
+                found = [f"rule {breach.rule}" for breach in play(seed)]
+            except Broken as problem:
+                found = [str(problem)]
+            if any(said in one for one in found):
+                return
+    raise AssertionError("no schedule showed it")
+
+
+def test_time_that_stands_still_is_an_error_and_no_hang() -> None:
+    clock = VirtualClock()
+
+    def again() -> None:
+        clock.after(0.0, again)
+
+    again()
+    with pytest.raises(RuntimeError, match="stands still"):
+        clock.run(clock.now_ms() + 1.0)
+
+
+def test_a_failing_seed_is_printed(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(1, 5) == 0
+    with mock.patch.object(Request, "may_have_run", sends_charges_again):
+        assert main(1, 100) == 1
+    assert "seed " in capsys.readouterr().out
