--- a/standins/demo.py
+++ b/standins/demo.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import uvloop
+from rich import box
 from rich.console import Console
 from rich.live import Live
 from rich.table import Table
@@ -45,7 +46,7 @@
 
 
 def table(title: str, rows: Sequence[list[str]], rules: bool) -> Table:
-    made = Table(title=title, title_justify="left")
+    made = Table(title=title, title_justify="left", box=box.SIMPLE)
     for place, head in enumerate(("service", "asked", "served", "refused", "failed", "p50 ms", "p99 ms",
                                   "rules")):
         if rules or head != "rules":
--- a/tests/services/test_changes.py
+++ b/tests/services/test_changes.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from standins.model import Cold
 from standins.rules import check
 from tests.rig import run
 from tests.services.town import Place, Town, settings_of
@@ -226,3 +227,23 @@
         assert town.services.servers.held == town.services.running["b"].servers_share.held
 
     run(test)
+
+
+def test_a_cold_server_that_a_change_adds_under_load_is_not_pushed_over() -> None:
+    """It can do 30 requests a second at first, 100 when warm; three times as many push it over."""
+    async def test() -> None:
+        cold = Cold(start=0.3, warm_up_s=2.0, rate=100.0, factor=3.0, window_s=0.3, slack=4.0)
+        settings = {"from": 0.3, "warm_up_ms": 2000.0, "overload_factor": 3.0, "fall_ms": 300.0}
+        a = await Place("a").add(2, cold=cold)
+        town = await Town(settings_of(a.entry(cold=settings))).start()
+        running = asyncio.ensure_future(town.load(a.load(200, 40, 40), 1).run(2.5))
+        await until(lambda: len(a.ledger.entries) > 150)
+        await a.add(1, cold=cold, started_at=time.monotonic())
+        assert town.services.apply(settings_of(a.entry(cold=settings))).go_on == ("a",)
+        for old in a.servers[:2]:  # nearly all traffic would go to the newcomer
+            old.model.behaviour.slow = 5.0
+        book = await running
+        assert a.ledger.of("a-2") and not a.ledger.falls
+        assert not check(book, a.ledger)
+
+    run(test)
