Apply a changed file whole or not at all, also where an instance can't be built

apply() changed its books before it built the new instances: an instance that could not be built would have left half of a change in place. Now all that can fail comes first, and what it took of the shares is given back.

--- a/cometdoor/services/running.py
+++ b/cometdoor/services/running.py
@@ -48,7 +48,7 @@
 class Running:
     """One service as one module instance serves it, until it was told to end and nothing is left open."""
 
-    def __init__(self, owner: Services, entry: ServiceEntry) -> None:
+    def __init__(self, owner: Services, entry: ServiceEntry, settings: Settings) -> None:
         self.entry = entry
         self.name = entry.name
         self.classes = {name.encode("latin-1"): place for place, name in enumerate(entry.classes)}
@@ -57,21 +57,21 @@
         self._owner = owner
         self._zones, self._kinds = Numbers(), Numbers()
         zone = self._zones.of(entry.zone)
-        cold, fleet = entry.cold, owner.settings.fleet
+        cold, fleet = entry.cold, settings.fleet
         module = api.Settings(
             classes=self.class_settings, balancers=fleet.proxies, position=fleet.place, zone=zone,
             max_attempts=entry.limits.attempts)
         if cold is not None:
             module = replace(module, cold_from=cold.start, warm_up_ms=cold.warm_up_ms,
                              overload_factor=cold.overload_factor, fall_ms=cold.fall_ms)
-        guaranteed = owner.guaranteed_of(entry)
+        guaranteed = owner.guaranteed_of(entry, settings)
         self.servers_share = owner.servers.join(guaranteed, lambda: self.http.close_oldest_idle())
         self.callers_share = owner.callers.join(guaranteed)
-        self.http = HttpService(
-            HostSettings(module, random.getrandbits(63), entry.retry_after), owner.loop, self.servers_share,
-            caps=self._caps(), callers=self.callers_share, idle_close_ms=entry.limits.idle_close_ms,
-            connect_timeout_ms=entry.limits.connect_timeout_ms, shortage=Outcome.MOOT,
-            judge=outcome_of if entry.answers == "platform" else outcome_of_any, emptied=self._emptied)
+        try:
+            self.http = self._make(module)
+        except Exception:
+            self.give_back_shares()
+            raise
         self._started: dict[tuple[str, Address], float] | None = None
         self.discovery: Discovery | None = None
         if entry.discovery is not None:
@@ -79,6 +79,15 @@
             self.discovery = Discovery(owner.loop, read_address(entry.discovery), reader, must_ask=False,
                                        revision=0, deliver=self._told)
 
+    def _make(self, module: api.Settings) -> HttpService:
+        entry = self.entry
+        return HttpService(
+            HostSettings(module, random.getrandbits(63), entry.retry_after), self._owner.loop,
+            self.servers_share, caps=self._caps(), callers=self.callers_share,
+            idle_close_ms=entry.limits.idle_close_ms, connect_timeout_ms=entry.limits.connect_timeout_ms,
+            shortage=Outcome.MOOT, judge=outcome_of if entry.answers == "platform" else outcome_of_any,
+            emptied=self._emptied)
+
     def _caps(self) -> Caps:
         limits = self.entry.limits
         return Caps(limits.open, limits.waiting, limits.connections, limits.held_bytes)
@@ -93,7 +102,7 @@
         """The routes are the reader's; servers and limits are taken over here."""
         self.entry = entry
         self.http.set_caps(self._caps())
-        guaranteed = self._owner.guaranteed_of(entry)
+        guaranteed = self._owner.guaranteed_of(entry, self._owner.settings)
         self._owner.servers.guarantee(self.servers_share, guaranteed)
         self._owner.callers.guarantee(self.callers_share, guaranteed)
         if entry.servers is not None:
@@ -137,13 +146,16 @@
             self.discovery.stop()
             self.discovery = None
 
+    def give_back_shares(self) -> None:
+        self._owner.servers.leave(self.servers_share)
+        self._owner.callers.leave(self.callers_share)
+
     def _emptied(self) -> None:
         if self.is_leaving and self.http.is_empty() and self in self._owner.leaving:
             del self._owner.leaving[self]
             self._stop_discovery()
             self.http.close_all_idle()
-            self._owner.servers.leave(self.servers_share)
-            self._owner.callers.leave(self.callers_share)
+            self.give_back_shares()
             self._owner.deliver(self._owner.membership.forget(self))
             log.info("service %s: nothing is left of what was open before the change", self.name)
 
@@ -166,8 +178,8 @@
         self.reader: ServicesReader[Running] = ServicesReader(Routes(()), {}, b"")
         self.front = Frontend(loop, self.reader, self.descriptors, self)
         for entry in settings.service:
-            self.running[entry.name] = Running(self, entry)
-        self._change_routes()
+            self.running[entry.name] = Running(self, entry, settings)
+        self._change_routes(Routes(settings.routes()))
 
     async def start(self) -> None:
         for service in self.running.values():
@@ -180,22 +192,31 @@
             if service.discovery is not None:
                 service.discovery.stop()
 
-    def guaranteed_of(self, entry: ServiceEntry) -> int:
+    def guaranteed_of(self, entry: ServiceEntry, settings: Settings) -> int:
         """Where the file does not say: half of all places, in equal parts."""
         if entry.limits.guaranteed_sockets is not None:
             return entry.limits.guaranteed_sockets
-        return self.servers.total // (2 * len(self.settings.service))
+        return self.servers.total // (2 * len(settings.service))
 
     def apply(self, settings: Settings) -> Plan:
-        """From now on this is the configuration. What is open ends under the one that it came in by."""
+        """From now on this is the configuration. What is open ends under the one that it came in by. Whatever
+        can fail, does so before anything has changed."""
         steps = plan(self.settings, settings)
-        self.settings = settings
         entries = {entry.name: entry for entry in settings.service}
+        routes = Routes(settings.routes())
+        made: dict[str, Running] = {}
+        try:
+            for name in (*steps.start, *steps.rebuild):
+                made[name] = Running(self, entries[name], settings)
+        except Exception:
+            for service in made.values():
+                service.give_back_shares()
+            raise
+        self.settings = settings
         gone = {name: self.running.pop(name) for name in (*steps.end, *steps.rebuild)}
         self.leaving.update(dict.fromkeys(gone.values()))
-        for name in (*steps.start, *steps.rebuild):
-            self.running[name] = Running(self, entries[name])
-        self._change_routes()
+        self.running.update(made)
+        self._change_routes(routes)
         for name, service in gone.items():
             service.leave(entries.get(name))
         for name in steps.go_on:
@@ -204,8 +225,8 @@
             self.running[name].start()
         return steps
 
-    def _change_routes(self) -> None:
-        self.reader.change(Routes(self.settings.routes()), self.running, self.settings.up.encode())
+    def _change_routes(self, routes: Routes) -> None:
+        self.reader.change(routes, self.running, self.settings.up.encode())
 
     def deliver(self, events: list[Told[Running]]) -> None:
         for told in events:
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -54,7 +54,12 @@
 
     def _apply(self, settings: Settings) -> None:
         before = asyncio.get_running_loop().time()
-        steps = self._services.apply(settings)
+        try:
+            steps = self._services.apply(settings)
+        except Exception:
+            # Guards against a change that the check let through and an instance can't be built of.
+            log.exception("the configuration stays as it was")
+            return
         took_ms = (asyncio.get_running_loop().time() - before) * 1000.0
         if steps.need_restart:
             log.warning("changed, but used only after a restart: %s", ", ".join(steps.need_restart))
--- a/tests/services/test_changes.py
+++ b/tests/services/test_changes.py
@@ -5,9 +5,11 @@
 import asyncio
 import time
 from typing import Any
+from unittest import mock
 
 import pytest
 
+from cometdoor.core.host import Host
 from standins.model import Cold
 from standins.rules import check
 from tests.rig import run
@@ -189,6 +191,29 @@
     run(test)
 
 
+def test_a_change_that_fails_halfway_leaves_all_as_it_was() -> None:
+    async def test() -> None:
+        a, b, c = await Place("a").add(1), await Place("b").add(1), await Place("c").add(1)
+        town = await Town(settings_of(a.entry())).start()
+        services = town.services
+        made: list[str] = []
+
+        def failing(settings: object, *rest: Any, **more: Any) -> Host[Any, Any]:
+            if made:
+                raise ValueError("an instance that can't be built")
+            made.append("b")
+            return Host(settings, *rest, **more)  # type: ignore[arg-type]
+
+        with mock.patch("cometdoor.http.service.Host", failing), pytest.raises(ValueError, match="built"):
+            services.apply(settings_of(a.entry(), b.entry(), c.entry()))
+        assert list(services.running) == ["a"] and not services.leaving
+        assert await town.status(*LOOK_A) == 200
+        assert await town.status("GET /look/1 HTTP/1.1", "Host: b.example.org", "X-Qos: look") == 404
+        assert services.servers.most(services.running["a"].servers_share) == services.servers.total
+
+    run(test)
+
+
 def test_limits_change_without_a_new_instance() -> None:
     async def test() -> None:
         a = await Place("a").add(1)
