Reports of forwarders and the planners' judgement of servers, without I/O

A planner gives each forwarder one voice about a server, passes over forwarders to which most servers look sick, and measures servers against one another: frozen, failing and slow ones are named, a shared slowdown, one bad way or one that reports nonsense blames nobody; a frozen one is named after two beats.

--- /dev/null
+++ b/cometdoor/planning/judgement.py
@@ -0,0 +1,236 @@
+"""A planner's picture of the servers, made of what forwarders report, and what it makes of it. No I/O.
+
+A server is judged by witnesses: forwarders that sent to it lately. Each has one voice, however much it says,
+and is measured against itself: who sees most servers fail has a bad way, and blames nobody. Servers are
+measured against one another: where all are slow or all fail alike, as when the tier below is down, nobody is
+to blame.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+from statistics import median
+
+from cometdoor.planning.reports import FINENESS, Failure, Report
+
+FADE_MS = 3_000.0  # evidence fades with this time constant, as the module's own of failures does
+FORGET_MS = 15_000.0  # who was not heard of for so long is forgotten: five constants
+MAX_SERVERS = 20_000  # twice the largest fleet in view; beyond it the ones longest unheard of are forgotten
+MAX_WITNESSES = 12  # of one server: more voices change no median, and memory is bounded by this
+ENOUGH = 3.0  # calls, faded, that a voice rests on
+VOICES = 2  # that must agree where a server has several witnesses: one alone may have a bad way to it
+FROZEN_MS = 400.0  # a call is out for so long, nothing is answered: beyond any pause of a healthy collector
+SLOW = 1.0  # doublings above the median server from where on a server is slow
+FAILING = 0.3  # of what the median server gets done it fails so much more
+LEAST = 0.02  # of its weight a sick server keeps, so that its recovery is seen: as the module keeps by itself
+
+
+class State(StrEnum):
+    WELL = "well"
+    SLOW = "slow"
+    FAILING = "failing"
+    FROZEN = "frozen"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    state: State
+    factor: float  # of its weight that it should keep, in (0, 1]
+    voices: int  # of so many witnesses that say so
+    witnesses: int
+
+
+WELL = Verdict(State.WELL, 1.0, 0, 0)
+
+
+@dataclass(slots=True)
+class _Witness:
+    """What one forwarder saw of one server."""
+
+    at_ms: float
+    answered: float = 0.0
+    failed: float = 0.0
+    log_sum: float = 0.0  # of answered ones, in doublings
+    held: int = 0
+    oldest_ms: float = 0.0
+    silent: bool = False  # calls ended without an answer, and none with one, in the last report
+
+    def fade(self, now_ms: float) -> None:
+        kept = math.exp((self.at_ms - now_ms) / FADE_MS)
+        self.answered *= kept
+        self.failed *= kept
+        self.log_sum *= kept
+        self.at_ms = now_ms
+
+    def calls(self) -> float:
+        return self.answered + self.failed
+
+
+@dataclass(slots=True)
+class _Server:
+    started: int
+    heard_ms: float
+    witnesses: dict[int, _Witness] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Forwarder:
+    heard_ms: float
+    sends: float = 0.0  # a second, of all requests
+    warm_rate: float = 0.0  # sends in a ms to a warm server of weight 1
+    servers: int = 0
+
+
+class Picture:
+    def __init__(self) -> None:
+        self._servers: dict[bytes, _Server] = {}  # those heard of last at the end
+        self._forwarders: dict[int, _Forwarder] = {}
+
+    # --- what is heard ---
+
+    def heard(self, number: int, report: Report, now_ms: float) -> None:
+        known = self._forwarders.get(number)
+        if known is None:
+            known = self._forwarders[number] = _Forwarder(now_ms)
+        elif now_ms > known.heard_ms:
+            known.sends = 1000.0 * report.sends / (now_ms - known.heard_ms)
+        known.heard_ms, known.warm_rate, known.servers = now_ms, report.warm_rate / 1e6, report.servers
+        for entry in report.entries:
+            server = self._servers.pop(entry.server, None)
+            if server is None or server.started != entry.started:
+                server = _Server(entry.started, now_ms)
+            self._servers[entry.server] = server
+            server.heard_ms = now_ms
+            witness = self._witness(server, number, now_ms)
+            if witness is None:
+                continue
+            witness.fade(now_ms)
+            # Turned away is no fault of the process: it is full, which its answer times show.
+            failed = sum(entry.failures) - entry.failures[Failure.TURNED_AWAY]
+            witness.answered += entry.answered
+            witness.failed += failed
+            witness.log_sum += entry.answered * entry.speed / FINENESS
+            witness.held, witness.oldest_ms = entry.held, 100.0 * entry.oldest
+            witness.silent = bool(entry.failures[Failure.SILENT]) and not entry.answered
+        while len(self._servers) > MAX_SERVERS:
+            del self._servers[next(iter(self._servers))]
+
+    @staticmethod
+    def _witness(server: _Server, number: int, now_ms: float) -> _Witness | None:
+        witness = server.witnesses.get(number)
+        if witness is None:
+            if len(server.witnesses) >= MAX_WITNESSES:
+                oldest = min(server.witnesses, key=lambda known: server.witnesses[known].at_ms)
+                if now_ms - server.witnesses[oldest].at_ms < FADE_MS:
+                    return None
+                del server.witnesses[oldest]
+            witness = server.witnesses[number] = _Witness(now_ms)
+        return witness
+
+    def forget_old(self, now_ms: float) -> None:
+        before = now_ms - FORGET_MS
+        for number in [number for number, known in self._forwarders.items() if known.heard_ms < before]:
+            del self._forwarders[number]
+        for name in [name for name, server in self._servers.items() if server.heard_ms < before]:
+            del self._servers[name]
+        for server in self._servers.values():
+            for number in [number for number, known in server.witnesses.items() if known.at_ms < before]:
+                del server.witnesses[number]
+
+    # --- what is made of it ---
+
+    def reporting(self) -> int:
+        return len(self._forwarders)
+
+    def warm_rate(self) -> float:
+        """Sends in a ms that a warm server of weight 1 bears from all forwarders that report. One that says
+        nonsense moves it by no more than twice what the usual one sends."""
+        rates = [known.warm_rate for known in self._forwarders.values()]
+        if not rates:
+            return 0.0
+        most = 2.0 * median(rates)
+        return sum(min(rate, most) for rate in rates)
+
+    def judge(self, now_ms: float) -> dict[bytes, Verdict]:
+        """By server; those that are well are left out."""
+        evidence = {name: list(self._voices(server, now_ms)) for name, server in self._servers.items()}
+        bad_ways = self._bad_ways(evidence)
+        speeds = [speed for voices in evidence.values()
+                  if (speed := _median([voice.speed for voice in voices])) is not None]
+        works = [work for voices in evidence.values()
+                 if (work := _median([voice.works for voice in voices])) is not None]
+        usual_speed = median(speeds) if speeds else 0.0
+        usual_works = median(works) if works else 1.0
+        found = {}
+        for name, voices in evidence.items():
+            fair = [voice for voice in voices if voice.number not in bad_ways]
+            verdict = _verdict(fair, usual_speed, usual_works)
+            if verdict.state is not State.WELL:
+                found[name] = verdict
+        frozen = [name for name, verdict in found.items() if verdict.state is State.FROZEN]
+        if 2 * len(frozen) > sum(bool(voices) for voices in evidence.values()):
+            for name in frozen:  # what they wait for stands still, or the ways to them all
+                del found[name]
+        return found
+
+    def _voices(self, server: _Server, now_ms: float) -> Iterator[_Voice]:
+        for number, witness in server.witnesses.items():
+            kept = math.exp((witness.at_ms - now_ms) / FADE_MS)
+            waits_ms = witness.oldest_ms + now_ms - witness.at_ms if witness.held else 0.0
+            is_stuck = (witness.held > 0 and waits_ms > FROZEN_MS and witness.answered * kept < 1.0) or (
+                witness.silent)
+            answered, calls = witness.answered * kept, witness.calls() * kept
+            yield _Voice(
+                number,
+                speed=witness.log_sum / witness.answered if answered >= ENOUGH else None,
+                works=witness.answered / witness.calls() if calls >= ENOUGH else None,
+                is_stuck=is_stuck and now_ms - witness.at_ms < FADE_MS,
+                answers=answered >= 1.0)
+
+    @staticmethod
+    def _bad_ways(evidence: dict[bytes, list[_Voice]]) -> set[int]:
+        """Forwarders that see at least half of their servers fail or stand still, while others do not."""
+        seen: dict[int, list[bool]] = {}
+        for voices in evidence.values():
+            for voice in voices:
+                if voice.works is not None or voice.is_stuck:
+                    seen.setdefault(voice.number, []).append(
+                        voice.is_stuck or (voice.works is not None and voice.works < 1.0 - FAILING))
+        shares = {number: sum(bad) / len(bad) for number, bad in seen.items() if len(bad) >= VOICES}
+        usual = median(shares.values()) if shares else 0.0
+        return {number for number, share in shares.items() if share >= 0.5 and share > usual + 0.25}
+
+
+@dataclass(frozen=True, slots=True)
+class _Voice:
+    number: int
+    speed: float | None  # mean of log2(answer time / aim)
+    works: float | None  # share of calls that were answered
+    is_stuck: bool
+    answers: bool
+
+
+def _median(values: list[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return median(known) if known else None
+
+
+def _verdict(voices: list[_Voice], usual_speed: float, usual_works: float) -> Verdict:
+    needed = min(VOICES, len(voices)) or 1
+    stuck = sum(voice.is_stuck for voice in voices)
+    if stuck >= needed and stuck > sum(voice.answers and not voice.is_stuck for voice in voices):
+        return Verdict(State.FROZEN, LEAST, stuck, len(voices))
+    failing = [voice.works / usual_works for voice in voices
+               if voice.works is not None and voice.works < usual_works * (1.0 - FAILING)]
+    able = sum(voice.works is not None for voice in voices)
+    if len(failing) >= needed and 2 * len(failing) > able:
+        return Verdict(State.FAILING, max(median(failing) ** 4, LEAST), len(failing), len(voices))
+    slow = [voice.speed - usual_speed for voice in voices
+            if voice.speed is not None and voice.speed > usual_speed + SLOW]
+    timed = sum(voice.speed is not None for voice in voices)
+    if len(slow) >= needed and 2 * len(slow) > timed:
+        return Verdict(State.SLOW, max(0.5 ** median(slow), LEAST), len(slow), len(voices))
+    return WELL
--- /dev/null
+++ b/tests/planning/test_judgement.py
@@ -0,0 +1,146 @@
+"""Whom planners hold to be sick, and whom they do not."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from cometdoor.planning import judgement
+from cometdoor.planning.judgement import FORGET_MS, LEAST, MAX_WITNESSES, Picture, State
+from cometdoor.planning.reports import Entry, Report, server_id
+
+SERVERS = [server_id(f"s{number}") for number in range(10)]
+Sees = Callable[[int, int, int], Entry]  # forwarder, server, beat
+
+
+def well(forwarder: int, server: int, beat: int, started: int = 0) -> Entry:
+    return Entry(SERVERS[server], started, 5, (0, 0, 0, 0), -16, 1, 0)
+
+
+def frozen(forwarder: int, server: int, beat: int) -> Entry:
+    return Entry(SERVERS[server], 0, 0, (0, 0, 0, 0), 0, 3, min(5 * beat, 127))
+
+
+def failing(forwarder: int, server: int, beat: int) -> Entry:
+    return Entry(SERVERS[server], 0, 1, (1, 3, 0, 0), -16, 0, 0)
+
+
+def slow(forwarder: int, server: int, beat: int) -> Entry:
+    return Entry(SERVERS[server], 0, 5, (0, 0, 0, 0), 0, 1, 1)
+
+
+def full(forwarder: int, server: int, beat: int) -> Entry:
+    return Entry(SERVERS[server], 0, 5, (0, 0, 0, 9), -16, 1, 0)
+
+
+def picture(sees: Sees, forwarders: int = 6, beats: int = 6, servers: int = 10) -> Picture:
+    made = Picture()
+    for beat in range(1, beats + 1):
+        for number in range(forwarders):
+            entries = [sees(number, server, beat) for server in range(servers)]
+            made.heard(number, Report(beat, 50, 1000, servers, entries), 500.0 * beat + number)
+    return made
+
+
+def states(made: Picture, now: float = 3010.0) -> dict[int, State]:
+    return {SERVERS.index(name): verdict.state for name, verdict in made.judge(now).items()}
+
+
+def one(server: int, seen: Sees) -> Sees:
+    return lambda number, place, beat: (seen if place == server else well)(number, place, beat)
+
+
+def test_where_all_is_well_nobody_is_named() -> None:
+    assert states(picture(well)) == {}
+
+
+@pytest.mark.parametrize(("seen", "state"), [
+    (frozen, State.FROZEN), (failing, State.FAILING), (slow, State.SLOW)])
+def test_a_sick_server_is_named_for_what_it_has(seen: Sees, state: State) -> None:
+    found = picture(one(3, seen)).judge(3010.0)
+    assert {SERVERS.index(name): verdict.state for name, verdict in found.items()} == {3: state}
+    (verdict,) = found.values()
+    assert LEAST <= verdict.factor < 0.5 and verdict.voices == verdict.witnesses == 6
+
+
+def test_a_frozen_server_is_named_within_two_beats() -> None:
+    assert states(picture(one(3, frozen), beats=2), 1010.0) == {3: State.FROZEN}
+
+
+def test_a_server_that_is_full_is_not_sick() -> None:
+    assert states(picture(one(3, full))) == {}
+
+
+@pytest.mark.parametrize("seen", [frozen, failing, slow])
+def test_what_befalls_all_alike_is_nobodys_fault(seen: Sees) -> None:
+    assert states(picture(seen)) == {}
+
+
+def test_a_shared_slowdown_that_grows_blames_nobody() -> None:
+    random = Random(3)
+
+    def slower(number: int, server: int, beat: int) -> Entry:
+        return Entry(SERVERS[server], 0, 5, (0, 0, 0, 0), -16 + 4 * beat + random.randint(-3, 3), 1, 1)
+
+    assert states(picture(slower)) == {}
+
+
+@pytest.mark.parametrize("seen", [frozen, failing, slow])
+def test_one_forwarder_with_a_bad_way_blames_nobody(seen: Sees) -> None:
+    def sees(number: int, server: int, beat: int) -> Entry:
+        return (seen if number == 2 else well)(number, server, beat)
+
+    assert states(picture(sees)) == {}
+
+
+def test_one_forwarder_with_a_bad_way_does_not_hide_a_sick_server() -> None:
+    def sees(number: int, server: int, beat: int) -> Entry:
+        return (failing if number == 2 or server == 5 else well)(number, server, beat)
+
+    assert states(picture(sees)) == {5: State.FAILING}
+
+
+def test_one_voice_among_several_is_not_enough_and_a_lone_one_is() -> None:
+    def sees(number: int, server: int, beat: int) -> Entry:
+        return (failing if number == 2 and server == 5 else well)(number, server, beat)
+
+    assert states(picture(sees)) == {}
+    assert states(picture(one(5, failing), forwarders=1)) == {5: State.FAILING}
+
+
+def test_nonsense_of_one_forwarder_changes_no_verdict_and_hardly_the_rate() -> None:
+    def sees(number: int, server: int, beat: int) -> Entry:
+        if number == 2:
+            return Entry(SERVERS[server], 0, 127, (127, 127, 127, 127), 127, 127, 127)
+        return well(number, server, beat)
+
+    made = picture(sees)
+    assert states(made) == {}
+    assert made.warm_rate() == pytest.approx(6 * 0.001)
+    made.heard(2, Report(9, 10**9, 10**12, 10, []), 3010.0)
+    assert made.warm_rate() == pytest.approx(7 * 0.001)
+
+
+def test_a_server_that_recovered_or_started_anew_is_well_again() -> None:
+    made = picture(one(3, failing))
+    assert states(made) == {3: State.FAILING}
+    for number in range(6):
+        made.heard(number, Report(9, 0, 0, 10, [well(number, 3, 9, started=7)]), 3020.0)
+    assert states(made, 3030.0) == {}
+
+
+def test_what_is_old_is_forgotten() -> None:
+    made = picture(one(3, failing))
+    assert made.reporting() == 6
+    made.forget_old(3010.0 + FORGET_MS)
+    assert made.reporting() == 0 and states(made, 3010.0 + FORGET_MS) == {}
+    assert not made._servers
+
+
+def test_memory_is_bounded_by_servers_and_witnesses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(judgement, "MAX_SERVERS", 4)
+    made = picture(well, forwarders=40)
+    assert len(made._servers) == 4
+    assert max(len(server.witnesses) for server in made._servers.values()) <= MAX_WITNESSES
