What a forwarder makes of the advice of several planners, without I/O

Believed less with age and not at all after 5 s; where planners contradict one another the reading that changes least counts; advice against more than half of the servers is not followed; weight is given back slowly, so nothing flaps.

--- /dev/null
+++ b/cometdoor/planning/advice.py
@@ -0,0 +1,142 @@
+"""What a forwarder makes of the advice of several planners. No I/O.
+
+Advice says of which servers a planner thinks ill, and how much of their weight they should keep. It only
+shifts weight among servers that the forwarder's own list holds ready; what the decision module does beside
+that is its own.
+
+- A planner is believed wholly for `TRUST_MS`, then less and less, and not at all after `IGNORE_MS`. Ages are
+what
+  the notes prove (wire.py), by the forwarder's own clock.
+- Where planners contradict one another, the reading that changes least counts: one that errs or lies can't
+have a
+  server shunned that another, as fresh, thinks well of.
+- Advice against more than half of the servers is nobody's fault or a lie: none of it is followed.
+- Weight is taken away at once and given back slowly, so that nothing flaps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+import msgspec
+
+from cometdoor.planning.judgement import LEAST, Verdict
+from cometdoor.planning.reports import SERVER_ID
+from cometdoor.planning.wire import MAX_BODY
+
+TRUST_MS = 1_500.0  # three beats: two notes may be lost in a row
+IGNORE_MS = 5_000.0  # a server that froze has mostly been listed or has recovered by then
+DOUBLE_MS = 1_000.0  # weight that is given back doubles in so long: from the least to all in six seconds
+MOST_SHUNNED = 0.5  # of the servers
+STEPS = 100  # in which factors are told
+
+
+class Opinion(msgspec.Struct, array_like=True, frozen=True):
+    server: bytes
+    keep: int  # hundredths of its weight
+
+
+class Advice(msgspec.Struct, array_like=True, frozen=True):
+    is_whole: bool  # servers that are not named are well; else nothing is said of them
+    opinions: list[Opinion]
+
+
+class BadAdvice(Exception):
+    """The body can't be read, or says what can't be; the message says what."""
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Advice)
+
+
+def write_advice(verdicts: dict[bytes, Verdict]) -> bytes:
+    """One note's body; the worst first where not all fit."""
+    order = sorted(verdicts, key=lambda server: (verdicts[server].factor, server))
+    opinions: list[Opinion] = []
+    room = MAX_BODY - 8  # heads of the two lists, and the mark
+    for server in order:
+        opinion = Opinion(server, max(round(STEPS * verdicts[server].factor), 1))
+        room -= len(_ENCODER.encode(opinion))
+        if room < 0:
+            break
+        opinions.append(opinion)
+    return _ENCODER.encode(Advice(len(opinions) == len(verdicts), opinions))
+
+
+def read_advice(body: bytes) -> Advice:
+    try:
+        advice = _DECODER.decode(body)
+    except msgspec.DecodeError as problem:
+        raise BadAdvice(str(problem)) from None
+    for opinion in advice.opinions:
+        if len(opinion.server) != SERVER_ID:
+            raise BadAdvice(f"a server's id of {len(opinion.server)} bytes")
+        if not 1 <= opinion.keep <= STEPS:
+            raise BadAdvice(f"{opinion.keep} hundredths of a weight")
+    return advice
+
+
+@dataclass(slots=True)
+class _Heard:
+    written_ms: float  # at the latest, by the own clock
+    is_whole: bool
+    keep: dict[bytes, float]
+
+
+class Counsel:
+    """The advice of all planners as one."""
+
+    def __init__(self) -> None:
+        self._heard: dict[int, _Heard] = {}
+        self._followed: dict[bytes, float] = {}  # below 1; what is not here keeps all
+        self._at_ms: float | None = None
+
+    def receive(self, planner: int, advice: Advice, age_ms: float | None, now_ms: float) -> bool:
+        """`age_ms`: at most so long ago it was written, as its note proves. Whether it was taken: what is
+        older than what was had of the planner already is not."""
+        if age_ms is None or age_ms > IGNORE_MS:
+            return False
+        known = self._heard.get(planner)
+        if known is not None and known.written_ms > now_ms - age_ms:
+            return False
+        self._heard[planner] = _Heard(now_ms - age_ms, advice.is_whole, {
+            opinion.server: opinion.keep / STEPS for opinion in advice.opinions})
+        return True
+
+    def follow(self, servers: Collection[bytes], now_ms: float) -> dict[bytes, float]:
+        """Of the servers that the own list holds ready, those to be given less, and which part of their
+        weight they keep."""
+        wanted = self._wanted(servers, now_ms)
+        if len(wanted) > MOST_SHUNNED * len(servers):
+            wanted = {}
+        since_ms = 0.0 if self._at_ms is None else now_ms - self._at_ms
+        self._at_ms = now_ms
+        followed = {}
+        for server in servers:
+            keep, before = wanted.get(server, 1.0), self._followed.get(server, 1.0)
+            if keep > before:
+                keep = min(keep, before * 2.0 ** (since_ms / DOUBLE_MS))
+            if keep < 1.0:
+                followed[server] = max(keep, LEAST)
+        self._followed = followed
+        return dict(followed)
+
+    def _wanted(self, servers: Collection[bytes], now_ms: float) -> dict[bytes, float]:
+        for planner in [planner for planner, heard in self._heard.items()
+                        if now_ms - heard.written_ms > IGNORE_MS]:
+            del self._heard[planner]
+        wanted = {}
+        named = {server for heard in self._heard.values() for server in heard.keep}
+        for server in named.intersection(servers):
+            wanted[server] = max(self._opinion(heard, server, now_ms) for heard in self._heard.values()
+                                 if heard.is_whole or server in heard.keep)
+        return {server: keep for server, keep in wanted.items() if keep < 1.0}
+
+    @staticmethod
+    def _opinion(heard: _Heard, server: bytes, now_ms: float) -> float:
+        """A planner that says nothing more loses its voice against a server, and does not gain one for it:
+        that it thinks well counts as long as it is believed at all."""
+        age_ms = now_ms - heard.written_ms
+        trust = min(max((IGNORE_MS - age_ms) / (IGNORE_MS - TRUST_MS), 0.0), 1.0)
+        return float(heard.keep.get(server, 1.0) ** trust)
