The module takes advice and loans as events: weight shifts among ready servers, sends while cold

Planners' advice reaches the decision module as Advised and Lent. Advice moves turns among ready servers, leaves each at least 0.02 of its weight and gives turns back when it is lifted; a loan adds sends to a cold server for its start and time alone. Rules 1 to 3 and 5 hold in the property test with both events anywhere.

--- a/cometdoor/planning/advice.py
+++ b/cometdoor/planning/advice.py
@@ -5,11 +5,9 @@
 that is its own.
 
 - A planner is believed wholly for `TRUST_MS`, then less and less, and not at all after `IGNORE_MS`. Ages are
-what
-  the notes prove (wire.py), by the forwarder's own clock.
+  what the notes prove (wire.py), by the forwarder's own clock.
 - Where planners contradict one another, the reading that changes least counts: one that errs or lies can't
-have a
-  server shunned that another, as fresh, thinks well of.
+  have a server shunned that another, as fresh, thinks well of.
 - Advice against more than half of the servers is nobody's fault or a lie: none of it is followed.
 - Weight is taken away at once and given back slowly, so that nothing flaps.
 """
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -203,7 +203,29 @@
     token: int
 
 
-Event = RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted
+@dataclass(frozen=True, slots=True)
+class Advised:
+    """Which part of its weight, in (0, 1], each server that is named should keep; all others keep all of it.
+
+    It takes the place of what was advised before. It shifts weight among ready servers, and nothing else: no
+    server becomes ready by it, and no rule on retries, drains or budgets gives way.
+    """
+
+    keep: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Lent:
+    """Sends to a cold server on top of the balancer's own part, good from now on for a time."""
+
+    server: str
+    started_at: float  # for this start of it alone
+    sends: int
+    for_ms: float
+
+
+Event = (RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted | Advised
+         | Lent)
 
 
 # --- actions ---
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -54,6 +54,7 @@
 REAP_MARGIN = 0.5  # of the shortest idle time that was lost, from where on a connection is not trusted
 MIN_SUBSET = 5  # servers that a balancer rotates over at the least: enough to judge one by its peers
 MIN_COVER = 3  # balancers that share each server at the least: evens out what each of them sends
+LEAST_KEPT = 0.02  # of its weight that advice leaves a server: some turns are kept, as FAILURE_FLOOR does
 GOLDEN = 0.6180339887  # multiples of it, modulo 1, spread evenly for any run of positions
 
 
@@ -85,14 +86,17 @@
 class Member:
     """A server as this balancer sees it."""
 
-    __slots__ = ("allowed", "allowed_at", "entry", "failures", "name", "order", "outstanding", "place",
-                 "ready", "rest_ms", "rests_until", "slowness", "turn", "used_at", "weight")
+    __slots__ = ("allowed", "allowed_at", "entry", "failures", "keep", "lent", "name", "order",
+                 "outstanding", "place", "ready", "rest_ms", "rests_until", "slowness", "turn", "used_at",
+                 "weight")
 
     def __init__(self, entry: api.Server, order: int) -> None:
         self.order = order  # no two are alike, so that equal turns compare
         self.allowed = 0.0  # sends that it may get while it is cold
         self.allowed_at = -math.inf
         self.entry = entry
+        self.keep = 1.0  # the part of its weight that advice leaves it
+        self.lent: deque[list[float]] = deque()  # [until, sends left] of loans while it is cold
         self.name = entry.name
         self.ready = entry.state is State.READY
         self.failures = Average(FAILURE_MEMORY_MS)
@@ -120,6 +124,14 @@
         elif outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             self.rest_ms, self.rests_until = 0.0, -math.inf
 
+    def borrows(self, now: float, sends: int = 0) -> bool:
+        """Whether a loan is left, of which so many sends are taken. The one that ends first goes first."""
+        while self.lent and (self.lent[0][0] <= now or self.lent[0][1] < 1.0):
+            self.lent.popleft()
+        if self.lent:
+            self.lent[0][1] -= sends
+        return bool(self.lent)
+
     def group(self, scope: Scope) -> int | None:
         return {Scope.ALL: None, Scope.ZONE: self.entry.zone, Scope.CELL: self.entry.cell}[scope]
 
@@ -393,6 +405,12 @@
                 self._close(event.request)
             case api.StreamStarted():
                 self._stream_started(event)
+            case api.Advised():
+                self._advised(event, now)
+            case api.Lent():
+                member = self._members.get(event.server)
+                if member and member.entry.started_at == event.started_at:
+                    member.lent.append([now + event.for_ms, event.sends])
         while waiting := self._admission.next(now):
             self._start(waiting, now)
         return self._actions
@@ -466,6 +484,20 @@
         self._in_rotation = max(1, sum(member.weight > 0.0 for member in ring))
         self._admission.floor = max(1.0, FLOOR * len(ring) / settings.balancers)
 
+    def _advised(self, event: api.Advised, now: float) -> None:
+        """Guards against what one balancer's few calls can't show: others saw that a server stands still.
+
+        Harms where the advice errs: such a server keeps LEAST_KEPT of its turns, all if it is alone.
+        """
+        for member in self._members.values():
+            before, keep = member.keep, event.keep.get(member.name, 1.0)
+            member.keep = 1.0 if math.isnan(keep) else min(max(keep, LEAST_KEPT), 1.0)
+            if member.keep > before and member.ready and member.weight:
+                # Its next turn lies as far ahead as was advised before.
+                turn = self._virtual_now + 1.0 / self._weight(member, now)
+                if turn < member.turn:
+                    self._schedule(member, turn)
+
     # --- rotation: smooth weighted round robin, kept as a heap of turns in virtual time ---
 
     def _schedule(self, member: Member, turn: float) -> None:
@@ -473,7 +505,7 @@
         heappush(self._rotation, (turn, member.order, member))
 
     def _weight(self, member: Member, now: float) -> float:
-        weight = member.weight * self._warmth(member, now)
+        weight = member.weight * member.keep * self._warmth(member, now)
         if self._settings.cross_zone_price and member.entry.zone == self._settings.zone:
             weight *= self._local_preference(now)
         # Where all fail alike, as when the tier below is down, nobody is to be shunned for it.
@@ -515,11 +547,12 @@
         member.allowed = min(member.allowed + rate * (now - member.allowed_at),
                              1.0 + rate * self._settings.fall_ms * COLD_MARGIN)
         member.allowed_at = now
-        return member.allowed >= 1.0
+        return member.allowed >= 1.0 or member.borrows(now)
 
     def _count_send(self, member: Member, now: float) -> None:
         if self._warmth(member, now) < 1.0:
-            member.allowed -= 1.0
+            if not member.borrows(now, 1):  # a loan ends, its own part is saved up
+                member.allowed -= 1.0
             return
         self._warm_sends.add(1.0 / self._warm_weight, now)
         if self._warm_sends.count >= KIND_SAMPLES:
--- a/tests/jasperhall/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -815,3 +815,70 @@
     assert sent_to(checker.end("r", 0, Outcome.CONNECT_FAILED))
     checker.end("r", 1, Outcome.CONNECT_FAILED)
     assert sent_to(checker.request("s", UNSAFE_INDEX))
+
+
+def turns(checker: Checker, count: int, pace_ms: float = 5.0) -> Counter[str]:
+    """Who gets so many calls, each answered before the next."""
+    got: Counter[str] = Counter()
+    for _ in range(count):
+        name = f"t{len(checker.owed)}"
+        (server,) = sent_to(checker.request(name, UNSAFE_INDEX))
+        got[server] += 1
+        checker.advance(pace_ms)
+        checker.end(name, 0, Outcome.OK)
+    return got
+
+
+def test_advice_shifts_turns_and_gives_them_back_when_it_is_lifted() -> None:
+    checker = started(*servers(4))
+    turns(checker, 40)
+    checker.feed(api.Advised({"s0": 0.02, "nobody": 0.5}))
+    assert turns(checker, 400)["s0"] <= 8
+    checker.feed(api.Advised({}))
+    assert turns(checker, 40)["s0"] >= 8
+
+
+@pytest.mark.parametrize("keep", [0.0, -1.0, float("nan"), float("inf"), 5.0])
+def test_advice_that_makes_no_sense_shuts_nobody_out_and_raises_nobody(keep: float) -> None:
+    checker = started(*servers(4))
+    checker.feed(api.Advised({"s0": keep}))
+    assert 0 < turns(checker, 400)["s0"] <= 110
+
+
+def test_advice_against_all_or_against_the_last_changes_nothing_for_requests() -> None:
+    checker = started(*servers(2))
+    checker.feed(api.Advised({"s0": 0.02, "s1": 0.02}))
+    got = turns(checker, 40)
+    assert min(got["s0"], got["s1"]) >= 15
+    checker.list_servers(servers(1)[0])
+    assert turns(checker, 20) == {"s0": 20}
+
+
+def test_advice_makes_no_server_ready() -> None:
+    checker = started(*servers(2))
+    checker.list_servers(replace(servers(1)[0], state=State.DRAINING), kind=ListKind.DELTA)
+    checker.feed(api.Advised({"s0": 1.0, "s1": 0.02}))
+    assert turns(checker, 20) == {"s1": 20}
+
+
+def cold_start(*loans: api.Lent) -> int:
+    """Sends to a cold server in a tenth of a second, while the warm one is busy."""
+    checker = Checker(replace(SETTINGS, cold_from=0.2, warm_up_ms=60_000.0), 1)
+    checker.list_servers(*servers(2))
+    turns(checker, 200)
+    cold = replace(servers(1)[0], started_at=checker.now)
+    checker.list_servers(cold, servers(2)[1])
+    for number in range(6):
+        checker.request(f"busy{number}", UNSAFE_INDEX)
+    for loan in loans:
+        checker.feed(replace(loan, started_at=loan.started_at or cold.started_at))
+    return turns(checker, 60, 1.0)["s0"]
+
+
+def test_a_loan_lets_a_cold_server_have_more_for_its_time_and_its_start() -> None:
+    alone = cold_start()
+    assert cold_start(api.Lent("s0", 0.0, 20, 1000.0)) >= alone + 15
+    assert cold_start(api.Lent("s0", 0.0, 20, 1000.0)) <= alone + 20
+    assert cold_start(api.Lent("s0", 1.0, 20, 1000.0), api.Lent("s1", 0.0, 20, 1000.0),
+                      api.Lent("nobody", 0.0, 9, 1000.0), api.Lent("s0", 0.0, -5, 1000.0),
+                      api.Lent("s0", 0.0, 20, 0.0)) == alone
--- a/tests/jasperhall/test_rules.py
+++ b/tests/jasperhall/test_rules.py
@@ -22,6 +22,8 @@
         st.tuples(st.just("state"), st.integers(0, 8), st.sampled_from(list(State))),
         st.tuples(st.just("restart"), st.integers(0, 8), st.none()),
         st.tuples(st.just("list"), st.sampled_from(list(ListKind)), st.integers(0, 9)),
+        st.tuples(st.just("advise"), st.integers(0, 8), st.sampled_from([0.0, 0.02, 0.5, 1.0, 7.0])),
+        st.tuples(st.just("lend"), st.integers(0, 8), st.sampled_from([-1, 0, 1, 50])),
         st.tuples(st.just("gone"), st.integers(0, 1000), st.none()),
         st.tuples(st.just("stray"), st.integers(0, 4), st.none()),
     ),
@@ -63,6 +65,11 @@
             case "list", ListKind() as kind, int(count):
                 listed = [entry for entry in entries[:count] if entry.state is not State.GONE]
                 checker.list_servers(*([] if kind is ListKind.FAILED else listed), kind=kind)
+            case "advise", int(index), float(keep):
+                assert checker.feed(api.Advised({f"s{index}": keep, "s0": 0.1, "unknown": keep})) == []
+            case "lend", int(index), int(lent):
+                for started_at in (0.0, entries[index].started_at):
+                    assert checker.feed(api.Lent(f"s{index}", started_at, lent, 500.0)) == []
             case "gone", int(choice), _:
                 if names := [name for name, owed in checker.owed.items() if not owed.answered]:
                     checker.gone(names[choice % len(names)])
