--- a/cometdoor/planning/advice.py
+++ b/cometdoor/planning/advice.py
@@ -7,7 +7,8 @@
 - A planner is believed wholly for `TRUST_MS`, then less and less, and not at all after `IGNORE_MS`. Ages are
   what the notes prove (wire.py), by the forwarder's own clock.
 - Where planners contradict one another, the reading that changes least counts: one that errs or lies can't
-  have a server shunned that another, as fresh, thinks well of.
+  have a server shunned that another, as fresh, thinks well of. Older advice counts only where there is no
+  fresh.
 - Advice against more than half of the servers is nobody's fault or a lie: none of it is followed.
 - Weight is taken away at once and given back slowly, so that nothing flaps.
 """
@@ -127,14 +128,16 @@
         wanted = {}
         named = {server for heard in self._heard.values() for server in heard.keep}
         for server in named.intersection(servers):
-            wanted[server] = max(self._opinion(heard, server, now_ms) for heard in self._heard.values()
-                                 if heard.is_whole or server in heard.keep)
+            voices = [(self._trust(heard, now_ms), heard.keep.get(server, 1.0))
+                      for heard in self._heard.values() if heard.is_whole or server in heard.keep]
+            # Who may be dead by now has no say beside those that are not: neither for a server nor against
+            # it.
+            present = [keep for trust, keep in voices if trust == 1.0]
+            fading = [keep ** trust for trust, keep in voices if keep < 1.0]
+            wanted[server] = max(present or fading, default=1.0)
         return {server: keep for server, keep in wanted.items() if keep < 1.0}
 
     @staticmethod
-    def _opinion(heard: _Heard, server: bytes, now_ms: float) -> float:
-        """A planner that says nothing more loses its voice against a server, and does not gain one for it:
-        that it thinks well counts as long as it is believed at all."""
+    def _trust(heard: _Heard, now_ms: float) -> float:
         age_ms = now_ms - heard.written_ms
-        trust = min(max((IGNORE_MS - age_ms) / (IGNORE_MS - TRUST_MS), 0.0), 1.0)
-        return float(heard.keep.get(server, 1.0) ** trust)
+        return min(max((IGNORE_MS - age_ms) / (IGNORE_MS - TRUST_MS), 0.0), 1.0)
--- a/cometdoor/planning/judgement.py
+++ b/cometdoor/planning/judgement.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 from statistics import median
@@ -145,6 +145,9 @@
     def reporting(self) -> int:
         return len(self._forwarders)
 
+    def servers(self) -> Collection[bytes]:
+        return self._servers.keys()
+
     def warm_rate(self) -> float:
         """Sends in a ms that a warm server of weight 1 bears from all forwarders that report. One that says
         nonsense moves it by no more than twice what the usual one sends."""
--- a/cometdoor/planning/lending.py
+++ b/cometdoor/planning/lending.py
@@ -4,9 +4,10 @@
 within any window of `fall_ms`. That budget is divided beforehand. Forwarders have a part by themselves; of
 the rest each planner has an equal part, and lends out of that alone.
 
-A loan is a number of sends. It is good for `loan_ms` from its receipt, and is taken only if its note proves
-that it was written at most `fresh_ms` before. So what a planner lent at one moment is sent within `fresh_ms
-+ loan_ms` of it, and what it may lend within that time and one window more is its part of one window.
+A loan is a number of sends, kept by the decision module of the forwarder that has it. It is good for
+`loan_ms` from its receipt, and is taken only if its note proves that it was written at most `fresh_ms`
+before. So what a planner lent at one moment is sent within `fresh_ms + loan_ms` of it, and what it may lend
+within that time and one window more is its part of one window.
 
 Doubled notes are dropped by their numbers, forged ones by their seals, late ones by their echoes, and those
 that contradict one another come each out of their own planner's part: no set of them adds up to more.
@@ -17,6 +18,10 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
+
+from cometdoor.planning.reports import SERVER_ID
+
 # Of the budget, what all planners may lend together. The module's own part takes half of it as a flow, and
 # half of a window's flow as a burst (COLD_MARGIN in jasperhall/balancer.py): three quarters in one window.
 LENT_SHARE = 0.2
@@ -38,9 +43,8 @@
         return self.overload_factor * self.cold_from * warm_rate * self.fall_ms
 
 
-@dataclass(frozen=True, slots=True)
-class Loan:
-    server: str
+class Loan(msgspec.Struct, array_like=True, frozen=True):
+    server: bytes  # its id, as in reports
     started: int  # which start of the server it is for; compared only for being the same
     sends: int
 
@@ -58,9 +62,9 @@
         self._share = LENT_SHARE / planners
         self._span_ms = fresh_ms + loan_ms + rules.fall_ms
         self._lends_from = now_ms + self._span_ms
-        self._lent: dict[str, deque[tuple[float, int]]] = {}  # by server: when and how many, oldest first
+        self._lent: dict[bytes, deque[tuple[float, int]]] = {}  # by server: when and how many, oldest first
 
-    def lend(self, server: str, started: int, warm_rate: float, wanted: int, now_ms: float) -> Loan | None:
+    def lend(self, server: bytes, started: int, warm_rate: float, wanted: int, now_ms: float) -> Loan | None:
         """`warm_rate` as in `ColdRules.window_sends`, rather too low than too high. The note is to be sealed
         in the same step: its echo must not be younger than `now_ms`.
 
@@ -69,14 +73,17 @@
         """
         if now_ms < self._lends_from or wanted < 1:
             return None
-        part = int(self._share * self._rules.window_sends(warm_rate) + 1e-9)
-        sends = min(wanted, part - self.out(server, now_ms))
+        sends = min(wanted, self.part(warm_rate) - self.out(server, now_ms))
         if sends < 1:
             return None
         self._lent.setdefault(server, deque()).append((now_ms, sends))
         return Loan(server, started, sends)
 
-    def out(self, server: str, now_ms: float) -> int:
+    def part(self, warm_rate: float) -> int:
+        """What this planner may have out of sends to one server."""
+        return int(self._share * self._rules.window_sends(warm_rate) + 1e-9)
+
+    def out(self, server: bytes, now_ms: float) -> int:
         """Sends of loans that may be used, or may have been used within the present window."""
         lent = self._lent.get(server)
         while lent and now_ms - lent[0][0] > self._span_ms:
@@ -92,42 +99,26 @@
             self.out(server, now_ms)
 
 
-class Borrower:
-    """What a forwarder has been lent and not yet used. It comes on top of its own part."""
-
-    def __init__(self, *, loan_ms: float = LOAN_MS, fresh_ms: float = FRESH_MS) -> None:
-        self._loan_ms = loan_ms
-        self._fresh_ms = fresh_ms
-        self._loans: dict[str, deque[tuple[float, int, int]]] = {}  # by server: until, start, sends left
-
-    def receive(self, loan: Loan, age_ms: float | None, now_ms: float) -> bool:
-        """`age_ms`: at most so long ago it was written, as its note proves. Whether it was taken."""
-        if age_ms is None or age_ms > self._fresh_ms or loan.sends < 1:
-            return False
-        self._loans.setdefault(loan.server, deque()).append(
-            (now_ms + self._loan_ms, loan.started, loan.sends))
-        return True
-
-    def available(self, server: str, started: int, now_ms: float) -> int:
-        """Of loans for this start of the server alone."""
-        return sum(sends for _, start, sends in self._valid(server, now_ms) if start == started)
-
-    def use(self, server: str, started: int, now_ms: float) -> bool:
-        """Take one send out of the loan that ends first. False: there is none."""
-        loans = self._valid(server, now_ms)
-        for place, (until, start, sends) in enumerate(loans):
-            if start == started:
-                if sends > 1:
-                    loans[place] = until, start, sends - 1
-                else:
-                    del loans[place]
-                return True
-        return False
-
-    def _valid(self, server: str, now_ms: float) -> deque[tuple[float, int, int]]:
-        loans = self._loans.get(server, deque())
-        while loans and loans[0][0] <= now_ms:
-            loans.popleft()
-        if not loans:
-            self._loans.pop(server, None)
-        return loans
+# --- on the wire ---
+
+
+class BadLoan(Exception):
+    """The body can't be read, or says what can't be; the message says what."""
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Loan)
+
+
+def write_loan(loan: Loan) -> bytes:
+    return _ENCODER.encode(loan)
+
+
+def read_loan(body: bytes) -> Loan:
+    try:
+        loan = _DECODER.decode(body)
+    except msgspec.DecodeError as problem:
+        raise BadLoan(str(problem)) from None
+    if len(loan.server) != SERVER_ID or loan.sends < 1:
+        raise BadLoan(f"{loan.sends} sends to a server with an id of {len(loan.server)} bytes")
+    return loan
--- /dev/null
+++ b/cometdoor/planning/planner.py
@@ -0,0 +1,103 @@
+"""A planner: it hears reports, and answers each with advice and loans. No I/O.
+
+Planners hear the same reports and don't talk to one another. One that started anew is whole again after some
+beats: advice rests on the last seconds alone, and lending begins once all that a former life lent is over.
+"""
+
+from __future__ import annotations
+
+import math
+
+from cometdoor.planning.advice import write_advice
+from cometdoor.planning.judgement import Picture, Verdict
+from cometdoor.planning.lending import ColdRules, Lender, write_loan
+from cometdoor.planning.reports import BadReport, Report, read_report
+from cometdoor.planning.wire import Kind, Post
+
+FRESH_REPORT_MS = 2_000.0  # what is older tells of servers as they were
+JUDGE_MS = 250.0  # a picture is judged so often at most: half a beat
+FORGET_EVERY_MS = 5_000.0
+
+
+class Planner:
+    """`warm_up_ms`: how long servers take to warm up; `planners`: how many are configured."""
+
+    def __init__(self, post: Post, rules: ColdRules, warm_up_ms: float, planners: int, now_ms: float) -> None:
+        self.bad = 0  # reports that were sealed well and could not be read
+        self.picture = Picture()
+        self.lender = Lender(rules, planners, now_ms)
+        self._post = post
+        self._warm_up_ms = warm_up_ms
+        self._starts: dict[bytes, tuple[int, float]] = {}  # by server: its last start, and when it was seen
+        self._sends: dict[int, tuple[float, int]] = {}  # by forwarder: when it reported, and its sends
+        self._verdicts: dict[bytes, Verdict] = {}
+        self._advice = write_advice({})
+        self._judged_ms = -math.inf
+        self._forgot_ms = now_ms
+
+    def received(self, datagram: bytes, now_ms: float) -> list[tuple[int, bytes]]:
+        """Notes to forwarders: their numbers, and the datagrams."""
+        note = self._post.open(datagram, now_ms)
+        if note is None:
+            return []
+        report: Report | None = None
+        if note.is_fresh(FRESH_REPORT_MS):
+            try:
+                report = read_report(note.body)
+                self._heard(note.sender, report, now_ms)
+            except BadReport:
+                self.bad += 1
+        # One that proves nothing yet is answered too: the answer's echo lets it prove itself.
+        advice = self._present_advice(now_ms)
+        notes = [(note.sender, self._post.seal(Kind.ADVICE, note.sender, advice, now_ms))]
+        if report is not None:
+            notes += self._loans(note.sender, report, now_ms)
+        return notes
+
+    def verdicts(self, now_ms: float) -> dict[bytes, Verdict]:
+        self._judge(now_ms)
+        return self._verdicts
+
+    def _heard(self, number: int, report: Report, now_ms: float) -> None:
+        self.picture.heard(number, report, now_ms)
+        self._sends[number] = now_ms, report.sends
+        for entry in report.entries:
+            known = self._starts.get(entry.server)
+            if known is None or known[0] != entry.started:
+                self._starts[entry.server] = entry.started, now_ms
+        if now_ms - self._forgot_ms > FORGET_EVERY_MS:
+            self._forget_old(now_ms)
+
+    def _forget_old(self, now_ms: float) -> None:
+        self._forgot_ms = now_ms
+        self.picture.forget_old(now_ms)
+        self.lender.forget_old(now_ms)
+        known = self.picture.servers()
+        self._starts = {server: start for server, start in self._starts.items() if server in known}
+        self._sends = {number: sends for number, sends in self._sends.items()
+                       if now_ms - sends[0] < FORGET_EVERY_MS}
+
+    def _judge(self, now_ms: float) -> None:
+        if now_ms - self._judged_ms >= JUDGE_MS:
+            self._judged_ms = now_ms
+            self._verdicts = self.picture.judge(now_ms)
+            self._advice = write_advice(self._verdicts)
+
+    def _present_advice(self, now_ms: float) -> bytes:
+        self._judge(now_ms)
+        return self._advice
+
+    def _loans(self, number: int, report: Report, now_ms: float) -> list[tuple[int, bytes]]:
+        """For servers of the report that started lately; as much as the forwarder has of the traffic."""
+        total = sum(sends for _, sends in self._sends.values())
+        notes = []
+        for entry in report.entries:
+            started, seen_ms = self._starts[entry.server]
+            if not started or started != entry.started or now_ms - seen_ms > self._warm_up_ms or not total:
+                continue
+            rate = self.picture.warm_rate()
+            wanted = math.ceil(self.lender.part(rate) * report.sends / total)
+            loan = self.lender.lend(entry.server, started, rate, wanted, now_ms)
+            if loan is not None:
+                notes.append((number, self._post.seal(Kind.LOAN, number, write_loan(loan), now_ms)))
+        return notes
--- a/tests/planning/test_advice.py
+++ b/tests/planning/test_advice.py
@@ -49,6 +49,12 @@
     assert counsel.follow(SERVERS, 9000.0) == {}
 
 
+def test_old_advice_that_asks_for_nothing_is_nothing() -> None:
+    counsel = Counsel()
+    counsel.receive(0, against(3, keep=100), TRUST_MS + 1.0, 0.0)
+    assert counsel.follow(SERVERS, 0.0) == {}
+
+
 def test_late_advice_does_not_displace_what_is_newer() -> None:
     counsel = Counsel()
     assert counsel.receive(0, against(), 10.0, 1000.0)
@@ -133,3 +139,13 @@
 def test_garbage_is_no_advice(body: bytes) -> None:
     with pytest.raises(BadAdvice):
         read_advice(body)
+
+
+def test_a_planner_that_died_has_no_say_beside_those_that_live() -> None:
+    """Neither the one that thought well of the server, nor the one that thought half as ill of it."""
+    counsel = Counsel()
+    counsel.receive(0, against(), 0.0, 0.0)
+    counsel.receive(1, against(3, keep=50), 0.0, 0.0)
+    for now in (0.0, 1000.0, 2000.0):
+        counsel.receive(2, against(3), 0.0, now)
+        assert counsel.follow(SERVERS, now) == ({SERVERS[3]: 0.02} if now > TRUST_MS else {})
