--- a/cometdoor/cli.py
+++ b/cometdoor/cli.py
@@ -8,7 +8,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from cometdoor.settings import BadSettings, Settings, load_settings
+from cometdoor.core.schema import BadSettings
+from cometdoor.settings import Settings, load_settings
 
 
 def main(arguments: Sequence[str]) -> int:
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -7,9 +7,10 @@
 import signal
 from pathlib import Path
 
+from cometdoor.core.schema import BadSettings
 from cometdoor.lifetime import end_serving, settle_collector
 from cometdoor.services.running import Services
-from cometdoor.settings import BadSettings, Settings, load_settings
+from cometdoor.settings import Settings, load_settings
 
 log = logging.getLogger(__name__)
 
--- a/cometdoor/settings.py
+++ b/cometdoor/settings.py
@@ -1,23 +1,15 @@
-"""The operators' file: TOML, one checked schema, all errors at once, each with its place.
-
-The schema is a set of msgspec structs. msgspec stops at the first error, so the file is walked struct by
-struct and each value converted by itself (docs/design/services.md has what was weighed).
-"""
+"""The operators' file of services: its schema, and what each value alone can't show."""
 
 from __future__ import annotations
 
-import difflib
-import math
-import tomllib
-from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, Any, Literal, get_args, get_origin
+from typing import Annotated, Literal
 
-import msgspec
 from msgspec import Meta, Struct, field
 
 from cometdoor.core.host import Address
+from cometdoor.core.schema import convert, read_bytes, read_content
 from cometdoor.core.shares import Descriptors, callers_part
 from cometdoor.core.words import read_address
 from cometdoor.services.routes import BadPattern, Route, read_host_pattern, read_path_prefix, same_right
@@ -28,8 +20,6 @@
 Count = Annotated[int, Meta(ge=1)]
 Name = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")]
 
-MAX_FILE = 8 << 20  # bytes; a hundred services with a hundred servers each are under one
-
 
 class ListenerEntry(Struct, frozen=True, kw_only=True):
     address: str  # HOST:PORT
@@ -120,125 +110,13 @@
                 for number, route in enumerate(service.routes)]
 
 
-@dataclass(frozen=True, slots=True)
-class Problem:
-    file: str
-    path: str  # of keys, with places in lists counted from 0; empty for the file as a whole
-    text: str  # what is wrong and what would be right
-
-    def __str__(self) -> str:
-        return f"{self.file}: {self.path}: {self.text}" if self.path else f"{self.file}: {self.text}"
-
-
-class BadSettings(Exception):
-    def __init__(self, problems: Sequence[Problem]) -> None:
-        super().__init__("\n".join(map(str, problems)))
-        self.problems = tuple(problems)
-
-
-Errors = list[tuple[str, str]]  # key path and text
-
-
 def load_settings(path: Path) -> Settings:
     """Raises BadSettings with every problem that the file has."""
-    try:
-        if path.stat().st_size > MAX_FILE:
-            raise BadSettings([Problem(str(path), "", f"larger than {MAX_FILE} bytes")])
-        raw = path.read_bytes()
-    except OSError as problem:
-        raise BadSettings([Problem(str(path), "", problem.strerror or str(problem))]) from problem
-    return read_settings(raw, str(path))
+    return read_settings(read_bytes(path), str(path))
 
 
 def read_settings(raw: bytes, file: str) -> Settings:
-    try:
-        content = tomllib.loads(raw.decode())
-    except UnicodeDecodeError as problem:
-        raise BadSettings([Problem(file, "", f"byte {problem.start} is not UTF-8")]) from problem
-    except (tomllib.TOMLDecodeError, RecursionError) as problem:
-        raise BadSettings([Problem(file, "", f"no TOML: {problem}")]) from problem
-    errors: Errors = []
-    check_struct(content, Settings, "", errors)
-    settings = None
-    if not errors:
-        settings = msgspec.convert(content, Settings)
-        errors.extend(check_meaning(settings))
-    if settings is None or errors:
-        raise BadSettings([Problem(file, *error) for error in errors])
-    return settings
-
-
-# --- schema ---
-
-
-def check_struct(value: object, kind: type[Struct], path: str, errors: Errors) -> None:
-    if not isinstance(value, dict):
-        errors.append((path, f"a table is needed, not {_name(value)}"))
-        return
-    known = {info.encode_name: info for info in msgspec.structs.fields(kind)}
-    for key in value.keys() - known.keys():
-        near = difflib.get_close_matches(key, known, 1)
-        hint = f"did you mean {near[0]}?" if near else f"known here: {', '.join(known)}"
-        errors.append((_join(path, key), f"unknown key; {hint}"))
-    for key, info in known.items():
-        if key in value:
-            check_value(value[key], info.type, _join(path, key), errors)
-        elif info.required:
-            errors.append((_join(path, key), f"missing; {_wanted(info.type)} is needed"))
-
-
-def check_value(value: object, kind: Any, path: str, errors: Errors) -> None:
-    origin, arguments = get_origin(kind), get_args(kind)
-    inner = next((part for part in arguments if part is not type(None)), None)
-    if inner is not None and type(None) in arguments:
-        check_value(value, inner, path, errors)
-    elif origin is list:
-        if not isinstance(value, list):
-            errors.append((path, f"a list is needed, not {_name(value)}"))
-            return
-        for place, part in enumerate(value):
-            check_value(part, arguments[0], f"{path}.{place}", errors)
-    elif origin is dict:
-        if not isinstance(value, dict):
-            errors.append((path, f"a table is needed, not {_name(value)}"))
-            return
-        for key, part in value.items():
-            check_value(part, arguments[1], _join(path, key), errors)
-    elif isinstance(kind, type) and issubclass(kind, Struct):
-        check_struct(value, kind, path, errors)
-    elif origin is Literal:
-        if value not in arguments:
-            errors.append((path, f"{_wanted(kind)} is needed; it is {value!r}"))
-    elif isinstance(value, float) and not math.isfinite(value):
-        errors.append((path, "a finite number is needed"))
-    else:
-        try:
-            msgspec.convert(value, kind)
-        except msgspec.ValidationError as problem:
-            errors.append((path, f"{_plain(str(problem))}; it is {value!r}"[:300]))
-
-
-def _join(path: str, key: str) -> str:
-    return f"{path}.{key}" if path else key
-
-
-def _name(value: object) -> str:
-    return {dict: "a table", list: "a list", str: "a text", bool: "a truth value"}.get(
-        type(value), "a number")
-
-
-def _wanted(kind: Any) -> str:
-    if get_origin(kind) is Literal:
-        return "one of " + ", ".join(map(str, get_args(kind)))
-    kind = get_args(kind)[0] if get_origin(kind) is Annotated else kind
-    if get_origin(kind) is list:
-        return "a list"
-    return {str: "a text", float: "a number", int: "a whole number", bool: "a truth value"}.get(
-        kind, "a table")
-
-
-def _plain(text: str) -> str:
-    return text.replace("`", "").split(" - at ")[0][:1].lower() + text.replace("`", "").split(" - at ")[0][1:]
+    return convert(read_content(raw, file), Settings, file, check_meaning)
 
 
 # --- meaning ---
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cometdoor.settings import BadSettings, Problem, load_settings, read_settings
+from cometdoor.core.schema import BadSettings, Problem
+from cometdoor.settings import load_settings, read_settings
 
 EXAMPLE = Path(__file__).parents[1] / "deploy" / "services.example.toml"
 GOOD = """
