Planners and forwarders over sockets: cometdoor planner, its status page, files and checks

Need: reports, judgement, lending and advice were decisions without I/O; nobody sent them.

Change: planning/voice.py hosts a forwarder beside its service (datagrams or a kept connection to each planner), observes the host of the module and brings it advice and loans; a fault there has it fall silent and touches no request. planning/serve.py is the planner's process; keys are read again at SIGHUP. Files for both with all errors at once, check, planner status, an operators' page.

Real sockets showed what time-outs in virtual time had hidden: calls to a frozen server are overtaken by their copies and called off, so that no planner found it.

--- a/cometdoor/cli.py
+++ b/cometdoor/cli.py
@@ -1,54 +1,139 @@
-"""The operators' command line: `python -m cometdoor check FILE`, `serve FILE`, `demo`."""
+"""The operators' command line: `python -m cometdoor check FILE`, `serve FILE`, `planner FILE`, `demo`."""
 
 from __future__ import annotations
 
 import argparse
 import logging
 import sys
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from pathlib import Path
+from typing import Any
 
-from cometdoor.core.schema import BadSettings
-from cometdoor.settings import Settings, load_settings
+from cometdoor.core.schema import BadSettings, read_bytes, read_content
+from cometdoor.settings import Settings, load_settings, read_settings
 
 
 def main(arguments: Sequence[str]) -> int:
     """0: done; 1: it could not be done; 2: the file or the command line is wrong."""
     parser = argparse.ArgumentParser(prog="cometdoor", description="Several services behind one proxy.")
     commands = parser.add_subparsers(dest="command", required=True)
-    for name, text in (("check", "say everything that is wrong with an operators' file"),
-                       ("serve", "serve by an operators' file; SIGHUP has it read again")):
-        commands.add_parser(name, help=text).add_argument("file", type=Path)
+    commands.add_parser("check", help="say everything that is wrong with an operators' file, of any kind"
+                        ).add_argument("file", type=Path)
+    serving = commands.add_parser("serve", help="serve by an operators' file; SIGHUP has it read again")
+    serving.add_argument("file", type=Path)
+    serving.add_argument("--planning", type=Path, metavar="FORWARDERS", help="a file that names planners")
+    planner = commands.add_parser(
+        "planner", help="advise forwarders; 'planner status FILE' shows what a planner knows")
+    planner.add_argument("words", nargs="+", metavar="[status] FILE")
+    planner.add_argument("--names", type=Path, metavar="SERVICES",
+                         help="a services' file: its servers are shown by name")
     demo = commands.add_parser("demo", help="two services on this machine, one of which freezes")
     demo.add_argument("--seconds", type=float, default=20.0)
     demo.add_argument("--plain", action="store_true", help="no live view, only the closing table")
     chosen = parser.parse_args(arguments)
-    if chosen.command == "demo":
-        return run_demo(chosen.seconds, chosen.plain)
     try:
-        settings = load_settings(chosen.file)
+        match chosen.command:
+            case "check":
+                return check(chosen.file)
+            case "serve":
+                return serve(chosen.file, load_settings(chosen.file), chosen.planning)
+            case "planner":
+                return run_planner(parser, chosen.words, chosen.names)
+            case _:
+                return run_demo(chosen.seconds, chosen.plain)
     except BadSettings as problem:
         print(problem, file=sys.stderr)
         return 2
-    return check(chosen.file, settings) if chosen.command == "check" else serve(chosen.file, settings)
 
 
-def check(path: Path, settings: Settings) -> int:
+def check(path: Path) -> int:
+    raw = read_bytes(path)
+    content = read_content(raw, str(path))
+    if "planner" in content or "forwarder" in content:
+        return check_planning(path, "planner" in content)
+    settings = read_settings(raw, str(path))
     print(f"{path}: good; {len(settings.service)} services, {len(settings.routes())} routes")
     for route in settings.routes():
         print(f"  {route.text()} -> {route.service}")
     return 0
 
 
-def serve(path: Path, settings: Settings) -> int:
-    import uvloop
+def check_planning(path: Path, is_planners: bool) -> int:
+    from cometdoor.planning.settings import load_forwarders, load_planners
+
+    if is_planners:
+        planners, keys = load_planners(path)
+        print(f"{path}: good; planner {planners.planner.number} of {planners.planner.planners}, "
+              f"{len(planners.fleet)} fleets, {len(keys.known)} keys")
+    else:
+        forwarders, keys = load_forwarders(path)
+        print(f"{path}: good; forwarder {forwarders.forwarder.number}, {len(forwarders.service)} services, "
+              f"{len(keys.known)} keys")
+    return 0
 
+
+def serve(path: Path, settings: Settings, planning: Path | None) -> int:
     from cometdoor.services import serve as serving
 
+    if planning is None:
+        return run(serving.serve(path, settings))
+    from cometdoor.planning.settings import load_forwarders
+    from cometdoor.planning.voice import Voices
+
+    file, keys = load_forwarders(planning)
+    known = {service.name for service in settings.service}
+    if unknown := [service.name for service in file.service if service.name not in known]:
+        print(f"{planning}: {path} has no service {', '.join(unknown)}", file=sys.stderr)
+        return 2
+    return run(serving.serve(path, settings, planning, lambda loop: Voices(loop, file, keys)))
+
+
+def run_planner(parser: argparse.ArgumentParser, words: Sequence[str], names: Path | None) -> int:
+    if len(words) == 2 and words[0] == "status":
+        return show_status(Path(words[1]), names)
+    if len(words) != 1 or names is not None:
+        parser.error("planner FILE, or planner status FILE [--names SERVICES]")
+    from cometdoor.planning import serve as planning
+    from cometdoor.planning.settings import load_planners
+
+    path = Path(words[0])
+    return run(planning.serve(path, *load_planners(path)))
+
+
+def show_status(path: Path, names: Path | None) -> int:
+    """The page of the planner that runs by the file."""
+    import socket
+
+    import msgspec
+
+    from cometdoor.core.words import read_address
+    from cometdoor.planning.settings import load_planners
+    from cometdoor.planning.status import Status, page
+
+    address = load_planners(path)[0].planner.status
+    if address is None:
+        print(f"{path}: planner.status: missing; without it a planner shows no page", file=sys.stderr)
+        return 2
+    servers = [server.name for service in load_settings(names).service
+               for server in service.servers or ()] if names is not None else []
+    try:
+        with socket.create_connection(read_address(address), timeout=5.0) as connection, \
+                connection.makefile("rb") as answer:
+            status = msgspec.json.decode(answer.read(), type=Status)
+    except (OSError, msgspec.DecodeError) as problem:
+        print(f"cometdoor: no page of the planner at {address}: {problem}", file=sys.stderr)
+        return 1
+    print(page(status, servers))
+    return 0
+
+
+def run(work: Coroutine[Any, Any, None]) -> int:
+    import uvloop
+
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
-        uvloop.run(serving.serve(path, settings))
+        uvloop.run(work)
     except OSError as problem:
         print(f"cometdoor: {problem}", file=sys.stderr)
         return 1
--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -88,6 +88,18 @@
         """Nothing of what is open to it now is used again; what is under way may end."""
 
 
+class Observer(Protocol):
+    """Hears what happens, and has no say in it."""
+
+    def list_changed(self, event: api.ListChanged) -> None: ...
+
+    def sent(self, server: str, attempt: tuple[str, int], now_ms: float) -> None: ...
+
+    def ended(self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float,
+              now_ms: float) -> None:
+        """Also of attempts that were not said to be sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class HostSettings:
     module: api.Settings
@@ -132,6 +144,7 @@
         """`watch` carries out the module's wish to ask for the list; `over` hears of each request of which
         nothing is left, neither an answer owed nor an attempt out."""
         self.max_waiting: int | None = None  # requests that may wait to be sent for the first time
+        self.observer: Observer | None = None
         self._settings = settings
         self._clock = clock
         self._carrier = carrier
@@ -184,6 +197,10 @@
         for action in actions:
             self._carry_out(action)
 
+    def tell(self, event: api.Advised | api.Lent) -> None:
+        """What planners advise or lend; the module makes of it what it will."""
+        self._dispatch(event)
+
     def list_changed(self, event: api.ListChanged, addresses: Mapping[str, Address]) -> None:
         """`addresses`: of the listed servers, by name."""
         if event.kind is not ListKind.FAILED:
@@ -200,6 +217,8 @@
                 else:
                     self._addresses[name] = addresses[name]
                     self._started_at[name] = server.started_at
+        if self.observer is not None:
+            self.observer.list_changed(event)
         self._dispatch(event)
 
     def _forget_server(self, name: str) -> None:
@@ -342,6 +361,8 @@
         if address is None:
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
             return
+        if self.observer is not None:
+            self.observer.sent(action.server, (live.id, attempt.index), now)
         attempt.timer = self._clock.at(until, lambda: self._timed_out(attempt))
         begun = self._carrier.send(action.server, address, live.request, until,
                                    lambda outcome, answer: self._attempt_done(attempt, outcome, answer))
@@ -377,6 +398,10 @@
             attempt.on_wire.abort()
             attempt.on_wire = None
         live = attempt.live
+        if self.observer is not None:
+            self.observer.ended(attempt.server, (live.id, attempt.index), outcome,
+                                self._settings.module.classes[live.request.class_index].aim_ms,
+                                self._clock.now_ms())
         self._dispatch(api.AttemptEnded(
             live.id, attempt.index, attempt.server, outcome, live.caller is None,
             self._clock.now_ms() - attempt.sent_at))
--- a/cometdoor/discovery/platform.py
+++ b/cometdoor/discovery/platform.py
@@ -41,6 +41,11 @@
         # Fixed at the start: a clock that is set later must not make every backend look restarted.
         self._unix_ahead_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
 
+    @property
+    def unix_ahead_ms(self) -> float:
+        """What must be added to the module's clock to have discovery's."""
+        return self._unix_ahead_ms
+
     def read(self, message: dict[str, Any]) -> tuple[list[Server], dict[str, Address]]:
         servers: list[Server] = []
         addresses: dict[str, Address] = {}
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from cometdoor.core.clock import LoopClock, now_ms
-from cometdoor.core.host import Address, Host, HostSettings, OnWire
+from cometdoor.core.host import Address, Host, HostSettings, Observer, OnWire
 from cometdoor.core.shares import Places
 from cometdoor.http.frontend import ClientConnection
 from cometdoor.http.messages import ClientRequest, end_to_end
@@ -59,6 +59,12 @@
         self._host.list_changed(event, addresses)
         self.ready = self.ready or self._host.knows_servers
 
+    def observe(self, observer: Observer) -> None:
+        self._host.observer = observer
+
+    def tell(self, event: api.Advised | api.Lent) -> None:
+        self._host.tell(event)
+
     def open_requests(self) -> int:
         return self._host.open_requests()
 
--- a/cometdoor/planning/forwarder.py
+++ b/cometdoor/planning/forwarder.py
@@ -11,9 +11,9 @@
 from cometdoor.planning.advice import BadAdvice, Counsel, read_advice
 from cometdoor.planning.lending import FRESH_MS, LOAN_MS, BadLoan, read_loan
 from cometdoor.planning.reports import Reporter, server_id
-from cometdoor.planning.wire import Kind, Post
+from cometdoor.planning.wire import Keys, Kind, Post
 from jasperhall import api
-from jasperhall.api import Outcome, Server, State
+from jasperhall.api import ListKind, Outcome, Server, State
 
 RATE_FADE_MS = 5_000.0  # of the rate that warm servers bear: some beats, and shorter than most warming up
 
@@ -33,13 +33,29 @@
         self._epoch_ms = epoch_ms
         self._reporter = Reporter()
         self._counsel = Counsel()
+        self._listed: dict[str, Server] = {}
         self._ready: dict[bytes, tuple[Server, int]] = {}
         self._warm_sends = self._warm_rate = 0.0
         self._beat_ms: float | None = None
         self._told: dict[str, float] = {}
 
+    def change_keys(self, keys: Keys) -> None:
+        self._post.keys = keys
+
     # --- what happens ---
 
+    def list_changed(self, event: api.ListChanged) -> None:
+        if event.kind is ListKind.FAILED:
+            return
+        if event.kind is not ListKind.DELTA:
+            self._listed.clear()
+        for server in event.servers:
+            if server.state is State.GONE:
+                self._listed.pop(server.name, None)
+            else:
+                self._listed[server.name] = server
+        self.listed(self._listed.values())
+
     def listed(self, servers: Iterable[Server]) -> None:
         """All servers of the own list."""
         self._ready = {server_id(server.name): (server, start_number(server, self._epoch_ms))
@@ -76,7 +92,7 @@
             self._warm_rate += fresh * (self._warm_sends / weight / since_ms - self._warm_rate)
         self._beat_ms, self._warm_sends = now_ms, 0.0
 
-    def received(self, datagram: bytes, now_ms: float) -> list[api.Event]:
+    def received(self, datagram: bytes, now_ms: float) -> list[api.Advised | api.Lent]:
         """Events for the module."""
         note = self._post.open(datagram, now_ms)
         if note is None:
@@ -94,7 +110,7 @@
             return []
         return [api.Lent(known[0].name, known[0].started_at, loan.sends, LOAN_MS)]
 
-    def advised(self, now_ms: float) -> list[api.Event]:
+    def advised(self, now_ms: float) -> list[api.Advised | api.Lent]:
         """What is to be followed from now on, if that is something else than before. To be asked at every
         beat as well: advice fades by itself."""
         followed = self._counsel.follow(self._ready.keys(), now_ms)
--- a/cometdoor/planning/lending.py
+++ b/cometdoor/planning/lending.py
@@ -93,6 +93,10 @@
             return 0
         return sum(sends for _, sends in lent)
 
+    def all_out(self, now_ms: float) -> dict[bytes, int]:
+        self.forget_old(now_ms)
+        return {server: self.out(server, now_ms) for server in self._lent}
+
     def forget_old(self, now_ms: float) -> None:
         """Guards against servers that came once and are remembered for ever."""
         for server in list(self._lent):
--- a/cometdoor/planning/planner.py
+++ b/cometdoor/planning/planner.py
@@ -20,12 +20,14 @@
 
 
 class Planner:
-    """`warm_up_ms`: how long servers take to warm up; `planners`: how many are configured."""
+    """`rules`: None where servers don't warm up, and nothing is lent; `warm_up_ms`: how long they take;
+    `planners`: how many are configured."""
 
-    def __init__(self, post: Post, rules: ColdRules, warm_up_ms: float, planners: int, now_ms: float) -> None:
+    def __init__(self, post: Post, rules: ColdRules | None, warm_up_ms: float, planners: int,
+                 now_ms: float) -> None:
         self.bad = 0  # reports that were sealed well and could not be read
         self.picture = Picture()
-        self.lender = Lender(rules, planners, now_ms)
+        self.lender = Lender(rules, planners, now_ms) if rules else None
         self._post = post
         self._warm_up_ms = warm_up_ms
         self._starts: dict[bytes, tuple[int, float]] = {}  # by server: its last start, and when it was seen
@@ -50,14 +52,18 @@
         # One that proves nothing yet is answered too: the answer's echo lets it prove itself.
         advice = self._present_advice(now_ms)
         notes = [(note.sender, self._post.seal(Kind.ADVICE, note.sender, advice, now_ms))]
-        if report is not None:
-            notes += self._loans(note.sender, report, now_ms)
+        if report is not None and self.lender is not None:
+            notes += self._loans(self.lender, note.sender, report, now_ms)
         return notes
 
     def verdicts(self, now_ms: float) -> dict[bytes, Verdict]:
         self._judge(now_ms)
         return self._verdicts
 
+    def lent(self, now_ms: float) -> dict[bytes, int]:
+        """By server, sends of loans that are out."""
+        return self.lender.all_out(now_ms) if self.lender is not None else {}
+
     def _heard(self, number: int, report: Report, now_ms: float) -> None:
         self.picture.heard(number, report, now_ms)
         self._sends[number] = now_ms, report.sends
@@ -71,7 +77,8 @@
     def _forget_old(self, now_ms: float) -> None:
         self._forgot_ms = now_ms
         self.picture.forget_old(now_ms)
-        self.lender.forget_old(now_ms)
+        if self.lender is not None:
+            self.lender.forget_old(now_ms)
         known = self.picture.servers()
         self._starts = {server: start for server, start in self._starts.items() if server in known}
         self._sends = {number: sends for number, sends in self._sends.items()
@@ -87,7 +94,7 @@
         self._judge(now_ms)
         return self._advice
 
-    def _loans(self, number: int, report: Report, now_ms: float) -> list[tuple[int, bytes]]:
+    def _loans(self, lender: Lender, number: int, report: Report, now_ms: float) -> list[tuple[int, bytes]]:
         """For servers of the report that started lately; as much as the forwarder has of the traffic."""
         total = sum(sends for _, sends in self._sends.values())
         notes = []
@@ -96,8 +103,8 @@
             if not started or started != entry.started or now_ms - seen_ms > self._warm_up_ms or not total:
                 continue
             rate = self.picture.warm_rate()
-            wanted = math.ceil(self.lender.part(rate) * report.sends / total)
-            loan = self.lender.lend(entry.server, started, rate, wanted, now_ms)
+            wanted = math.ceil(lender.part(rate) * report.sends / total)
+            loan = lender.lend(entry.server, started, rate, wanted, now_ms)
             if loan is not None:
                 notes.append((number, self._post.seal(Kind.LOAN, number, write_loan(loan), now_ms)))
         return notes
--- a/cometdoor/planning/reports.py
+++ b/cometdoor/planning/reports.py
@@ -23,6 +23,11 @@
 JITTER = 0.2  # of a beat, to either side: planners get an even stream whatever forwarders do together
 SERVER_ID = 6  # bytes of a hash: among 10,000 servers two alike come once in five million fleets
 FINENESS = 8  # steps to a doubling in which answer times are told
+# Doublings of the usual answer time from where on a call that was called off tells against its server. Its
+# copy was mostly answered first: a server that stands still is hardly ever seen to time out. Over sockets, 90
+# requests a second at each of five proxies, no planner found it while these calls went untold.
+OVERDUE = 1.0
+USUAL_CALLS = 50.0  # that the usual answer time rests on
 MOST = 127  # of what one byte of msgpack holds; larger counts are told as this many
 SURPRISE_SHARE = 0.5  # of the places
 
@@ -34,6 +39,7 @@
     LOST = 1  # reset, or an error of its own: it may have run
     SILENT = 2  # no answer in time
     TURNED_AWAY = 3
+    OVERTAKEN = 4  # called off when most calls would have been answered: its copy was, as a rule
 
 
 KINDS = {Outcome.CONNECT_FAILED: Failure.NO_CONNECTION, Outcome.RESET: Failure.LOST,
@@ -50,7 +56,7 @@
     server: bytes
     started: int  # which start of it the list names, as a number of 16 bits; 0: long ago
     answered: int
-    failures: tuple[int, int, int, int]  # by kind
+    failures: tuple[int, int, int, int, int]  # by kind
     speed: int  # mean of log2(answer time / aim of its class), in steps of 1/FINENESS; of those answered
     held: int  # calls out now
     oldest: int  # tenths of a second since the oldest of them was sent
@@ -110,6 +116,7 @@
         self._held: dict[str, dict[tuple[str, int], float]] = {}  # by server: attempts, and when each left
         self._beat = 0
         self._sends = 0
+        self._usual: float | None = None  # mean of log2(answer time / aim) of late
 
     # --- what happens ---
 
@@ -139,9 +146,14 @@
         seen = self._seen.get(server)
         if seen is None or sent_at is None:
             return
+        took = math.log2(max(now_ms - sent_at, 0.1) / aim_ms)
         if outcome is Outcome.OK:
             seen.answered += 1
-            seen.log_sum += math.log2(max(now_ms - sent_at, 0.1) / aim_ms)
+            seen.log_sum += took
+            self._usual = took if self._usual is None else self._usual + (took - self._usual) / USUAL_CALLS
+        elif outcome is Outcome.CANCELLED:
+            if self._usual is not None and took > self._usual + OVERDUE:
+                seen.failures[Failure.OVERTAKEN] += 1
         elif outcome in KINDS:
             seen.failures[KINDS[outcome]] += 1
 
@@ -184,10 +196,10 @@
     def _entry(self, seen: _Seen, now_ms: float) -> Entry:
         held = self._held.get(seen.name, {})
         oldest_ms = now_ms - min(held.values()) if held else 0.0
-        connect, lost, silent, turned = (min(count, MOST) for count in seen.failures)
+        connect, lost, silent, turned, overtaken = (min(count, MOST) for count in seen.failures)
         speed = round(FINENESS * seen.log_sum / seen.answered) if seen.answered else 0
         return Entry(server_id(seen.name), seen.started, min(seen.answered, MOST),
-                     (connect, lost, silent, turned), max(-MOST, min(speed, MOST)),
+                     (connect, lost, silent, turned, overtaken), max(-MOST, min(speed, MOST)),
                      min(len(held), MOST), min(int(oldest_ms / 100.0), MOST))
 
     def _mean_speed(self) -> float:
--- /dev/null
+++ b/cometdoor/planning/settings.py
@@ -0,0 +1,187 @@
+"""The operators' files of planners and of forwarders: deploy/planners.example.toml is one, and
+deploy/forwarders.example.toml the other.
+
+What servers are listed and how services behave is said where it was said before: by discovery and by the
+file of services. Keys lie in files of their own, as hexadecimal digits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct, field
+
+from cometdoor.core.host import Address
+from cometdoor.core.schema import BadSettings, Problem, convert, read_bytes, read_content
+from cometdoor.core.words import read_address
+from cometdoor.planning.lending import ColdRules
+from cometdoor.planning.wire import MAX_KEY, MIN_KEY, Keys
+
+MOST_PARTNERS = 65_536  # a note's sender is a number of 16 bits
+MOST_PLANNERS = 16  # each forwarder writes to all of them at every beat
+
+Positive = Annotated[float, Meta(gt=0)]
+Place = Annotated[int, Meta(ge=0, lt=MOST_PARTNERS)]
+Name = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")]
+
+
+class KeyEntry(Struct, frozen=True, kw_only=True):
+    number: Annotated[int, Meta(ge=0, le=255)]
+    file: str  # of hexadecimal digits; a path that is not absolute counts from the operators' file
+
+
+class KeysEntry(Struct, frozen=True, kw_only=True):
+    seal_with: int
+    known: list[KeyEntry]
+
+
+class PlannerEntry(Struct, frozen=True, kw_only=True):
+    number: Annotated[int, Meta(ge=0, lt=MOST_PLANNERS)]  # of this one, from 0
+    planners: Annotated[int, Meta(ge=1, le=MOST_PLANNERS)]  # that are configured, alive or not
+    status: str | None = None  # HOST:PORT where the status page is read; left out: nowhere
+
+
+class ColdEntry(Struct, frozen=True, kw_only=True):
+    """How servers that have just started behave, as the services' file says it to forwarders."""
+
+    start: Annotated[float, Meta(gt=0, le=1)] = field(name="from")
+    warm_up_ms: Positive
+    overload_factor: Positive = 3.0
+    fall_ms: Positive = 3_000.0
+
+    def rules(self) -> ColdRules:
+        return ColdRules(self.start, self.overload_factor, self.fall_ms)
+
+
+class FleetEntry(Struct, frozen=True, kw_only=True):
+    """One service's forwarders."""
+
+    service: Name
+    listen: str  # HOST:PORT, for datagrams and for kept connections
+    forwarders: Annotated[int, Meta(ge=1, le=MOST_PARTNERS)]  # numbers from this one on are strangers
+    cold: ColdEntry | None = None  # left out: nothing is lent
+
+
+class PlannersFile(Struct, frozen=True, kw_only=True):
+    planner: PlannerEntry
+    keys: KeysEntry
+    fleet: list[FleetEntry]
+
+
+class ForwarderEntry(Struct, frozen=True, kw_only=True):
+    number: Place  # unlike those of all other forwarders
+
+
+class PlannedEntry(Struct, frozen=True, kw_only=True):
+    """A service of the services' file, and who advises on it."""
+
+    name: Name
+    planners: list[str]  # HOST:PORT of each, in the order of their numbers
+    transport: Literal["udp", "tcp"] = "udp"
+
+    def addresses(self) -> list[Address]:
+        return [read_address(planner) for planner in self.planners]
+
+
+class ForwardersFile(Struct, frozen=True, kw_only=True):
+    forwarder: ForwarderEntry
+    keys: KeysEntry
+    service: list[PlannedEntry]
+
+
+def load_planners(path: Path) -> tuple[PlannersFile, Keys]:
+    """Raises BadSettings with every problem that the file, or a key's, has."""
+    file = convert(read_content(read_bytes(path), str(path)), PlannersFile, str(path), _check_planners)
+    return file, load_keys(file.keys, path)
+
+
+def load_forwarders(path: Path) -> tuple[ForwardersFile, Keys]:
+    """Raises BadSettings with every problem that the file, or a key's, has."""
+    file = convert(read_content(read_bytes(path), str(path)), ForwardersFile, str(path), _check_forwarders)
+    return file, load_keys(file.keys, path)
+
+
+# --- keys ---
+
+
+def load_keys(entry: KeysEntry, path: Path) -> Keys:
+    """Raises BadSettings. No message shows any of a key."""
+    known: dict[int, bytes] = {}
+    problems = []
+    for place, key in enumerate(entry.known):
+        try:
+            known[key.number] = _read_key(path.parent / key.file)
+        except BadSettings as problem:
+            problems += [Problem(str(path), f"keys.known.{place}.file", str(problem))]
+    if problems:
+        raise BadSettings(problems)
+    return Keys(known, entry.seal_with)
+
+
+def _read_key(path: Path) -> bytes:
+    raw = read_bytes(path)
+    try:
+        key = bytes.fromhex(raw.decode("ascii"))
+    except ValueError:  # UnicodeDecodeError is one
+        raise BadSettings([Problem(str(path), "", "not of hexadecimal digits alone")]) from None
+    if not MIN_KEY <= len(key) <= MAX_KEY:
+        raise BadSettings([Problem(str(path), "", f"{len(key)} bytes, not {MIN_KEY} to {MAX_KEY}")])
+    return key
+
+
+# --- meaning ---
+
+
+def _check_keys(keys: KeysEntry) -> Iterator[tuple[str, str]]:
+    if not 1 <= len(keys.known) <= 2:
+        yield "keys.known", f"one key is needed, or two while they are changed; there are {len(keys.known)}"
+    numbers = [key.number for key in keys.known]
+    for place, number in enumerate(numbers):
+        if number in numbers[:place]:
+            yield f"keys.known.{place}.number", f"{number} is that of another key"
+    if keys.seal_with not in numbers:
+        yield "keys.seal_with", f"{keys.seal_with} is not among the known, {', '.join(map(str, numbers))}"
+
+
+def _check_address(path: str, text: str, least: int = 1) -> Iterator[tuple[str, str]]:
+    try:
+        read_address(text, least)
+    except ValueError as problem:
+        yield path, str(problem)
+
+
+def _check_unique(values: Sequence[str], path: str) -> Iterator[tuple[str, str]]:
+    for place, value in enumerate(values):
+        if value in values[:place]:
+            yield path.format(place), f"{value} is listed twice"
+
+
+def _check_planners(file: PlannersFile) -> Iterator[tuple[str, str]]:
+    yield from _check_keys(file.keys)
+    if file.planner.number >= file.planner.planners:
+        yield "planner.number", f"must be below planner.planners ({file.planner.planners})"
+    if file.planner.status is not None:
+        yield from _check_address("planner.status", file.planner.status, 0)
+    if not file.fleet:
+        yield "fleet", "at least one is needed"
+    for place, fleet in enumerate(file.fleet):
+        yield from _check_address(f"fleet.{place}.listen", fleet.listen, 0)
+    yield from _check_unique([fleet.service for fleet in file.fleet], "fleet.{}.service")
+    yield from _check_unique([fleet.listen for fleet in file.fleet if not fleet.listen.endswith(":0")],
+                             "fleet.{}.listen")
+
+
+def _check_forwarders(file: ForwardersFile) -> Iterator[tuple[str, str]]:
+    yield from _check_keys(file.keys)
+    if not file.service:
+        yield "service", "at least one is needed"
+    for place, service in enumerate(file.service):
+        at = f"service.{place}.planners"
+        if not 1 <= len(service.planners) <= MOST_PLANNERS:
+            yield at, f"1 to {MOST_PLANNERS} are needed; there are {len(service.planners)}"
+        for number, planner in enumerate(service.planners):
+            yield from _check_address(f"{at}.{number}", planner)
+        yield from _check_unique(service.planners, at + ".{}")
+    yield from _check_unique([service.name for service in file.service], "service.{}.name")
--- a/cometdoor/services/running.py
+++ b/cometdoor/services/running.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from cometdoor.core.clock import now_ms
 from cometdoor.core.host import Address, HostSettings
@@ -25,6 +26,9 @@
 from jasperhall import api
 from jasperhall.api import Effect, ListChanged, ListKind, Outcome, Scope, Server, State
 
+if TYPE_CHECKING:
+    from cometdoor.planning.voice import Voices  # imported where a file of forwarders is given
+
 log = logging.getLogger(__name__)
 
 
@@ -74,10 +78,16 @@
             raise
         self._started: dict[tuple[str, Address], float] | None = None
         self.discovery: Discovery | None = None
+        ahead_ms = 0.0
         if entry.discovery is not None:
             reader = ListReader([entry.zone] if entry.zone else [], [])
             self.discovery = Discovery(owner.loop, read_address(entry.discovery), reader, must_ask=False,
                                        revision=0, deliver=self._told)
+            ahead_ms = reader.unix_ahead_ms
+        self.voice = None if owner.voices is None else owner.voices.make(
+            self.name, cold.warm_up_ms if cold else 0.0, ahead_ms, self.http.tell)
+        if self.voice is not None:
+            self.http.observe(self.voice)
 
     def _make(self, module: api.Settings) -> HttpService:
         entry = self.entry
@@ -97,6 +107,8 @@
             self.discovery.start()
         else:
             self.list_servers(self.entry)
+        if self.voice is not None:
+            self.voice.start()
 
     def carry_over(self, entry: ServiceEntry) -> None:
         """The routes are the reader's; servers and limits are taken over here."""
@@ -132,6 +144,7 @@
         """What is open ends by its own deadline. Nothing new is sent to servers that nobody lists any more;
         a successor's list holds for what is still open here."""
         self.is_leaving = True
+        self.fall_silent()
         if successor is not None and successor.servers is not None:
             self.list_servers(successor)
         elif successor is None or successor.discovery != self.entry.discovery:
@@ -141,6 +154,10 @@
         self.http.close_all_idle()
         self._emptied()
 
+    def fall_silent(self) -> None:
+        if self.voice is not None and self._owner.voices is not None:
+            self._owner.voices.end(self.voice)
+
     def _stop_discovery(self) -> None:
         if self.discovery is not None:
             self.discovery.stop()
@@ -165,8 +182,11 @@
 
     ready = True  # one service's trouble must not take the process out of use for the others
 
-    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop,
+                 voices: Voices | None = None) -> None:
+        """`voices`: to the planners, where there are any."""
         self.loop = loop
+        self.voices = voices
         self.settings = settings
         self.descriptors = Descriptors(settings.sockets)
         callers = callers_part(self.descriptors.limit)
@@ -189,6 +209,7 @@
 
     def stop(self) -> None:
         for service in [*self.running.values(), *self.leaving]:
+            service.fall_silent()
             if service.discovery is not None:
                 service.discovery.stop()
 
@@ -210,6 +231,7 @@
                 made[name] = Running(self, entries[name], settings)
         except Exception:
             for service in made.values():
+                service.fall_silent()
                 service.give_back_shares()
             raise
         self.settings = settings
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -5,21 +5,29 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cometdoor.core.schema import BadSettings
 from cometdoor.lifetime import end_serving, settle_collector
 from cometdoor.services.running import Services
 from cometdoor.settings import Settings, load_settings
 
+if TYPE_CHECKING:
+    from cometdoor.planning.voice import Voices  # imported where a file of forwarders is given
+
 log = logging.getLogger(__name__)
 
 
 class Reloader:
     """One change at a time: a signal that comes while the file is read has it read once more."""
 
-    def __init__(self, path: Path, services: Services, stopping: asyncio.Event) -> None:
+    def __init__(self, path: Path, services: Services, stopping: asyncio.Event,
+                 planning: Path | None = None) -> None:
+        """`planning`: the file of forwarders, of which the keys are read again."""
         self._path = path
+        self._planning = planning
         self._services = services
         self._stopping = stopping
         self._wanted = False
@@ -41,6 +49,8 @@
                 settings = await asyncio.to_thread(self._load)
                 if settings is not None and not self._stopping.is_set():
                     self._apply(settings)
+                if self._planning is not None and self._services.voices is not None:
+                    self._read_keys(self._planning, self._services.voices)
         finally:
             self._task = None
 
@@ -53,6 +63,21 @@
             log.error("%d problems: the configuration stays as it was", len(problem.problems))
             return None
 
+    @staticmethod
+    def _read_keys(path: Path, voices: Voices) -> None:
+        from cometdoor.planning.settings import load_forwarders
+
+        try:
+            file, keys = load_forwarders(path)
+        except BadSettings as problem:
+            for one in problem.problems:
+                log.error("%s", one)
+            log.error("%d problems: the keys stay as they were", len(problem.problems))
+            return
+        voices.change_keys(keys)
+        if (file.forwarder, file.service) != (voices.file.forwarder, voices.file.service):
+            log.warning("%s: more than the keys has changed: it is used only after a restart", path)
+
     def _apply(self, settings: Settings) -> None:
         before = asyncio.get_running_loop().time()
         try:
@@ -67,13 +92,15 @@
         log.info("applied in %.1f ms: %s", took_ms, steps.text())
 
 
-async def serve(path: Path, settings: Settings) -> None:
+async def serve(path: Path, settings: Settings, planning: Path | None = None,
+                voices: Callable[[asyncio.AbstractEventLoop], Voices] | None = None) -> None:
+    """`planning` and `voices`: the file of forwarders and what makes their voices of it, if there is one."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    services = Services(settings, loop)
-    loop.add_signal_handler(signal.SIGHUP, Reloader(path, services, stopping).ask)
+    services = Services(settings, loop, voices(loop) if voices is not None else None)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(path, services, stopping, planning).ask)
     await services.start()
     settle_collector()
     addresses = [services.front.address(place) for place in range(len(settings.listener))]
--- /dev/null
+++ b/tests/planning/test_settings.py
@@ -0,0 +1,153 @@
+"""The files of planners and forwarders: every error at once, each with its place."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from cometdoor import cli
+from cometdoor.core.schema import BadSettings
+from cometdoor.planning.framing import BadFrame, Unframer, frame
+from cometdoor.planning.settings import load_forwarders, load_planners
+from cometdoor.planning.wire import MAX_NOTE
+
+DEPLOY = Path(__file__).parents[2] / "deploy"
+
+
+def written(folder: Path, text: str, key: str = "ab" * 32) -> Path:
+    (folder / "notes.key").write_text(key)
+    (folder / "file.toml").write_text(text)
+    return folder / "file.toml"
+
+
+KEYS = '[keys]\nseal_with = 1\n[[keys.known]]\nnumber = 1\nfile = "notes.key"\n'
+PLANNERS = KEYS + '[planner]\nnumber = 0\nplanners = 1\n[[fleet]]\nservice = "a"\nlisten = "127.0.0.1:0"\n' \
+                  "forwarders = 5\n"
+FORWARDERS = KEYS + '[forwarder]\nnumber = 3\n[[service]]\nname = "a"\nplanners = ["127.0.0.1:7946"]\n'
+
+
+@pytest.mark.parametrize(("name", "said"), [
+    ("planners", "planner 0 of 3, 1 fleets, 1 keys"), ("forwarders", "forwarder 7, 1 services, 1 keys")])
+def test_the_examples_are_good(name: str, said: str, capsys: pytest.CaptureFixture[str]) -> None:
+    assert cli.main(["check", str(DEPLOY / f"{name}.example.toml")]) == 0
+    assert said in capsys.readouterr().out
+
+
+def test_files_are_read(tmp_path: Path) -> None:
+    planners, keys = load_planners(written(tmp_path, PLANNERS))
+    assert planners.fleet[0].cold is None and keys.known == {1: b"\xab" * 32} and keys.current == 1
+    forwarders, _ = load_forwarders(written(tmp_path, FORWARDERS))
+    assert forwarders.service[0].addresses() == [("127.0.0.1", 7946)]
+
+
+def test_a_planners_file_with_many_errors_has_them_all_told(tmp_path: Path) -> None:
+    path = written(tmp_path, '''
+[planner]
+number = 2
+planners = 2
+status = "nowhere"
+[keys]
+seal_with = 4
+[[keys.known]]
+number = 1
+file = "notes.key"
+[[keys.known]]
+number = 1
+file = "notes.key"
+[[fleet]]
+service = "a"
+listen = "127.0.0.1"
+forwarders = 5
+[[fleet]]
+service = "a"
+listen = "127.0.0.1:7946"
+forwarders = 5
+''')
+    with pytest.raises(BadSettings) as found:
+        load_planners(path)
+    assert [problem.path for problem in found.value.problems] == [
+        "keys.known.1.number", "keys.seal_with", "planner.number", "planner.status", "fleet.0.listen",
+        "fleet.1.service"]
+
+
+def test_a_forwarders_file_with_many_errors_has_them_all_told(tmp_path: Path) -> None:
+    path = written(tmp_path, '''
+[forwarder]
+number = 70000
+colour = "red"
+[keys]
+seal_with = 1
+[[keys.known]]
+number = 256
+[[service]]
+name = "a b"
+planners = "127.0.0.1:7946"
+transport = "smoke"
+''')
+    with pytest.raises(BadSettings) as found:
+        load_forwarders(path)
+    assert {problem.path for problem in found.value.problems} == {
+        "forwarder.number", "forwarder.colour", "keys.known.0.number", "keys.known.0.file", "service.0.name",
+        "service.0.planners", "service.0.transport"}
+
+
+def test_planners_that_are_none_or_twice_the_same(tmp_path: Path) -> None:
+    for planners, path in (([], "service.0.planners"), (["127.0.0.1:1"] * 2, "service.0.planners.1"),
+                           (["x"], "service.0.planners.0")):
+        text = FORWARDERS.replace('["127.0.0.1:7946"]', repr(planners))
+        with pytest.raises(BadSettings) as found:
+            load_forwarders(written(tmp_path, text))
+        assert [problem.path for problem in found.value.problems] == [path]
+
+
+@pytest.mark.parametrize("key", ["", "ab", "xyz" * 12, "ab" * 40])
+def test_a_bad_key_is_named_and_not_shown(tmp_path: Path, key: str) -> None:
+    with pytest.raises(BadSettings) as found:
+        load_planners(written(tmp_path, PLANNERS, key))
+    (problem,) = found.value.problems
+    assert problem.path == "keys.known.0.file" and "notes.key" in problem.text
+    assert not key or key not in str(problem)
+
+
+def test_a_key_that_is_not_there(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = written(tmp_path, FORWARDERS)
+    (tmp_path / "notes.key").unlink()
+    assert cli.main(["check", str(path)]) == 2
+    assert "keys.known.0.file" in capsys.readouterr().err
+
+
+def test_a_file_of_forwarders_for_a_service_that_is_not_served(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = written(tmp_path, FORWARDERS)
+    services = str(DEPLOY / "services.example.toml")
+    assert cli.main(["serve", services, "--planning", str(path)]) == 2
+    assert "has no service a" in capsys.readouterr().err
+
+
+def test_a_status_page_that_nobody_shows(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = written(tmp_path, PLANNERS)
+    assert cli.main(["planner", "status", str(path)]) == 2
+    assert "planner.status: missing" in capsys.readouterr().err
+    path = written(tmp_path, PLANNERS.replace("planners = 1", 'planners = 1\nstatus = "127.0.0.1:1"'))
+    assert cli.main(["planner", "status", str(path)]) == 1
+
+
+# --- framing ---
+
+
+def test_frames_come_out_as_they_went_in_however_they_are_cut() -> None:
+    notes = [bytes([size]) * size for size in (1, 7, 200)] + [b"z" * MAX_NOTE]
+    stream = b"".join(map(frame, notes))
+    for step in (1, 3, 100, len(stream)):
+        unframer = Unframer()
+        found = [note for place in range(0, len(stream), step)
+                 for note in unframer.feed(stream[place:place + step])]
+        assert found == notes
+
+
+@pytest.mark.parametrize("head", [b"\0\0", (MAX_NOTE + 1).to_bytes(2), b"\xff\xff"])
+def test_a_frame_of_no_possible_length_ends_it(head: bytes) -> None:
+    unframer = Unframer()
+    with pytest.raises(BadFrame):
+        list(unframer.feed(frame(b"good") + head))
