--- a/cometdoor/planning/planner.py
+++ b/cometdoor/planning/planner.py
@@ -32,6 +32,8 @@
         self._warm_up_ms = warm_up_ms
         self._starts: dict[bytes, tuple[int, float]] = {}  # by server: its last start, and when it was seen
         self._sends: dict[int, tuple[float, int]] = {}  # by forwarder: when it reported, and its sends
+        self._all_sends = 0  # of all forwarders in a beat, as last judged
+        self._warm_rate = 0.0  # that a warm server bears, as last judged
         self._verdicts: dict[bytes, Verdict] = {}
         self._advice = write_advice({})
         self._judged_ms = -math.inf
@@ -88,6 +90,8 @@
         if now_ms - self._judged_ms >= JUDGE_MS:
             self._judged_ms = now_ms
             self._verdicts = self.picture.judge(now_ms)
+            self._warm_rate = self.picture.warm_rate()
+            self._all_sends = sum(sends for _, sends in self._sends.values())
             self._advice = write_advice(self._verdicts)
 
     def _present_advice(self, now_ms: float) -> bytes:
@@ -96,15 +100,13 @@
 
     def _loans(self, lender: Lender, number: int, report: Report, now_ms: float) -> list[tuple[int, bytes]]:
         """For servers of the report that started lately; as much as the forwarder has of the traffic."""
-        total = sum(sends for _, sends in self._sends.values())
         notes = []
         for entry in report.entries:
             started, seen_ms = self._starts[entry.server]
-            if not started or started != entry.started or now_ms - seen_ms > self._warm_up_ms or not total:
+            if not started or started != entry.started or now_ms - seen_ms > self._warm_up_ms:
                 continue
-            rate = self.picture.warm_rate()
-            wanted = math.ceil(lender.part(rate) * report.sends / total)
-            loan = lender.lend(entry.server, started, rate, wanted, now_ms)
+            wanted = math.ceil(lender.part(self._warm_rate) * report.sends / max(self._all_sends, report.sends, 1))
+            loan = lender.lend(entry.server, started, self._warm_rate, wanted, now_ms)
             if loan is not None:
                 notes.append((number, self._post.seal(Kind.LOAN, number, write_loan(loan), now_ms)))
         return notes
