--- a/cometdoor/planning/planner.py
+++ b/cometdoor/planning/planner.py
@@ -105,7 +105,8 @@
             started, seen_ms = self._starts[entry.server]
             if not started or started != entry.started or now_ms - seen_ms > self._warm_up_ms:
                 continue
-            wanted = math.ceil(lender.part(self._warm_rate) * report.sends / max(self._all_sends, report.sends, 1))
+            share = report.sends / max(self._all_sends, report.sends, 1)
+            wanted = math.ceil(lender.part(self._warm_rate) * share)
             loan = lender.lend(entry.server, started, self._warm_rate, wanted, now_ms)
             if loan is not None:
                 notes.append((number, self._post.seal(Kind.LOAN, number, write_loan(loan), now_ms)))
