--- a/cometdoor/planning/voice.py
+++ b/cometdoor/planning/voice.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from random import Random, SystemRandom
-from typing import Protocol, cast
+from typing import Any
 
 from cometdoor.core.clock import now_ms
 from cometdoor.core.host import Address
@@ -30,45 +30,40 @@
 Received = Callable[[bytes], None]
 
 
-class Line(Protocol):
+class Line:
     """To one planner. It is opened by sending, and again after it broke."""
 
-    def send(self, datagram: bytes) -> None: ...
-
-    def close(self) -> None: ...
-
-
-class DatagramLine(asyncio.DatagramProtocol):
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, received: Received) -> None:
         self._loop = loop
         self._address = address
         self._received = received
-        self._transport: asyncio.DatagramTransport | None = None
+        self._transport: Any = None
         self._opening: asyncio.Task[None] | None = None
 
     def send(self, datagram: bytes) -> None:
         if self._transport is not None:
-            self._transport.sendto(datagram)
+            self._write(datagram)
         elif self._opening is None:
             self._opening = self._loop.create_task(self._open(datagram))
 
     async def _open(self, datagram: bytes) -> None:
         try:
-            await self._loop.create_datagram_endpoint(lambda: self, remote_addr=self._address)
+            await self._connect()
             self.send(datagram)
         except OSError as problem:
             log.debug("planner %s:%d: %s", *self._address, problem)
         finally:
             self._opening = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    async def _connect(self) -> None:
+        """Raises OSError."""
+        raise NotImplementedError
 
-    def datagram_received(self, data: bytes, sender: Address) -> None:
-        self._received(data)
+    def _write(self, datagram: bytes) -> None:
+        raise NotImplementedError
 
-    def error_received(self, problem: Exception) -> None:
-        pass  # nobody listens there at present
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._transport = None
@@ -80,34 +75,28 @@
             self._transport.abort()
 
 
-class KeptLine(asyncio.Protocol):
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, received: Received) -> None:
-        self._loop = loop
-        self._address = address
-        self._received = received
-        self._transport: asyncio.Transport | None = None
-        self._opening: asyncio.Task[None] | None = None
-        self._unframer = Unframer()
+class DatagramLine(Line, asyncio.DatagramProtocol):
+    async def _connect(self) -> None:
+        await self._loop.create_datagram_endpoint(lambda: self, remote_addr=self._address)
 
-    def send(self, datagram: bytes) -> None:
-        if self._transport is not None:
-            if self._transport.get_write_buffer_size() < MAX_UNSENT:
-                self._transport.write(frame(datagram))
-        elif self._opening is None:
-            self._opening = self._loop.create_task(self._open(datagram))
+    def _write(self, datagram: bytes) -> None:
+        self._transport.sendto(datagram)
 
-    async def _open(self, datagram: bytes) -> None:
-        try:
-            await self._loop.create_connection(lambda: self, *self._address)
-            self.send(datagram)
-        except OSError as problem:
-            log.debug("planner %s:%d: %s", *self._address, problem)
-        finally:
-            self._opening = None
+    def datagram_received(self, data: bytes, sender: Address) -> None:
+        self._received(data)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
+    def error_received(self, problem: Exception) -> None:
+        pass  # nobody listens there at present
+
+
+class KeptLine(Line, asyncio.Protocol):
+    async def _connect(self) -> None:
         self._unframer = Unframer()
+        await self._loop.create_connection(lambda: self, *self._address)
+
+    def _write(self, datagram: bytes) -> None:
+        if self._transport.get_write_buffer_size() < MAX_UNSENT:
+            self._transport.write(frame(datagram))
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -116,15 +105,6 @@
         except BadFrame:
             self.close()
 
-    def connection_lost(self, problem: Exception | None) -> None:
-        self._transport = None
-
-    def close(self) -> None:
-        if self._opening is not None:
-            self._opening.cancel()
-        if self._transport is not None:
-            self._transport.abort()
-
 
 class Voice:
     """The host of one `Forwarder`, and the observer of its service; what it makes of notes goes to `deliver`.
