--- a/tests/planning/test_voice.py
+++ b/tests/planning/test_voice.py
@@ -277,3 +277,19 @@
     shown = await _command("planner", "status", str(planners), "--names", str(services))
     out, _ = await shown.communicate()
     return out.decode()
+
+
+def test_a_service_that_is_removed_reports_no_more_and_is_heard_again_when_it_is_back() -> None:
+    async def test() -> None:
+        fleet = await Fleet.start(1, 1)
+        services, other = fleet.towns[0].services, await Place("b").add(1)
+        await until(lambda: fleet.heard() == [1])
+        assert services.voices is not None and len(services.voices._live) == 1
+        services.apply(settings_of(other.entry()))
+        assert not services.voices._live
+        since = now_ms()
+        services.apply(settings_of(fleet.place.entry(), other.entry()))
+        await until(lambda: fleet.all_heard_since(since))
+        assert len(services.voices._live) == 1
+
+    run(test)
