Keep calls in their zone while its servers report room; the worst-served class counts

Causes. _choose_subset laid one ring through all zones, so a balancer had a server or two of its own zone. _is_crowded and _warm_rate compared near servers with far ones. Load reports were never read: simhost handed them over under other names, the sockets dropped them. Admission ordered classes by worth alone and measured room by the least of all aims.

A ring for each side; near servers are preferred a hundredfold while they report room, less the busier they are, by square-root staffing the sooner the fewer they are, down to the part that their zone's size gives it. What warm servers bore is measured for each side alone, so rule 4 holds for a zone that has just started. Reports are read from Endpoint-Load-Metrics, whole or not at all, where the settings say that answers hold them. A class's value at the entry is what one more request adds to the goal. Room is measured by the mean aim.

--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -37,6 +37,7 @@
     idle_close_ms: float
     connect_timeout_ms: float
     may_advise_pause: bool  # clients may be told when to come back
+    reports: bool  # answers say how loaded their backend is
 
 
 def read_config(raw: dict[str, Any], environment: Mapping[str, str]) -> NodeConfig:
@@ -61,6 +62,7 @@
         idle_close_ms=float(part(limits, "idle_close_ms", 15_000.0)),
         connect_timeout_ms=float(part(limits, "connect_timeout_ms", 250.0)),
         may_advise_pause=bool(part(limits, "retry_after", False)),
+        reports=part(part(info, "report", {}), "how", "off") == "inline",
     )
 
 
--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -28,6 +28,7 @@
 # So much of the margin is left for the module's answer to the time-out of its attempts, before the host
 # answers in its place.
 LAST_WORD = 0.5
+NO_LOAD: Mapping[str, float] = {}
 CAP_PAUSE_SHARE = 0.25  # of its aim: as long as the module lets a request wait for room
 
 
@@ -140,9 +141,11 @@
 class Host(Generic[RequestT, AnswerT]):
     def __init__(self, settings: HostSettings, clock: Clock,
                  carrier: Carrier[RequestT, AnswerT], *, watch: Callable[[], None] = lambda: None,
-                 over: Callable[[RequestT], None] = lambda request: None) -> None:
+                 over: Callable[[RequestT], None] = lambda request: None,
+                 load_of: Callable[[AnswerT], Mapping[str, float]] | None = None) -> None:
         """`watch` carries out the module's wish to ask for the list; `over` hears of each request of which
-        nothing is left, neither an answer owed nor an attempt out."""
+        nothing is left, neither an answer owed nor an attempt out; `load_of` finds the load report in an
+        answer, where servers give one."""
         self.max_waiting: int | None = None  # requests that may wait to be sent for the first time
         self.observer: Observer | None = None
         self._settings = settings
@@ -150,6 +153,7 @@
         self._carrier = carrier
         self._watch = watch
         self._over = over
+        self._load_of = load_of
         self._balancer = Balancer(settings.module, settings.seed)
         self._requests: dict[str, LiveRequest[RequestT, AnswerT]] = {}
         self._by_caller: dict[Caller[AnswerT], LiveRequest[RequestT, AnswerT]] = {}
@@ -380,13 +384,15 @@
 
     def _attempt_done(self, attempt: Attempt[RequestT, AnswerT], outcome: Outcome,
                       answer: AnswerT | None) -> None:
+        load = self._load_of(answer) if self._load_of is not None and answer is not None else {}
         if outcome is Outcome.OK and answer is not None and not attempt.ended:
             caller = self._release(attempt.live)
             if caller is not None:
                 caller.served(answer)
-        self._end_attempt(attempt, outcome)
+        self._end_attempt(attempt, outcome, load)
 
-    def _end_attempt(self, attempt: Attempt[RequestT, AnswerT], outcome: Outcome) -> None:
+    def _end_attempt(self, attempt: Attempt[RequestT, AnswerT], outcome: Outcome,
+                     load: Mapping[str, float] = NO_LOAD) -> None:
         """An attempt has exactly one outcome, also one that is called off or ends late."""
         if attempt.ended:
             return
@@ -404,7 +410,7 @@
                                 self._clock.now_ms())
         self._dispatch(api.AttemptEnded(
             live.id, attempt.index, attempt.server, outcome, live.caller is None,
-            self._clock.now_ms() - attempt.sent_at))
+            self._clock.now_ms() - attempt.sent_at, load))
         self._clean_up(live)
 
     def _clean_up(self, live: LiveRequest[RequestT, AnswerT]) -> None:
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -11,7 +11,7 @@
 from cometdoor.core.shares import Places
 from cometdoor.http.frontend import ClientConnection
 from cometdoor.http.messages import ClientRequest, end_to_end
-from cometdoor.http.upstream import Answer, Exchange, Pool, outcome_of
+from cometdoor.http.upstream import Answer, Exchange, Pool, load_of, outcome_of
 from jasperhall import api
 from jasperhall.api import Outcome
 
@@ -33,10 +33,10 @@
                  caps: Caps, idle_close_ms: float, connect_timeout_ms: float,
                  watch: Callable[[], None] = lambda: None, callers: Places | None = None,
                  shortage: Outcome = Outcome.CONNECT_FAILED, judge: Callable[[Answer], Outcome] = outcome_of,
-                 emptied: Callable[[], None] | None = None) -> None:
+                 emptied: Callable[[], None] | None = None, reports: bool = False) -> None:
         """`places`: for connections to servers; `callers`: for requests that keep a caller's connection busy;
         `shortage`: the outcome of an attempt for which no connection may be opened; `emptied`: called
-        whenever nothing is open any more."""
+        whenever nothing is open any more; `reports`: servers say in their answers how loaded they are."""
         self._callers = callers
         self._shortage = shortage
         self._emptied = emptied
@@ -46,7 +46,8 @@
         self.unread_bytes = 0  # of answers, kept by the front end
         self.ready = False  # a server was listed once
         self._host: Host[ClientRequest, Answer] = Host(
-            settings, LoopClock(loop), self, watch=watch, over=self._over)
+            settings, LoopClock(loop), self, watch=watch, over=self._over,
+            load_of=load_of if reports else None)
         self.set_caps(caps)
 
     def set_caps(self, caps: Caps) -> None:
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -17,10 +17,11 @@
 
 from cometdoor.core.host import Address
 from cometdoor.core.shares import Places
-from cometdoor.http.messages import MAX_BODY, MAX_HEAD, Headers
+from cometdoor.http.messages import MAX_BODY, MAX_HEAD, Headers, read_number
 from jasperhall.api import Outcome
 
 MAX_INTERIM = 16
+MAX_REPORT = 256  # bytes; the platform's have four figures at most
 ANSWER_S = 1.0  # from an answer's first byte to its last: backends write answers whole
 # A connection rests for so long after an answer: what came behind it shows before it is used again.
 REST_S = 0.05
@@ -54,6 +55,26 @@
     return Outcome.ERROR
 
 
+def load_of(answer: Answer) -> dict[str, float]:
+    """The load report of an answer, by the platform's names; empty where there is none that can be read.
+
+    `Endpoint-Load-Metrics: TEXT util=0.61, qps=12.5`. Guards against believing half of what is garbled: a
+    server that seems idle by a misread figure is sent what others can't take.
+    """
+    found = [value for name, value in answer.headers if name.lower() == b"endpoint-load-metrics"]
+    if len(found) != 1 or len(found[0]) > MAX_REPORT or found[0][:5].upper() != b"TEXT ":
+        return {}
+    load: dict[str, float] = {}
+    try:
+        for pair in found[0][5:].split(b","):
+            name, value = pair.strip().split(b"=")
+            if load.setdefault(name.decode(), read_number(value)) != read_number(value):
+                return {}
+    except ValueError:
+        return {}
+    return load
+
+
 def outcome_of_any(answer: Answer) -> Outcome:
     """Elsewhere what a server has to say is an answer, but for its own faults and for what invites another
     try: an unmarked refusal does not prove that nothing ran."""
--- a/cometdoor/node.py
+++ b/cometdoor/node.py
@@ -21,7 +21,8 @@
         self.service = HttpService(
             HostSettings(config.settings, config.seed, config.may_advise_pause), loop, self.descriptors,
             caps=Caps(open=config.max_open), idle_close_ms=config.idle_close_ms,
-            connect_timeout_ms=config.connect_timeout_ms, watch=lambda: self.discovery.watch())
+            connect_timeout_ms=config.connect_timeout_ms, watch=lambda: self.discovery.watch(),
+            reports=config.reports)
         reader = ListReader(config.zones, config.kinds)
         self.discovery = Discovery(
             loop, config.discovery, reader, config.settings.must_ask,
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -87,6 +87,8 @@
     fall_ms: float = 3000.0  # for this time, a cold server falls over
     cross_zone_price: float = 0.0
     over_share_worth: float = 1.0  # worth of a request above its tenant's share
+    whole_weight: float = 1.0  # what the worth answered in time counts for in the operators' goal
+    worst_class_weight: float = 0.0  # and the share of it that the worst-served class has
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -100,7 +102,8 @@
         if not 0 < self.cold_from <= 1:
             raise ValueError(f"cold_from: {self.cold_from} is not in (0, 1]")
         _positive(self, "ask_within_ms", "overload_factor", "fall_ms")
-        _not_negative(self, "warm_up_ms", "cross_zone_price", "over_share_worth")
+        _not_negative(self, "warm_up_ms", "cross_zone_price", "over_share_worth", "whole_weight",
+                      "worst_class_weight")
 
 
 def _positive(owner: object, *names: str) -> None:
@@ -189,6 +192,7 @@
     outcome: Outcome
     final: bool  # the client has its answer; nothing is owed any more
     latency_ms: float = 0.0
+    # What the server said of itself, some time old: util (share of its cores), qps, latency_ms, inflight ...
     load: Mapping[str, float] = field(default_factory=dict)
 
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Mapping
 from heapq import heapify, heappop, heappush
 from zlib import crc32
 
@@ -36,20 +37,31 @@
 WORTH_ORDER = 0.3  # a request worth nothing finds this much less of the limit open to it
 KEEP_FROM = 0.25  # the share of their aims that answers take from where on, and by so much more all
 KEEP_RANGE = 0.2  # of it, is kept for worthier ones: 0.3 where room stood empty, 0.45 where it was short
+SERVICE_MEMORY_MS = 30_000.0  # over which a class's service is judged; with 10 s shares swung (G 0.02 less)
+VALUED_EVERY_MS = 100.0  # what a class is worth is worked out anew: some five requests at a busy entry
+WORST_RANGE = 0.03  # of service: classes as near the worst as this count as it, too
 SPARE_SHARE = 0.5  # of the limit is open to what earns next to nothing: above a share, or past its aim
 SHARE_BURST_MS = 5_000.0  # of its allowance that a tenant may save up: its calls come in clumps
 WATCH_PAUSE = 0.12  # of the time to ask within that passes at most before a failed call is made again
 FLOOR = 3.0  # requests a server, from all balancers together, that may be out before any answer is in
-QUEUE_SHARE = 0.35  # of its aim that the mean answer may take, more where a late answer keeps some worth
+# Of the mean aim that the mean answer may take. By the least of the aims requests were refused with room behind
+# them; with more, for what late answers earn, servers choked.
+QUEUE_SHARE = 0.4
 CLUMP = 3.0  # standard deviations of chance arrivals that are let through while answers are well in time
-STRAINED = 0.85  # share of its aim that an answer takes on the mean from where on no clump is let through
+STRAINED = 0.7  # share of its aim that an answer takes on the mean from where on no clump is let through
 CALM_RANGE = 0.35  # and so much below that all of it is
 STRAINED_SHARE = 0.25  # and that it may take once answers are not in time: servers slow down when crowded
 HOLD_SHARE = 0.25  # of its aim that a request may wait at the entry for room
 COLD_MARGIN = 0.5  # of the stated overload that all balancers together may put on a cold server
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
 LOCAL_POWER = 3.0  # answers of the own zone half again as slow as others take most of that away
-LOCAL_PREFERENCE = 6.0  # how much more a server of the own zone counts where crossing has a price
+LOCAL_PREFERENCE = 6.0  # how much more a server of the own zone counts where crossing has a price,
+REPORTED_PREFERENCE = 100.0  # and where servers report: of calls in one of four like zones 97 in 100 stay
+# As busy as 1 - HEADROOM / sqrt(servers) the own zone keeps no preference: the fewer share its calls, the
+# sooner queues form (square-root staffing). At 0.9 of eight or so waiting rooms were full and servers choked.
+HEADROOM = 0.5
+BUSY_RANGE = 0.3  # and so much below that it keeps all of it
+REPORT_MEMORY_MS = 4_000.0  # some five reports; with half of it zones swung, two of seven days collapsed
 REAP_MEMORY_MS = 30_000.0  # so long idle connections are closed by us after one was lost: then try anew
 REAP_MARGIN = 0.5  # of the shortest idle time that was lost, from where on a connection is not trusted
 MIN_SUBSET = 5  # servers that a balancer rotates over at the least: enough to judge one by its peers
@@ -85,14 +97,36 @@
         self.at = now
 
 
+class Side:
+    """The servers of the own zone, or all others: what this balancer rotates over and sends there."""
+
+    __slots__ = ("busy", "covered", "in_rotation", "outstanding", "slowness", "warm_rate", "warm_sends",
+                 "warm_weight")
+
+    def __init__(self) -> None:
+        self.busy = Average(REPORT_MEMORY_MS)  # how busy its servers say that they are
+        self.covered = 1.0  # the part of its weight that lies in the rotation
+        self.in_rotation = 0
+        self.outstanding = 0
+        self.slowness = Average()
+        self.warm_weight = 1.0  # of those in the rotation that are warm
+        self.warm_sends = Average()
+        self.warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
+
+    def count_warm_send(self, now: float) -> None:
+        self.warm_sends.add(1.0 / self.warm_weight, now)
+        if self.warm_sends.count >= KIND_SAMPLES:
+            self.warm_rate = self.warm_sends.total / MEMORY_MS
+
+
 class Member:
     """A server as this balancer sees it."""
 
     __slots__ = ("allowed", "allowed_at", "entry", "failures", "keep", "lent", "name", "order",
-                 "outstanding", "place", "ready", "rest_ms", "rests_until", "slowness", "turn", "used_at",
-                 "weight")
+                 "outstanding", "place", "ready", "reported", "rest_ms", "rests_until", "side", "slowness",
+                 "turn", "used_at", "weight")
 
-    def __init__(self, entry: api.Server, order: int) -> None:
+    def __init__(self, entry: api.Server, order: int, side: Side) -> None:
         self.order = order  # no two are alike, so that equal turns compare
         self.allowed = 0.0  # sends that it may get while it is cold
         self.allowed_at = -math.inf
@@ -107,6 +141,8 @@
         self.slowness = Average()  # its answer times, each as a multiple of its class's mean
         # Hashed places mix kinds and zones; a cell stays together, so that a keyed call finds its copy.
         self.place = (crc32(b"%d" % entry.cell), crc32(entry.name.encode()), entry.name)
+        self.side = side
+        self.reported: tuple[float, ...] = ()  # its last load report: many answers carry the same
         self.weight = 0.0  # the part of its list weight that this balancer's subset covers
         self.turn = 0.0  # virtual time of its next turn
         self.outstanding = 0
@@ -158,6 +194,46 @@
         return within
 
 
+class Goal:
+    """What serving one more request of each class adds to the goal, where the worst class may count too.
+
+    By worth alone an overload falls on the class that is worth least until it has no service left.
+    """
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._earned = [Average(SERVICE_MEMORY_MS) for _ in settings.classes]  # share of the worth asked for
+        self._values = [cls.worth for cls in settings.classes]
+        self._valued_at = -math.inf
+        self.aim_ms = sum(cls.aim_ms for cls in settings.classes) / len(settings.classes)  # of a mean request
+
+    def ended(self, class_index: int, share: float, weight: float, now: float) -> None:
+        """A request earned this share of its class's worth. Above its tenant's share it weighs less."""
+        earned = self._earned[class_index]
+        earned.fade(now)
+        earned.count += weight
+        earned.total += weight * share
+
+    def values(self, now: float) -> list[float]:
+        if now - self._valued_at >= VALUED_EVERY_MS:
+            self._valued_at = now
+            self._values = self._work_out(now)
+        return self._values
+
+    def _work_out(self, now: float) -> list[float]:
+        settings = self._settings
+        served = [average.mean(1.0, KIND_SAMPLES, now) for average in self._earned]
+        asked = [average.count + KIND_SAMPLES for average in self._earned]
+        worth = sum(cls.worth * count for cls, count in zip(settings.classes, asked, strict=True))
+        # Near the worst all count as the worst in turn: a sharp edge would have them change places.
+        nearness = [math.exp((min(served) - share) / WORST_RANGE) for share in served]
+        aims = sum(cls.aim_ms * count for cls, count in zip(settings.classes, asked, strict=True))
+        self.aim_ms = aims / sum(asked)
+        part = settings.worst_class_weight / sum(nearness)
+        return [settings.whole_weight * cls.worth / (worth or 1.0) + part * near / count
+                for cls, near, count in zip(settings.classes, nearness, asked, strict=True)]
+
+
 class Admission:
     """At the clients' entry: how many requests may be out, and which of those that wait goes next.
 
@@ -165,12 +241,12 @@
     """
 
     def __init__(self, settings: api.Settings) -> None:
-        self.top_worth = max(cls.worth for cls in settings.classes) or 1.0
-        self.patience_ms = min(cls.aim_ms * (QUEUE_SHARE + cls.late_worth) for cls in settings.classes)
+        self.goal = Goal(settings)
         self.strained_ms = min(cls.aim_ms * STRAINED_SHARE for cls in settings.classes)
         self.floor = 1.0
         self.out = 0  # requests that are out
-        self.waiting: dict[float, dict[str, Request]] = {}  # by worth, the newest last
+        # By class and the part of its worth that a request keeps, the newest last.
+        self.waiting: dict[tuple[int, float], dict[str, Request]] = {}
         self.answers = Average(max(cls.aim_ms for cls in settings.classes))
         self.strain = Average(2.0 * self.answers.fade_ms)  # the share of their aims that requests took
         self.started_at: float | None = None
@@ -186,33 +262,38 @@
         # Guards against refusals by chance: arrivals at one of many balancers come in clumps. Where a
         # balancer sees much traffic the mean is the larger. Harms while an overload is too young to show.
         calm = min(max((STRAINED - self.strain.mean(0.0, 1.0, now)) / CALM_RANGE, 0.0), 1.0)
-        mean = pace * (calm * self.patience_ms + (1.0 - calm) * self.strained_ms)
+        patience_ms = QUEUE_SHARE * self.goal.aim_ms
+        mean = pace * (calm * patience_ms + (1.0 - calm) * self.strained_ms)
         return self.floor + max(mean, calm * CLUMP * math.sqrt(mean))
 
     def has_room(self, request: Request, now: float) -> bool:
         # Guards against refusing what is worth little under a limit that is not reached: refused, it is asked
         # again and again. Harms where an overload is so young that answers are quick yet.
         kept = min(max((self.strain.mean(0.0, 1.0, now) - KEEP_FROM) / KEEP_RANGE, 0.0), 1.0)
-        share = 1.0 - WORTH_ORDER * kept * (1.0 - request.cls.worth / self.top_worth)
-        if request.worth < request.cls.worth:
+        values = self.goal.values(now)
+        share = 1.0 - WORTH_ORDER * kept * (1.0 - values[request.class_index] / (max(values) or 1.0))
+        if request.part < 1.0:
             share *= SPARE_SHARE
         return self.out < max(1.0, self.limit(now) * share)
 
     def hold(self, request: Request) -> None:
         request.held = True
-        self.waiting.setdefault(request.worth, {})[request.id] = request
+        self.waiting.setdefault((request.class_index, request.part), {})[request.id] = request
 
     def release(self, request: Request) -> None:
         request.held = False
-        del self.waiting[request.worth][request.id]
-        if not self.waiting[request.worth]:
-            del self.waiting[request.worth]
+        line = self.waiting[request.class_index, request.part]
+        del line[request.id]
+        if not line:
+            del self.waiting[request.class_index, request.part]
 
     def next(self, now: float) -> Request | None:
         """The newest of those worth most: it has the best chance to be in time."""
         if not self.waiting:
             return None
-        request = next(reversed(self.waiting[max(self.waiting)].values()))
+        values = self.goal.values(now)
+        line = max(self.waiting, key=lambda line: (values[line[0]] * line[1], line))
+        request = next(reversed(self.waiting[line].values()))
         if not self.has_room(request, now):
             return None
         self.release(request)
@@ -258,13 +339,13 @@
 
 class Request:
     __slots__ = ("arrived_at", "attempts", "class_index", "cls", "copied_at", "gives_up_at", "held", "id",
-                 "open", "streaming", "timer", "worth")
+                 "open", "part", "streaming", "timer")
 
-    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, worth: float, now: float) -> None:
+    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, part: float, now: float) -> None:
         self.id = event.request
         self.class_index = event.class_index
         self.cls = cls
-        self.worth = worth
+        self.part = part  # of its class's worth that it keeps
         self.arrived_at = now
         self.held = False  # waits at the entry for room
         self.streaming = False  # its answer has begun: it is the client's from here on
@@ -375,15 +456,10 @@
         self._idle = IdleConnections()
         self._class_latency = [Average() for _ in settings.classes]
         self._failures = Average()
-        self._zone_slowness = (Average(), Average())  # of the own zone's servers, and of all others
+        self._near, self._far = Side(), Side()  # without a price on crossing all servers are near
         self._kind_slowness: dict[int, Average] = {}
         self._requests: dict[str, Request] = {}
         self._budget = AttemptBudget(settings.attempt_budget or OWN_BUDGET)
-        self._in_rotation = 0
-        self._warm_weight = 1.0  # of the servers in the rotation that are warm
-        self._warm_sends = Average()
-        self._warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
-        self._outstanding = 0
         self._shares = [Share(tenant, settings.balancers) for tenant in settings.tenants]
         self._admission = Admission(settings)
         self._patience_ms = [0.0 for _ in settings.classes]  # the longest that a client waited for a try
@@ -404,7 +480,7 @@
             case api.ListChanged():
                 self._list_changed(event, now)
             case api.ClientGone():
-                self._close(event.request)
+                self._close(event.request, now)
             case api.StreamStarted():
                 self._stream_started(event)
             case api.Advised():
@@ -450,7 +526,8 @@
             member.entry, member.ready = entry, entry.state is State.READY
         elif entry.state is not State.GONE:
             self._last_order += 1
-            self._members[entry.name] = Member(entry, self._last_order)
+            here = not self._settings.cross_zone_price or entry.zone == self._settings.zone
+            self._members[entry.name] = Member(entry, self._last_order, self._near if here else self._far)
 
     def _choose_subset(self, now: float) -> None:
         """Rotate over a stretch of a ring on which every server is as long as its weight.
@@ -466,11 +543,20 @@
             # Turns of servers that are gone lie far ahead where those were slow or failing: they pile up.
             self._rotation = [turn for turn in self._rotation if turn[0] == turn[2].turn and turn[2].weight]
             heapify(self._rotation)
-        settings = self._settings
+        near = [member for member in ring if member.side is self._near]
+        far = [member for member in ring if member.side is self._far]
+        # Those of the own zone are shared with its own balancers; each zone is taken to have as many.
+        zones = len({member.entry.zone for member in ring}) if far and near else 1
+        self._lay_out(near, self._near, max(1.0, self._settings.balancers / zones), now)
+        self._lay_out(far, self._far, self._settings.balancers, now)
+        self._admission.floor = max(1.0, FLOOR * len(ring) / self._settings.balancers)
+
+    def _lay_out(self, ring: list[Member], side: Side, balancers: float, now: float) -> None:
+        """Put a stretch of the ring into the rotation, at a place of this balancer's own."""
         weights = [max(member.entry.weight, 1e-3) for member in ring]
         total = sum(weights)
-        length = total * min(1.0, max(MIN_SUBSET / max(len(ring), 1), MIN_COVER / settings.balancers))
-        start = total * (settings.position * GOLDEN % 1.0)
+        length = total * min(1.0, max(MIN_SUBSET / max(len(ring), 1), MIN_COVER / balancers))
+        start = total * (self._settings.position * GOLDEN % 1.0)
         at = 0.0
         for member, weight in zip(ring, weights, strict=True):
             before, end = member.weight, at + weight
@@ -482,9 +568,9 @@
                 # A random phase: else all balancers would hit a new server at the same moment.
                 self._schedule(
                     member, self._virtual_now + self._random.random() / self._weight(member, now))
-        self._warm_weight = sum(m.weight for m in ring if self._warmth(m, now) >= 1.0) or 1.0
-        self._in_rotation = max(1, sum(member.weight > 0.0 for member in ring))
-        self._admission.floor = max(1.0, FLOOR * len(ring) / settings.balancers)
+        side.warm_weight = sum(m.weight for m in ring if self._warmth(m, now) >= 1.0) or 1.0
+        side.covered = length / total if total else 1.0
+        side.in_rotation = sum(member.weight > 0.0 for member in ring)
 
     def _advised(self, event: api.Advised, now: float) -> None:
         """Guards against what one balancer's few calls can't show: others saw that a server stands still.
@@ -508,7 +594,7 @@
 
     def _weight(self, member: Member, now: float) -> float:
         weight = member.weight * member.keep * self._warmth(member, now)
-        if self._settings.cross_zone_price and member.entry.zone == self._settings.zone:
+        if member.side is self._near and self._settings.cross_zone_price:
             weight *= self._local_preference(now)
         # Where all fail alike, as when the tier below is down, nobody is to be shunned for it.
         works = 1.0 - member.failures.mean(0.0, KIND_SAMPLES, now)
@@ -519,11 +605,20 @@
     def _local_preference(self, now: float) -> float:
         """Guards against a zone whose own traffic is more than its servers can carry, for whatever reason.
 
-        Crossing costs little beside lateness: as far as near answers are slower than far ones the
-        preference goes. It may harm where the way itself makes far answers slow: then it never goes.
+        Crossing costs little beside lateness: as far as near answers are slower than far ones, or near
+        servers say that they are busy, the preference goes; at its end each zone has the part that its size
+        gives it. Without reports crowding is seen late, in answers, and less is kept near. It may harm where
+        the way itself makes far answers slow: then it never goes.
         """
-        near, far = (average.mean(1.0, KIND_SAMPLES, now) for average in self._zone_slowness)
-        return LOCAL_PREFERENCE * float(min(far / near, 1.0) ** LOCAL_POWER)
+        near, far = self._near, self._far
+        preference = LOCAL_PREFERENCE
+        busy = near.busy.mean(0.0, 1.0, now)
+        if near.busy.count >= 0.5:  # one report of the last seconds at the least
+            room = 1.0 - HEADROOM / math.sqrt(max(near.in_rotation, 1))
+            strain = min(max((busy - room) / BUSY_RANGE + 1.0, 0.0), 1.0)
+            preference = REPORTED_PREFERENCE ** (1.0 - strain)
+        slower = far.slowness.mean(1.0, KIND_SAMPLES, now) / near.slowness.mean(1.0, KIND_SAMPLES, now)
+        return float(preference * min(slower, 1.0) ** LOCAL_POWER * far.covered / near.covered)
 
     def _warmth(self, member: Member, now: float) -> float:
         """The share of its capacity that a server has; taken to grow as slowly as the settings allow."""
@@ -540,9 +635,10 @@
         it would take all, copies and retries too, and fall over. Unknown at the start, when none is warm.
         """
         warmth = self._warmth(member, now)
-        if warmth >= 1.0 or not self._warm_rate:
+        side = member.side
+        if warmth >= 1.0 or not side.warm_rate:
             return True
-        rate = self._warm_rate * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
+        rate = side.warm_rate * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
         if member.allowed_at < 0.0:
             # A random part of one call: else all balancers together would send theirs at once.
             member.allowed, member.allowed_at = self._random.random(), now
@@ -556,18 +652,19 @@
             if not member.borrows(now, 1):  # a loan ends, its own part is saved up
                 member.allowed -= 1.0
             return
-        self._warm_sends.add(1.0 / self._warm_weight, now)
-        if self._warm_sends.count >= KIND_SAMPLES:
-            self._warm_rate = self._warm_sends.total / MEMORY_MS
+        member.side.count_warm_send(now)
 
     def _is_crowded(self, member: Member) -> bool:
-        """Whether it holds more of this balancer's calls than the mean.
+        """Whether it holds more of this balancer's calls than the mean over all zones.
 
         With a call or less for each server that is any it holds: those that stand still, are slow or have a
         heavy call at work are passed by before any answer or time-out tells. Harms where servers
-        are so unlike that the best should hold several before the worst holds one.
+        are so unlike that the best should hold several before the worst holds one, or crossing is dear: held
+        against the own zone alone, one server there took all that came at once (0.78 for 0.90 on sockets).
         """
-        return member.outstanding > self._outstanding / self._in_rotation
+        near, far = self._near, self._far
+        servers = near.in_rotation + far.in_rotation
+        return member.outstanding > (near.outstanding + far.outstanding) / max(servers, 1)
 
     def _slowness(self, member: Member, now: float) -> float:
         """How slowly the server answers, as a multiple of the mean over all."""
@@ -593,9 +690,16 @@
         if outcome is not Outcome.OK and ratio < self._slowness(member, now):
             return  # cut short before it could tell anything
         member.slowness.add(ratio, now)
-        self._zone_slowness[member.entry.zone != self._settings.zone].add(ratio, now)
+        member.side.slowness.add(ratio, now)
         self._kind_slowness.setdefault(member.entry.kind, Average()).add(ratio, now)
 
+    def _read_load(self, member: Member, load: Mapping[str, float], now: float) -> None:
+        busy = load.get("util", -1.0)
+        report = tuple(load.values())
+        if busy >= 0.0 and report != member.reported:
+            member.reported = report
+            member.side.busy.add(min(busy, 1.0), now)
+
     def _pick(self, request: Request, now: float, resting: bool = False) -> Member | None:
         """The next ready server in turn that this request has not tried and may go to."""
         tried = [attempt.member for attempt in request.attempts]
@@ -639,16 +743,16 @@
         if not 0 <= event.class_index < len(self._settings.classes):
             raise ValueError(f"class_index: {event.class_index} is no class")
         cls = self._settings.classes[event.class_index]
-        worth = cls.worth
+        part = 1.0
         # A client's try that came late has less time than its first: it no longer earns the full worth.
         self._patience_ms[event.class_index] = max(self._patience_ms[event.class_index], event.left_ms)
         spent_ms = cls.deadline_ms - event.left_ms
         if event.left_ms < self._patience_ms[event.class_index] - SAME_MS and spent_ms > cls.aim_ms:
-            worth *= cls.late_worth
+            part = cls.late_worth
         # Else a tenant that sends several times its share crowds out those that keep to theirs.
         elif event.tenant < len(self._shares) and not self._shares[event.tenant].take(now):
-            worth *= self._settings.over_share_worth
-        request = self._requests[event.request] = Request(event, cls, worth, now)
+            part = self._settings.over_share_worth
+        request = self._requests[event.request] = Request(event, cls, part, now)
         self._budget.request_taken(now)
         if self._settings.tier or self._admission.has_room(request, now):
             self._start(request, now)
@@ -701,14 +805,14 @@
                 member.used_at = math.inf
             request.attempts.append(Attempt(member, now))
             member.outstanding += 1
-            self._outstanding += 1
+            member.side.outstanding += 1
             self._count_send(member, now)
             self._actions.append(api.Send(request.id, member.name, request.gives_up_at - now))
         elif not request.outstanding():
-            self._give_up(request)
+            self._give_up(request, now)
         return member is not None
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, now: float) -> None:
         """A refusal invites the client's retry, so it is said wherever rule 2 allows, and at once.
 
         Guards against retries into the same crowd: the client is told to come back after as long as it may
@@ -719,13 +823,17 @@
             cls.effect is Effect.KEYED and cls.dedup_scope is Scope.ALL)
         refusal = api.Refuse(request.id, retry_after_ms=HOLD_SHARE * cls.aim_ms)
         self._actions.append(refusal if harmless else api.Fail(request.id))
-        self._close(request.id)
+        self._close(request.id, now)
 
-    def _close(self, request_id: str) -> None:
+    def _close(self, request_id: str, now: float, served: bool = False) -> None:
         request = self._requests.get(request_id)
         if request is None or not request.open:
             return
         request.open = False
+        earned = 0.0
+        if served:
+            earned = 1.0 if now - request.arrived_at <= request.cls.aim_ms else request.cls.late_worth
+        self._admission.goal.ended(request.class_index, earned, request.part, now)
         if request.held:
             self._admission.release(request)
         else:
@@ -758,7 +866,7 @@
         if request is None or not request.open or request.timer != token:
             return
         if request.held:
-            self._give_up(request)
+            self._give_up(request, now)
             return
         for attempt in request.attempts:
             if not attempt.ended:
@@ -786,7 +894,7 @@
         attempt.ended = True
         attempt.never_ran = event.outcome in api.NEVER_RAN
         attempt.member.outstanding -= 1
-        self._outstanding -= 1
+        attempt.member.side.outstanding -= 1
         if event.outcome is Outcome.MOOT and event.attempt:
             self._budget.never_sent(attempt.sent_at)
         self._gate.leg_completed(now)
@@ -797,6 +905,7 @@
             self._actions.append(api.Close(attempt.member.name))
         else:
             self._judge(attempt, request, event.outcome, now)
+        self._read_load(attempt.member, event.load, now)
         if event.outcome in (Outcome.OK, Outcome.ERROR):
             attempt.member.used_at = now
         elif event.outcome is Outcome.RESET:
@@ -806,7 +915,7 @@
         if request.open and (event.final or event.outcome is Outcome.TIMEOUT):
             self._admission.strain.add((now - request.arrived_at) / request.cls.aim_ms, now)
         if event.final or not request.open:
-            self._close(request.id)
+            self._close(request.id, now, served=event.outcome is Outcome.OK)
             if not request.outstanding():
                 self._requests.pop(request.id, None)
         elif not request.outstanding():
--- a/jasperhall/simhost.py
+++ b/jasperhall/simhost.py
@@ -35,6 +35,8 @@
     "recalled": api.Outcome.CANCELLED,
     "superseded": api.Outcome.MOOT,
 }
+LOADS = {"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
+         "tps": "qps", "err_ps": "eps"}
 COST_IS_VALID, IS_RETRY = 1, 2
 
 Values = list[Any]
@@ -70,7 +72,8 @@
 
 
 def read_settings(info: dict[str, Any]) -> api.Settings:
-    limits, rules, prices = (part(info, name, {}) for name in ("limits", "obligations", "fees"))
+    limits, rules, prices, goal = (
+        part(info, name, {}) for name in ("limits", "obligations", "fees", "goal"))
     return api.Settings(
         classes=tuple(read_class(lane) for lane in info["lanes"]),
         tenants=tuple(api.Tenant(tenant["allowance_per_s"]) for tenant in part(info, "tenants", ())),
@@ -91,6 +94,8 @@
         fall_ms=part(rules, "fall_ms", 3000.0),
         cross_zone_price=part(prices, "cross_zone", 0.0),
         over_share_worth=part(info, "over_share_worth", 1.0),
+        whole_weight=part(goal, "whole", 1.0),
+        worst_class_weight=part(goal, "worst_class", 0.0),
     )
 
 
@@ -117,7 +122,8 @@
 
 
 def read_load(usage: Any) -> dict[str, float]:
-    return dict(usage) if usage else {}
+    """The names are those of the platform's field, whoever reports."""
+    return {LOADS.get(name, name): float(value) for name, value in usage.items()} if usage else {}
 
 
 READERS: dict[str, Callable[[Values], api.Event]] = {
--- a/tests/http/test_proxy.py
+++ b/tests/http/test_proxy.py
@@ -33,6 +33,25 @@
     run(test)
 
 
+@pytest.mark.parametrize("how", ["inline", "off"])
+def test_the_module_is_told_what_an_answer_says_of_its_servers_load(how: str) -> None:
+    """It was dropped on the way: on sockets the module never knew that a zone was busy."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address), report={"how": how})
+            caller = await rig.caller()
+            caller.ask()
+            (await backend.next()).reply(
+                200, b"x", "Endpoint-Load-Metrics: TEXT util=0.61, qps=12.5, latency_ms=80")
+            ended = await script.until(api.AttemptEnded)
+            told = {"util": 0.61, "qps": 12.5, "latency_ms": 80.0} if how == "inline" else {}
+            assert dict(ended.load) == told
+
+    run(test)
+
+
 @pytest.mark.parametrize(("action", "status"), [(api.Refuse, 503), (api.Fail, 502)])
 def test_what_the_module_gave_up_on_is_answered_at_once(action: type[api.Refuse | api.Fail],
                                                         status: int) -> None:
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -11,7 +11,7 @@
 
 from cometdoor.core.shares import Descriptors
 from cometdoor.core.words import read_address
-from cometdoor.http.upstream import Answer, Exchange, Pool
+from cometdoor.http.upstream import Answer, Exchange, Pool, load_of
 from jasperhall import api
 from jasperhall.api import Outcome
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
@@ -370,3 +370,18 @@
             assert (await callers[0].answer()).body == b"fine"
 
     run(test)
+
+
+@pytest.mark.parametrize(("fields", "load"), [
+    ([b"TEXT util=0.61, qps=12.5"], {"util": 0.61, "qps": 12.5}),
+    ([b"text util=1"], {"util": 1.0}),
+    ([b"TEXT util=0.5,util=0.9"], {}),
+    ([b"TEXT util=0.5", b"TEXT util=0.5"], {}),
+    ([b"TEXT util=0.5, \xff\xfe=1"], {}),
+    ([b"TEXT util=nan"], {}), ([b"TEXT util=-1"], {}), ([b"TEXT util=1e9"], {}), ([b"TEXT util"], {}),
+    ([b"TEXT util=0.5 qps=3"], {}), ([b"JSON {}"], {}), ([b""], {}), ([], {}),
+    ([b"TEXT util=0." + b"1" * 300], {}),
+])
+def test_a_load_report_is_read_whole_or_not_at_all(fields: list[bytes], load: dict[str, float]) -> None:
+    headers = [(b"Endpoint-Load-Metrics", field) for field in fields]
+    assert load_of(Answer(200, headers, b"")) == load
--- a/tests/jasperhall/test_settings.py
+++ b/tests/jasperhall/test_settings.py
@@ -15,6 +15,7 @@
     ("cold_from", 1.5), ("ask_within_ms", 0.0), ("overload_factor", 0.0), ("fall_ms", -1.0),
     ("warm_up_ms", -1.0),
     ("warm_up_ms", float("nan")), ("over_share_worth", -0.1), ("cross_zone_price", -1.0),
+    ("whole_weight", -0.1), ("worst_class_weight", -0.1),
 ])
 def test_a_senseless_setting_is_refused_by_name(field: str, value: object) -> None:
     with pytest.raises(ValueError, match=field):
