--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -44,7 +44,7 @@
 SHARE_BURST_MS = 5_000.0  # of its allowance that a tenant may save up: its calls come in clumps
 WATCH_PAUSE = 0.12  # of the time to ask within that passes at most before a failed call is made again
 FLOOR = 3.0  # requests a server, from all balancers together, that may be out before any answer is in
-# Of the mean aim that the mean answer may take. By the least of all aims requests were refused with room left;
+# Of the mean aim that the mean answer may take. By the least aim of all requests were refused with room left;
 # with more, for what late answers earn, servers choked.
 QUEUE_SHARE = 0.4
 CLUMP = 3.0  # standard deviations of chance arrivals that are let through while answers are well in time
