Bound a cold server whose side was never measured; a server that changes zone is new

On a second reading: _may_warm let everything through where no warm server of the side had been sent anything, so the first server of a zone that had none, preferred over all others, had no bound (15 sends of 300 where 8 are its part; the test showed it before the mend). Such a side now goes by what the other bore, divided by the zones for servers of other zones. A server listed anew in another zone kept the preference of its old one.

Measured: the two tests; one zone alone, and sides that were measured, decide as before.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -478,6 +478,7 @@
         self._idle = IdleConnections()
         self._class_latency = [Average() for _ in settings.classes]
         self._failures = Average()
+        self._zones = 1  # among which balancers and servers are dealt out; 1 without a price on crossing
         self._near, self._far = Side(), Side()  # without a price on crossing all servers are near
         self._kind_slowness: dict[int, Average] = {}
         self._requests: dict[str, Request] = {}
@@ -541,7 +542,8 @@
 
     def _update_member(self, entry: api.Server) -> None:
         member = self._members.get(entry.name)
-        if entry.state is State.GONE or (member and entry.started_at != member.entry.started_at):
+        if entry.state is State.GONE or (member and (entry.started_at, entry.zone) != (
+                member.entry.started_at, member.entry.zone)):
             self._retire(entry.name)  # what was seen of the process before tells nothing of the new one
             member = None
         if member:
@@ -568,8 +570,8 @@
         near = [member for member in ring if member.side is self._near]
         far = [member for member in ring if member.side is self._far]
         # Those of the own zone are shared with its own balancers; each zone is taken to have as many.
-        zones = len({member.entry.zone for member in ring}) if far and near else 1
-        self._lay_out(near, self._near, max(1.0, self._settings.balancers / zones), now)
+        self._zones = len({member.entry.zone for member in ring} | {self._settings.zone}) if far else 1
+        self._lay_out(near, self._near, max(1.0, self._settings.balancers / self._zones), now)
         self._lay_out(far, self._far, self._settings.balancers, now)
         self._admission.floor = max(1.0, FLOOR * len(ring) / self._settings.balancers)
 
@@ -658,9 +660,13 @@
         """
         warmth = self._warmth(member, now)
         side = member.side
-        if warmth >= 1.0 or not side.warm_rate:
+        # A side never measured goes by the other: else the first server of the own zone, or of others once
+        # the own has none, had no bound. Of those in other zones the balancers of each zone have a part.
+        warm_rate = side.warm_rate or (
+            self._far.warm_rate if side is self._near else self._near.warm_rate / self._zones)
+        if warmth >= 1.0 or not warm_rate:
             return True
-        rate = side.warm_rate * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
+        rate = warm_rate * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
         if member.allowed_at < 0.0:
             # A random part of one call: else all balancers together would send theirs at once.
             member.allowed, member.allowed_at = self._random.random(), now
--- a/tests/jasperhall/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -186,6 +186,32 @@
     assert sum(after.values()) == 300
 
 
+@pytest.mark.parametrize("own_zone_is_cold", [True, False])
+def test_a_cold_server_is_held_back_though_its_side_was_never_measured(own_zone_is_cold: bool) -> None:
+    """Rule 4: the first server of a zone that had none, or another zone's once the own has none left."""
+    settings = replace(SETTINGS, cross_zone_price=0.015, balancers=4, cold_from=0.1, warm_up_ms=20_000.0)
+    near = [server for server in FOUR_ZONES if server.zone == 0]
+    far = [server for server in FOUR_ZONES if server.zone]
+    warm, cold = (far, near) if own_zone_is_cold else (near, far)
+    checker = started(*warm, settings=settings)
+    before = serve(checker, 300)  # one in 10 ms, for 3 s
+    one, *_ = (replace(server, started_at=checker.now) for server in cold)
+    warm = warm if own_zone_is_cold else warm[:1]  # that the other side is wanted at all
+    checker.list_servers(one, *warm)
+    after = serve(checker, 300, tag="b")
+    most = max(before.values()) * 0.175 * settings.overload_factor * balancer.COLD_MARGIN
+    assert after[one.name] <= 2.0 + most
+
+
+def test_a_server_that_turns_out_to_be_in_another_zone_loses_the_preference() -> None:
+    checker = started(*FOUR_ZONES, settings=replace(SETTINGS, cross_zone_price=0.015, balancers=1))
+    near = next(server.name for server in FOUR_ZONES if server.zone == 0)
+    before = serve(checker, 240)[near]
+    checker.list_servers(*(replace(server, zone=1) if server.name == near else server
+                           for server in FOUR_ZONES))
+    assert serve(checker, 240, tag="b")[near] < before / 2
+
+
 def test_a_drained_server_gets_nothing_and_returns() -> None:
     checker = started(*servers(3))
     checker.list_servers(replace(servers(3)[1], state=State.DRAINING), kind=ListKind.DELTA)
