--- a/tests/jasperhall/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -136,8 +136,8 @@
     """On sockets a zone had one server of a tier: held against its own zone only, it was never crowded."""
     lone = FOUR_ZONES[:4]
     checker = started(*lone, settings=replace(SETTINGS, cross_zone_price=0.015, tier=1, tiers=2))
-    turns = Counter(sent_to(checker.request(f"r{number}", UNSAFE_INDEX))[0] for number in range(12))
-    assert max(turns.values()) <= 4
+    turns = Counter(sent_to(checker.request(f"r{number}", UNSAFE_INDEX))[0] for number in range(40))
+    assert 10 <= turns["s0"] <= 21  # 16 to 20 over five seeds, 27 by its preference alone
 
 
 def test_clients_that_all_give_up_sooner_are_not_taken_for_repeats() -> None:
