--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -11,13 +11,14 @@
 import uvloop
 
 from cometdoor.config import BadConfig, NodeConfig, load_config, need_restart
-from cometdoor.lifetime import end_serving, settle_collector
+from cometdoor.core.lifetime import end_serving, settle_collector
 from cometdoor.node import Node
 
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
 LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
 BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
 
+MESH = ("dataplane", "controlplane")  # the mesh's words; the others are in cometdoor/cli.py
 log = logging.getLogger("cometdoor")
 
 
@@ -58,6 +59,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1 and sys.argv[1] in MESH:
+        from cometdoor.programs import app
+
+        return app(prog_name="cometdoor", standalone_mode=False) or 0
     if len(sys.argv) > 1:
         from cometdoor import cli  # not imported by the platform's proxy: memory is scarce there
 
--- /dev/null
+++ b/cometdoor/control/calls.py
@@ -0,0 +1,145 @@
+"""The operator's calls to the control plane: one dispatch on method and path segments."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Protocol
+
+import structlog
+
+from cometdoor.configuration.document import parse
+from cometdoor.control.core import Core
+from cometdoor.control.state import Verdict
+from cometdoor.core.schema import BadSettings
+from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.messages import BadRequest, ClientRequest, read_fields
+from cometdoor.wire.messages import Configure
+
+BASE_VERSION = b"cometdoor-base-version"
+ONCE = frozenset({b"host", b"content-length", b"transfer-encoding", BASE_VERSION})
+MAX_CONFIGURATION = 8 << 20  # bytes; thousands of routes are under one
+WAIT_FOR_LEADER_S = 0.6  # of the second that callers are patient
+LOOK_EVERY_S = 0.03
+JSON = [(b"Content-Type", b"application/json")]
+log = structlog.get_logger()
+
+
+class PathReader:
+    """Reads calls by method and path segments, for any interface of ours."""
+
+    def __init__(self, max_body: int) -> None:
+        self._max_body = max_body
+
+    def read(self, request: ClientRequest) -> None:
+        fields = read_fields(request, ONCE, self._max_body)
+        request.trace = fields.get(BASE_VERSION, b"")
+
+
+def segments(request: ClientRequest) -> tuple[str, ...]:
+    path = request.target.split(b"?", 1)[0].decode("latin-1")
+    return tuple(part for part in path.split("/") if part)
+
+
+def problem(status: int, text: str, connection: ClientConnection, pause_s: float = 0.0) -> None:
+    headers = list(JSON)
+    if pause_s:
+        headers.append((b"Retry-After", b"%.3f" % pause_s))
+    connection.answer(status, headers, json.dumps({"error-message": text}).encode())
+
+
+class Waits(Protocol):
+    def __call__(self) -> None: ...
+
+
+class OperatorCalls:
+    """Handler of the front that serves control."""
+
+    ready = True
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, core: Core) -> None:
+        self._loop = loop
+        self._core = core
+
+    def take(self, connection: ClientConnection, request: ClientRequest) -> None:
+        match (request.method, segments(request)):
+            case (b"POST", ("Configuration.Replace",)):
+                self._led(connection, request, self._replace)
+            case (b"GET", ("Configuration.Describe",)):
+                self._led(connection, request, self._describe)
+            case (b"GET", ("Core.Describe",)):
+                connection.answer(200, JSON, json.dumps(self.describe_core()).encode())
+            case (_, ("Configuration.Replace" | "Configuration.Describe" | "Core.Describe",)):
+                problem(405, "another method is needed", connection)
+            case _:
+                problem(404, "there is no such call here", connection)
+
+    def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
+        pass  # what was ordered stays ordered
+
+    def describe_core(self) -> dict[str, object]:
+        consensus = self._core.consensus
+        return {"id": consensus.me.id, "role": consensus.role.value, "term": consensus.term,
+                "leader": consensus.leader, "committed": consensus.committed, "last": consensus.last_index,
+                "revision": self._core.state.revision, "keys": len(self._core.state.keys),
+                "members": [{"id": member.id, "node": member.node, "control-plane": member.control,
+                             "internal": member.address} for member in consensus.members]}
+
+    def _led(self, connection: ClientConnection, request: ClientRequest, call: object,
+             until: float | None = None) -> None:
+        """Here if this one leads, at the leader if another does; waits a moment while nobody does."""
+        core = self._core
+        if connection.request is not request:
+            return  # its caller has gone
+        if core.leads and core.consensus.may_accept():
+            call(connection, request)  # type: ignore[operator]
+            return
+        leader = core.leader()
+        if leader is not None and leader.id != core.consensus.me.id:
+            connection.answer(307, [(b"Location", b"http://%s%s" % (leader.control.encode(), request.target))],
+                              b"")
+            return
+        until = until or self._loop.time() + WAIT_FOR_LEADER_S
+        if self._loop.time() >= until:
+            problem(503, "nobody leads the core just now", connection, 0.2)
+        else:
+            self._loop.call_later(LOOK_EVERY_S, self._led, connection, request, call, until)
+
+    def _replace(self, connection: ClientConnection, request: ClientRequest) -> None:
+        try:
+            base = int(request.trace) if request.trace else 0
+        except ValueError:
+            problem(400, "Cometdoor-Base-Version is no whole number", connection)
+            return
+        try:
+            document = parse(request.body)
+        except BadSettings as faults:
+            log.info("configuration refused", step="check", faults=len(faults.problems), first=str(faults)[:200])
+            problem(400, str(faults), connection)
+            return
+
+        def ordered(verdict: Verdict | None) -> None:
+            if connection.request is not request:
+                return
+            if verdict is None:
+                problem(503, "the lead changed: it may be in force or not", connection, 0.2)
+            elif verdict.taken:
+                log.info("configuration taken", revision=document.revision)
+                connection.answer(200, JSON, json.dumps({"revision": verdict.revision}).encode())
+            elif document.revision <= verdict.revision and base == verdict.revision:
+                problem(400, f"revision: {document.revision} is not above {verdict.revision}", connection)
+            else:
+                problem(412, f"version {verdict.revision} is in force, not {base}", connection)
+        self._core.propose(Configure(base, document.revision, request.body), ordered)
+
+    def _describe(self, connection: ClientConnection, request: ClientRequest) -> None:
+        def confirmed(is_newest: bool) -> None:
+            if connection.request is not request:
+                return
+            if not is_newest:
+                problem(503, "the lead could not be confirmed", connection, 0.2)
+            elif not self._core.state.revision:
+                problem(404, "there is no configuration yet", connection)
+            else:
+                connection.answer(200, JSON, self._core.state.body)
+        self._core.read(confirmed)
--- /dev/null
+++ b/cometdoor/control/core.py
@@ -0,0 +1,303 @@
+"""One member of the core as a process has it: consensus, its disk, its lines, the tables and who waits for them.
+
+All decisions are in `consensus` and `state`; here are the loop, the thread that writes, and the lines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from pathlib import Path
+
+import structlog
+
+from cometdoor.control.consensus import Consensus, Identity, Role
+from cometdoor.control.state import State, Verdict
+from cometdoor.control.vault import DiskError, Vault
+from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.messages import (
+    Append,
+    Appended,
+    AskLeader,
+    AskVote,
+    Change,
+    Claim,
+    Claimed,
+    Claims,
+    Install,
+    Join,
+    LeaderIs,
+    Leave,
+    Member,
+    Message,
+    Passed,
+    Refusal,
+    TakeOver,
+    Vote,
+)
+
+TICK_S = 0.03
+PASSED_EVERY_S = 2.0
+RETRY_WRITE_S = 0.2
+JOIN_EVERY_S = 0.3
+LEADERLESS_S = 1.5  # a member that heard no leader for so long may have been taken out: it asks to join
+COMPACT_BYTES = 24 << 20  # a tenth of the disk: two files of that size lie there for a moment
+COMPACT_ENTRIES = 20_000
+log = structlog.get_logger()
+
+Waiter = Callable[[Verdict | None], None]  # None: what became of it is not known here
+
+
+class Core:
+    def __init__(self, loop: asyncio.AbstractEventLoop, lines: Lines, folder: Path, me: Member, window_s: float,
+                 *, seeds: list[str], founds: bool, least_members: int) -> None:
+        """`seeds`: internal addresses of members, `founds`: this one begins the core, if its disk is empty."""
+        self.state = State(window_s)
+        self.changed: Callable[[], None] = lambda: None  # the configuration or the lead
+        self._loop = loop
+        self._lines = lines
+        self._vault = Vault(folder)
+        self._thread = ThreadPoolExecutor(1, "disk")
+        self._seeds = seeds
+        self._me = me
+        self._waiters: dict[int, tuple[int, Waiter]] = {}  # index -> term and who waits
+        self._reads: list[tuple[int, float, Callable[[bool], None]]] = []
+        self._due = False
+        self._writing = False
+        self._tick_timer: asyncio.TimerHandle | None = None
+        self._join_at = 0.0
+        self._passed_at: float | None = None
+        self._was_leading = False
+        self._leaving = False
+        self._begin = False  # the next write begins a new file
+        found = self._vault.open()
+        if found.is_damaged:
+            log.error("the disk lost what it had promised: it counts as empty", step="open", peer=str(folder))
+            self._vault.clear()
+            found = type(found)()
+        fresh = not found.held.id
+        if fresh:
+            found.held = type(found.held)()
+            found.held.id = secrets.token_hex(6)
+        self._me = Member(found.held.id, me.address, me.control, me.node)
+        self.consensus = Consensus(found.held, self._me, random.Random(secrets.randbits(64)), loop.time())
+        self.consensus.state_of = self.state.image
+        self.consensus.least_members = least_members
+        if found.held.snapshot is not None:
+            self.state.load(found.held.snapshot.state)
+        # A file is written by one life only.
+        self._vault.begin([Identity(found.held.id), *self.consensus.compact()[1:]])
+        log.info("core member", id=found.held.id, fresh=fresh, founds=founds and fresh,
+                 last=self.consensus.last_index, term=self.consensus.term)
+        if fresh and founds:
+            self.consensus.bootstrap()
+
+    def start(self) -> None:
+        self._tick()
+
+    def stop(self) -> None:
+        if self._tick_timer is not None:
+            self._tick_timer.cancel()
+        self._thread.shutdown(wait=False)
+
+    # --- asked from outside ---
+
+    @property
+    def leads(self) -> bool:
+        return self.consensus.leads and self.consensus.applied >= self.consensus.committed
+
+    def leader(self) -> Member | None:
+        """Who leads as far as is known here."""
+        return self.consensus.leader_member()
+
+    def propose(self, change: Change, waiter: Waiter) -> None:
+        if not self.consensus.may_accept():
+            waiter(None)
+            return
+        index = self.consensus.propose(change)
+        self._waiters[index] = self.consensus.term, waiter
+        self._wake()
+
+    def read(self, done: Callable[[bool], None], timeout_s: float = 0.8) -> None:
+        """`done(True)`: what stands in the tables is the newest that was acknowledged before the call."""
+        if not self.consensus.leads:
+            done(False)
+            return
+        self._reads.append((self.consensus.begin_round(), self._loop.time() + timeout_s, done))
+        self._wake()
+
+    def leave(self) -> None:
+        """Planned: hand over the lead and ask to be taken out."""
+        self._leaving = True
+        if self.consensus.role is Role.LEADER:
+            self.consensus.hand_over()
+        self._wake()
+
+    def hand_over(self) -> None:
+        self.consensus.hand_over()
+        self._wake()
+
+    # --- lines ---
+
+    def receive(self, message: Message, line: Line, number: int) -> bool:
+        match message:
+            case AskVote() | Vote() | Append() | Appended() | Install() | TakeOver() | Join() | Leave():
+                self.consensus.receive(message, self._loop.time())
+                self._wake()
+            case AskLeader():
+                leader = self.leader()
+                line.respond(number, LeaderIs(leader.address if leader else "",
+                                              [member.address for member in self.consensus.members]))
+            case Claims():
+                self._claim(message.claims, line, number)
+            case _:
+                return False
+        return True
+
+    def _claim(self, claims: list[Claim], line: Line, number: int) -> None:
+        if not self.consensus.may_accept():
+            leader = self.leader()
+            line.respond(number, Refusal("another leads", leader.address if leader and leader != self._me else ""))
+            return
+        holders: list[tuple[str, str]] = [("", "")] * len(claims)
+        left = len(claims)
+
+        def ordered(place: int, verdict: Verdict | None) -> None:
+            nonlocal left
+            left -= 1
+            if verdict is not None:
+                holders[place] = verdict.holder, verdict.claim
+            if not left:
+                line.respond(number, Claimed(holders))
+        for place, claim in enumerate(claims):
+            self.propose(claim, partial(ordered, place))
+
+    # --- the loop ---
+
+    def _tick(self) -> None:
+        now = self._loop.time()
+        consensus = self.consensus
+        consensus.tick(now)
+        self._pass_time(now)
+        self._seek(now)
+        for read in [read for read in self._reads if read[1] < now]:
+            self._reads.remove(read)
+            read[2](False)
+        self._settle()
+        self._tick_timer = self._loop.call_later(TICK_S, self._tick)
+
+    def _pass_time(self, now: float) -> None:
+        if not self.consensus.leads:
+            self._passed_at = None
+        elif self._passed_at is None:
+            self._passed_at = now
+        elif now - self._passed_at >= PASSED_EVERY_S:
+            self.consensus.propose(Passed(int((now - self._passed_at) * 1000)))
+            self._passed_at = now
+
+    def _seek(self, now: float) -> None:
+        """Who is no member, or hears no leader, asks to be taken in; who leaves asks to be let go."""
+        consensus = self.consensus
+        if now < self._join_at or consensus.role is Role.LEADER:
+            return
+        self._join_at = now + JOIN_EVERY_S
+        is_member = any(member.id == self._me.id for member in consensus.members)
+        if self._leaving:
+            message: Leave | Join = Leave(self._me.id)
+        elif not is_member or now - consensus._heard_leader_at > LEADERLESS_S:
+            message = Join(self._me)
+        else:
+            return
+        known = [*self._seeds, *(member.address for member in consensus.members)]
+        for address in dict.fromkeys(known):
+            if address != self._me.address:
+                self._lines.send(address, message)
+
+    def knows(self, addresses: list[str]) -> None:
+        """Internal addresses of core machines that were heard of."""
+        self._seeds = list(dict.fromkeys([*self._seeds, *addresses]))[-12:]
+
+    def _wake(self) -> None:
+        """What comes in one turn of the loop is appended, written and sent together."""
+        if not self._due:
+            self._due = True
+            self._loop.call_soon(self._settle)
+
+    def _settle(self) -> None:
+        self._due = False
+        consensus = self.consensus
+        consensus.flush()
+        self._apply()
+        outbox, consensus.outbox = consensus.outbox, []
+        for address, message in outbox:
+            self._lines.send(address, message)  # type: ignore[arg-type]
+        self._write()
+        for read in [read for read in self._reads if consensus.round_is_confirmed(read[0])]:
+            self._reads.remove(read)
+            read[2](True)
+        if consensus.leads != self._was_leading:
+            self._was_leading = consensus.leads
+            log.info("lead", leads=consensus.leads, term=consensus.term, id=self._me.id)
+            self.changed()
+        if not consensus.role is Role.LEADER and self._waiters:
+            waiters, self._waiters = self._waiters, {}
+            for _, waiter in waiters.values():
+                waiter(None)
+
+    def _apply(self) -> None:
+        consensus = self.consensus
+        if consensus.installed is not None:
+            self.state.load(consensus.installed.state)
+            consensus.applied = consensus.installed.last_index
+            consensus.installed = None
+            self.changed()
+        revision = self.state.revision
+        while consensus.applied < consensus.committed:
+            consensus.applied += 1
+            entry = consensus.entry(consensus.applied)
+            verdict = self.state.apply(entry.change)
+            term, waiter = self._waiters.pop(consensus.applied, (0, None))
+            if waiter is not None:
+                waiter(verdict if term == entry.term else None)
+        if self.state.revision != revision:
+            self.changed()
+
+    # --- the disk ---
+
+    def _write(self) -> None:
+        if self._writing:
+            return
+        writes = self.consensus.take_writes(self._loop.time())
+        if not writes:
+            return
+        self._writing = True
+        if self._vault.size > COMPACT_BYTES or len(self.consensus.entries) > COMPACT_ENTRIES:
+            # All that stands, the new writes too, begins a new file.
+            image = self.consensus.compact()
+            work: Callable[[], None] = lambda: self._vault.begin(image)
+        else:
+            work = lambda: self._vault.put(writes)
+        self._put(work, len(writes))
+
+    def _put(self, work: Callable[[], None], count: int) -> None:
+        future = self._loop.run_in_executor(self._thread, work)
+        future.add_done_callback(lambda done: self._written(done, work, count))
+
+    def _written(self, done: asyncio.Future[None], work: Callable[[], None], count: int) -> None:
+        if done.cancelled():
+            return
+        problem = done.exception()
+        if isinstance(problem, DiskError):
+            log.warning("disk", step=problem.step, peer=problem.place, error=str(problem))
+            self._loop.call_later(RETRY_WRITE_S, self._put, work, count)
+            return
+        if problem is not None:
+            log.error("the disk's thread failed", error=repr(problem))
+            raise problem
+        self._writing = False
+        self.consensus.written(count, self._loop.time())
+        self._settle()
--- /dev/null
+++ b/cometdoor/control/process.py
@@ -0,0 +1,87 @@
+"""The control plane as a process: one member of the core, the operator's calls, and its part in the news."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls, PathReader
+from cometdoor.control.core import Core
+from cometdoor.core.boot import Boot
+from cometdoor.core.shares import Descriptors
+from cometdoor.core.words import read_address
+from cometdoor.http.frontend import Bounds, Frontend
+from cometdoor.news.directory import Directory
+from cometdoor.news.exchange import Exchange
+from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.messages import Member, Message, Record
+
+ROLE = "controlplane"
+LEAVE_S = 1.2  # after SIGTERM: time for the lead to be handed over and for the others to let it go
+log = structlog.get_logger()
+
+
+class ControlPlane:
+    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
+        self.boot = boot
+        self._loop = loop
+        control = boot.listen_addresses.control_plane
+        assert control is not None and boot.data_directory is not None
+        self.lines = Lines(loop, self._receive)
+        here = boot.internal(ROLE)
+        seeds = boot.seeds_internal()
+        self.core = Core(
+            loop, self.lines, Path(boot.data_directory), Member("", here, control, boot.node_name),
+            boot.bound("idempotency-window-s", 60.0), seeds=seeds,
+            founds=boot.initial_start and bool(boot.seed_nodes) and control == min(boot.seed_nodes),
+            least_members=min(3, max(len(boot.seed_nodes), 1)))
+        self.core.changed = self._changed
+        record = Record(boot.node_name, here, ROLE, boot.zone, secrets.token_hex(4), 1, control=control)
+        self.directory = Directory(record, seeds, random.Random(secrets.randbits(64)), loop.time())
+        self.directory.changed = self._heard
+        self.exchange = Exchange(loop, self.lines, self.directory, lambda revision, body: None)
+        self.front = Frontend(loop, PathReader(MAX_CONFIGURATION), Descriptors(boot.limits.file_descriptors),
+                              OperatorCalls(loop, self.core), Bounds(body_bytes=MAX_CONFIGURATION))
+
+    async def start(self) -> None:
+        await self.lines.listen(*read_address(self.boot.internal(ROLE)))
+        self.core.start()
+        self.exchange.start()
+        assert self.boot.listen_addresses.control_plane is not None
+        await self.front.listen(*read_address(self.boot.listen_addresses.control_plane))
+
+    def _receive(self, message: Message, line: Line, number: int) -> None:
+        if not self.core.receive(message, line, number):
+            self.exchange.receive(message, line, number)
+
+    def _heard(self, record: Record) -> None:
+        if record.role == ROLE:
+            self.core.knows([record.address])
+
+    def _changed(self) -> None:
+        """The configuration in force, or the lead."""
+        self.exchange.configured(self.core.state.revision, self.core.state.body)
+        state = "leading" if self.core.consensus.leads else "up"
+        if state != self.directory.own.state and self.directory.own.state != "leaving":
+            self.directory.say(msgspec.structs.replace(self.directory.own, state=state))
+            self.exchange.flush()
+
+    async def end(self) -> None:
+        self.directory.say(msgspec.structs.replace(self.directory.own, state="leaving"))
+        self.exchange.flush()
+        self.core.leave()
+        until = self._loop.time() + LEAVE_S
+        while self._loop.time() < until and self.core.consensus.leads:
+            await asyncio.sleep(0.03)
+        self.front.closing = True
+        self.front.close_idle()
+        await asyncio.sleep(max(until - self._loop.time(), 0.0))
+        self.front.stop_listening()
+        self.core.stop()
+        self.exchange.stop()
+        self.lines.close()
--- /dev/null
+++ b/cometdoor/control/state.py
@@ -0,0 +1,100 @@
+"""What the core's log amounts to: the configuration in force, the claims on keys, and the time that went by.
+
+Every member applies the same entries in the same order and comes to the same tables. No I/O, no clock: time
+is what the leaders' entries say (`Passed`), so it never runs ahead of a steady clock and stands still while
+nobody leads. A claim is therefore kept for its window at the least, also across restarts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from zlib import crc32
+
+import msgspec
+
+from cometdoor.wire.messages import Change, Claim, Configure, Passed
+
+# Kept on for so long past the window: from a request's sending to its claim, and one leader's uncounted time.
+WINDOW_SLACK_MS = 5_000
+
+
+class Kept(msgspec.Struct, array_like=True):
+    claim: str
+    holder: str
+    at_ms: int
+
+
+class Image(msgspec.Struct, array_like=True):
+    revision: int
+    body: bytes
+    taken: list[tuple[int, int]]
+    now_ms: int
+    keys: list[tuple[str, Kept]]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What became of a change; `taken`: it is in force, or this very one was before."""
+
+    taken: bool
+    revision: int = 0  # of the configuration in force
+    holder: str = ""
+    claim: str = ""
+
+
+class State:
+    def __init__(self, window_s: float) -> None:
+        self._window_ms = int(window_s * 1000) + WINDOW_SLACK_MS
+        self.revision = 0
+        self.body = b""
+        self.now_ms = 0
+        self.keys: dict[str, Kept] = {}  # oldest first
+        self._taken: dict[int, int] = {}  # revision -> checksum of what was taken under it
+
+    def apply(self, change: Change) -> Verdict:
+        match change:
+            case Configure():
+                return self._configure(change)
+            case Claim():
+                return self._claim(change)
+            case Passed():
+                self.now_ms += change.ms
+                self._expire()
+        return Verdict(True, self.revision)
+
+    def was_taken(self, revision: int, body: bytes) -> bool:
+        return self._taken.get(revision) == crc32(body)
+
+    def _configure(self, change: Configure) -> Verdict:
+        if self.was_taken(change.revision, change.body):
+            return Verdict(True, self.revision)
+        if change.base != self.revision or change.revision <= self.revision:
+            return Verdict(False, self.revision)
+        self.revision, self.body = change.revision, change.body
+        self._taken[change.revision] = crc32(change.body)
+        return Verdict(True, self.revision)
+
+    def _claim(self, change: Claim) -> Verdict:
+        kept = self.keys.get(change.key)
+        if kept is None or (change.instead and kept.claim == change.instead):
+            # The window counts from the first: a claim instead of one that never ran begins anew.
+            self.keys.pop(change.key, None)
+            kept = self.keys[change.key] = Kept(change.claim, change.holder, self.now_ms)
+        return Verdict(kept.claim == change.claim, self.revision, kept.holder, kept.claim)
+
+    def _expire(self) -> None:
+        for key in list(self.keys):
+            if self.keys[key].at_ms + self._window_ms > self.now_ms:
+                break
+            del self.keys[key]
+
+    # --- snapshots ---
+
+    def image(self) -> bytes:
+        return msgspec.msgpack.encode(Image(self.revision, self.body, list(self._taken.items()), self.now_ms,
+                                            list(self.keys.items())))
+
+    def load(self, image: bytes) -> None:
+        held = msgspec.msgpack.decode(image, type=Image)
+        self.revision, self.body, self.now_ms = held.revision, held.body, held.now_ms
+        self._taken, self.keys = dict(held.taken), dict(held.keys)
--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -154,6 +154,7 @@
         self._watch = watch
         self._over = over
         self._load_of = load_of
+        self._classes = list(settings.module.classes)
         self._balancer = Balancer(settings.module, settings.seed)
         self._requests: dict[str, LiveRequest[RequestT, AnswerT]] = {}
         self._by_caller: dict[Caller[AnswerT], LiveRequest[RequestT, AnswerT]] = {}
@@ -205,6 +206,12 @@
         for action in actions:
             self._carry_out(action)
 
+    def add_class(self, cls: api.RequestClass) -> int:
+        """Its place."""
+        self._classes.append(cls)
+        self._dispatch(api.ClassAdded(cls))
+        return len(self._classes) - 1
+
     def tell(self, event: api.Advised | api.Lent) -> None:
         """What planners advise or lend; the module makes of it what it will."""
         self._dispatch(event)
@@ -346,7 +353,7 @@
         return CAP_PAUSE_SHARE * self._aim_ms(request) if self._settings.may_advise_pause else 0.0
 
     def _aim_ms(self, request: RequestT) -> float:
-        return self._settings.module.classes[request.class_index].aim_ms
+        return self._classes[request.class_index].aim_ms
 
     def _fail(self, live: LiveRequest[RequestT, AnswerT]) -> None:
         caller = self._release(live)
--- /dev/null
+++ b/cometdoor/dataplane/beats.py
@@ -0,0 +1,134 @@
+"""What the backend on this machine says of itself: beats, drain notices, its end.
+
+One dispatch on method and path segments; the reading of bodies is pure and takes the time.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from cometdoor.control.calls import JSON, problem, segments
+from cometdoor.core.checked import Content, convert, named
+from cometdoor.core.schema import BadSettings
+from cometdoor.core.words import read_address
+from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.messages import ClientRequest
+from cometdoor.wire.messages import Backend
+
+log = structlog.get_logger()
+STATES = ("ready", "draining")
+REMEMBERED = 64  # former lives, whose late beats are passed by
+
+
+@dataclass(frozen=True)
+class Beat(Content):
+    service: str
+    address: str
+    lifecycle_state: str = named("lifecycle-state")
+    call_sequence: int = named("call-sequence")
+    capacity: int = 1
+    zone: str = ""
+    revision: str = ""
+    warmup_left_s: float = named("warmup-left-s", default=0.0)
+
+
+def read_beat(body: bytes) -> Beat:
+    """Raises BadSettings with every fault."""
+    try:
+        content = json.loads(body)
+    except (ValueError, RecursionError) as fault:
+        content = f"not JSON: {fault}"
+    return convert(content, Beat, "beat", _check)
+
+
+def _check(beat: Beat) -> list[tuple[str, str]]:
+    faults = []
+    if beat.lifecycle_state not in STATES:
+        faults.append(("lifecycle-state", f"one of {', '.join(STATES)} is needed, not {beat.lifecycle_state!r}"))
+    if beat.capacity < 1:
+        faults.append(("capacity", f"{beat.capacity} is not at least 1"))
+    try:
+        read_address(beat.address)
+    except ValueError as fault:
+        faults.append(("address", str(fault)))
+    return faults
+
+
+class Lives:
+    """Of the backends on this machine, one after the other. Owner of what is known of the one alive."""
+
+    def __init__(self, changed: Callable[[Backend | None], None]) -> None:
+        self._changed = changed
+        self.now: Backend | None = None
+        self._sequence = -1
+        self._former: dict[str, None] = {}
+
+    def beat(self, instance: str, beat: Beat) -> None:
+        if instance in self._former:
+            return
+        if self.now is not None and self.now.instance != instance:
+            self._bury(self.now.instance)
+        elif beat.call_sequence <= self._sequence and self.now is not None:
+            return  # a late one
+        self._sequence = beat.call_sequence
+        state = beat.lifecycle_state
+        if self.now is not None and self.now.instance == instance and self.now.state == "draining":
+            state = "draining"  # nobody comes back from it
+        backend = Backend(instance, beat.service, beat.address, beat.revision, beat.capacity, state,
+                          round(beat.warmup_left_s, 1))
+        if backend != self.now:
+            self.now = backend
+            self._changed(backend)
+
+    def ended(self, instance: str) -> None:
+        self._bury(instance)
+        if self.now is not None and self.now.instance == instance:
+            self.now = None
+            self._changed(None)
+
+    def down(self) -> None:
+        """It takes no connection: until its next beat it is no choice."""
+        if self.now is not None and self.now.state == "ready":
+            self.now = Backend(*[getattr(self.now, name) if name != "state" else "down"
+                                 for name in Backend.__struct_fields__])
+            self._changed(self.now)
+
+    def _bury(self, instance: str) -> None:
+        self._former[instance] = None
+        while len(self._former) > REMEMBERED:
+            del self._former[next(iter(self._former))]
+
+
+class BackendCalls:
+    """Handler of the front that the backend beside us calls."""
+
+    ready = True
+
+    def __init__(self, lives: Lives) -> None:
+        self._lives = lives
+
+    def take(self, connection: ClientConnection, request: ClientRequest) -> None:
+        match (request.method, segments(request)):
+            case (b"POST", ("Instances.Heartbeat", instance)):
+                try:
+                    beat = read_beat(request.body)
+                except BadSettings as faults:
+                    log.warning("beat refused", step="read", peer=instance, error=str(faults)[:300])
+                    problem(400, str(faults), connection)
+                    return
+                self._lives.beat(instance, beat)
+                connection.answer(200, JSON, b"{}")
+            case (b"POST", ("Instances.Deregister", instance)):
+                self._lives.ended(instance)
+                connection.answer(200, JSON, b"{}")
+            case (_, ("Instances.Heartbeat" | "Instances.Deregister", _)):
+                problem(405, "POST is needed", connection)
+            case _:
+                problem(404, "there is no such call here", connection)
+
+    def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
+        pass
--- /dev/null
+++ b/cometdoor/dataplane/door.py
@@ -0,0 +1,222 @@
+"""The door beside a backend: every request for it comes through here, from whatever proxy."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from cometdoor.core.clock import now_ms
+from cometdoor.core.evidence import Reading
+from cometdoor.core.host import Address
+from cometdoor.core.shares import Descriptors
+from cometdoor.core.words import read_address
+from cometdoor.dataplane.places import Job, Places
+from cometdoor.http.messages import end_to_end
+from cometdoor.http.upstream import Answer, Exchange, Pool
+from cometdoor.wire.lines import Line
+from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
+from jasperhall.api import Outcome
+
+IDLE_CLOSE_MS = 8_000.0  # backends close at 10 s where nothing else is said
+CONNECT_MS = 500.0  # on the same machine
+LOOK_EVERY_S = 0.02  # while somebody waits
+# Of the span between a drain's acknowledgement and its bound, in which what is already here may go to work.
+DRAIN_SHARE = 0.6
+NOT_EXECUTED = b"cometdoor-not-executed"
+SEAL = b"cometdoor-response-seal"
+ATTEMPT = b"cometdoor-attempt-id"
+log = structlog.get_logger()
+
+
+def field_of(answer: Answer, name: bytes) -> bytes:
+    return next((value for other, value in answer.headers if other.lower() == name), b"")
+
+
+def judge(answer: Answer) -> Outcome:
+    """What a backend says it did not run has not run; a success without its seal is none."""
+    if field_of(answer, NOT_EXECUTED) or answer.status == 421:
+        return Outcome.FULL
+    if 200 <= answer.status < 300:
+        return Outcome.OK if field_of(answer, SEAL) else Outcome.ERROR
+    return Outcome.OK if answer.status < 500 else Outcome.ERROR
+
+
+class Visit:
+    """One request at the door."""
+
+    __slots__ = ("arrived_ms", "door", "exchange", "is_over", "job", "respond", "run", "until_ms")
+
+    def __init__(self, door: Door, run: Run, respond: Callable[[Message], None], job: Job) -> None:
+        self.door = door
+        self.run = run
+        self.respond = respond
+        self.job = job
+        self.until_ms = job.until_ms
+        self.exchange: Exchange | None = None
+        self.is_over = False
+
+    def payload(self) -> bytes:
+        run = self.run
+        lines = [b"%s %s HTTP/1.1\r\n" % (run.method, run.target)]
+        lines += [b"%s: %s\r\n" % header for header in run.headers]
+        lines.append(b"Cometdoor-Deadline-Ms: %d\r\nCometdoor-Expected-Instance: %s\r\n" % (
+            max(int(self.until_ms - now_ms()), 1), run.instance.encode()))
+        if run.body or run.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            lines.append(b"Content-Length: %d\r\n" % len(run.body))
+        lines.append(b"\r\n")
+        lines.append(run.body)
+        return b"".join(lines)
+
+    def is_mine(self, answer: Answer) -> bool:
+        attempt = field_of(answer, ATTEMPT)
+        return not attempt or attempt == self.run.attempt_id
+
+
+class Door:
+    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, drain_s: float) -> None:
+        self.backend: Backend | None = None
+        self.failed: Callable[[], None] = lambda: None  # the backend takes no connection
+        self.places = Places()
+        self._loop = loop
+        self._drain_s = drain_s
+        self._pool = Pool(loop, descriptors, IDLE_CLOSE_MS, CONNECT_MS, judge)
+        self._address: Address = ("", 0)
+        self._visits: dict[int, Visit] = {}  # those that wait, by job
+        self._at_work: dict[Visit, None] = {}
+        self._look: asyncio.TimerHandle | None = None
+        self._closes_at = 0.0  # while draining: what waits then is turned away
+        self.is_closing = False
+
+    # --- the backend's life ---
+
+    def know(self, backend: Backend | None) -> None:
+        before, self.backend = self.backend, backend
+        if backend is not None:
+            self.places.capacity = max(backend.capacity, 1)
+            if before is None or before.instance != backend.instance:
+                self._address = read_address(backend.address)
+                if before is not None:
+                    self._pool.retire(before.instance)
+                    self._turn_away("another backend is here")
+            if backend.state == "draining" and (before is None or before.state != "draining"):
+                self._closes_at = self._loop.time() + DRAIN_SHARE * self._drain_s
+                self._ensure_look()
+        elif before is not None:
+            self._pool.retire(before.instance)
+            self._turn_away("the backend is gone")
+
+    def _turn_away(self, reason: str) -> None:
+        for visit in list(self._visits.values()):
+            self.places.withdraw(visit.job)
+            self._finish(visit, NotRun(reason))
+
+    def busy(self) -> int:
+        return len(self._at_work)
+
+    # --- requests ---
+
+    def take(self, run: Run, line: Line, number: int) -> None:
+        backend = self.backend
+        if backend is None or backend.instance != run.instance or backend.service != run.service:
+            line.respond(number, NotRun("that backend is not here"))
+            return
+        if backend.state != "ready":
+            line.respond(number, NotRun(f"the backend is {backend.state}"))
+            return
+        now = now_ms()
+        job = self.places.job(run.aim_ms, run.left_ms, now)
+        wait = self.places.offer(job, now)
+        if wait:
+            line.respond(number, NotRun("full", wait))
+            return
+        visit = Visit(self, run, lambda message: line.respond(number, message), job)
+        line.serving[number] = lambda: self._called_off(visit)
+        if job.began_ms:
+            self._begin(visit)
+        else:
+            self._visits[job.number] = visit
+            self._ensure_look()
+
+    def _begin(self, visit: Visit) -> None:
+        backend = self.backend
+        assert backend is not None
+        self._at_work[visit] = None
+        visit.exchange = Exchange(visit.payload, lambda reading, answer: self._done(visit, reading, answer),
+                                  accepts=visit.is_mine)
+        if not self._pool.send(backend.instance, self._address, visit.exchange):
+            self._end_work(visit, whole=False)
+            self._finish(visit, NotRun("no descriptor is free"))
+
+    def _done(self, visit: Visit, reading: Reading, answer: Answer | None) -> None:
+        outcome = reading.outcome
+        self._end_work(visit, whole=outcome is Outcome.OK)
+        if answer is not None and outcome in (Outcome.OK, Outcome.ERROR) and (
+                answer.status >= 300 or outcome is Outcome.OK):
+            self._finish(visit, Ran(answer.status, end_to_end(answer.headers), answer.body))
+        elif reading.never_ran:
+            if outcome is Outcome.CONNECT_FAILED:
+                log.info("backend not reached", step="connect", peer=visit.run.instance)
+                self.failed()
+            self._finish(visit, NotRun(outcome.value))
+        else:
+            self._finish(visit, Broke(outcome.value, reading.blame if reading.blame is not None else 0.5))
+        self._next()
+
+    def _called_off(self, visit: Visit) -> None:
+        """Nobody waits for it any more."""
+        if visit.is_over:
+            return
+        visit.is_over = True
+        if self._visits.pop(visit.job.number, None) is not None:
+            self.places.withdraw(visit.job)
+        elif visit in self._at_work:
+            if visit.run.once:
+                return  # its caller's proxy is gone; the work is not broken off
+            if visit.exchange is not None:
+                visit.exchange.abort()
+            self._end_work(visit, whole=False)
+            self._next()
+
+    def _end_work(self, visit: Visit, whole: bool) -> None:
+        if self._at_work.pop(visit, 0) is None:
+            self.places.ended(visit.job, now_ms(), whole)
+
+    def _finish(self, visit: Visit, message: Message) -> None:
+        self._visits.pop(visit.job.number, None)
+        if not visit.is_over:
+            visit.is_over = True
+            visit.respond(message)
+
+    def _next(self) -> None:
+        while self._may_begin() and (job := self.places.next(now_ms())) is not None:
+            self._begin(self._visits.pop(job.number))
+
+    def _may_begin(self) -> bool:
+        backend = self.backend
+        return backend is not None and (backend.state == "ready" or (
+            backend.state == "draining" and self._loop.time() < self._closes_at))
+
+    # --- who waits ---
+
+    def _ensure_look(self) -> None:
+        if self._look is None:
+            self._look = self._loop.call_later(LOOK_EVERY_S, self._look_around)
+
+    def _look_around(self) -> None:
+        self._look = None
+        now = now_ms()
+        for job in self.places.overdue(now):
+            visit = self._visits.get(job.number)
+            if visit is not None:
+                self._finish(visit, NotRun("full", self.places.usual_ms(now)))
+        if not self._may_begin():
+            self._turn_away("the backend leaves")
+        if self._visits:
+            self._ensure_look()
+
+
+def drained(backend: Backend) -> Backend:
+    return msgspec.structs.replace(backend, state="draining")
--- /dev/null
+++ b/cometdoor/dataplane/process.py
@@ -0,0 +1,185 @@
+"""The data plane as a process: way out, door, the backend's calls, readiness, and its part in the news."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+
+import msgspec
+import structlog
+
+from cometdoor.configuration.document import parse
+from cometdoor.configuration.routes import Routes
+from cometdoor.control.calls import PathReader, problem, segments
+from cometdoor.core.boot import Boot
+from cometdoor.core.schema import BadSettings
+from cometdoor.core.shares import Descriptors
+from cometdoor.core.words import read_address
+from cometdoor.dataplane.beats import BackendCalls, Lives
+from cometdoor.dataplane.door import Door
+from cometdoor.dataplane.way import Listed
+from cometdoor.dataplane.wayout import MeshReader, WayOut
+from cometdoor.http.frontend import Bounds, ClientConnection, Frontend
+from cometdoor.http.messages import ClientRequest
+from cometdoor.news.directory import Directory
+from cometdoor.news.exchange import Exchange
+from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.messages import AskOperation, Backend, Message, Record, Run
+
+ROLE = "dataplane"
+LIST_EVERY_S = 0.5  # who has gone silent leaves the lists
+MAX_BEAT = 64 << 10
+# After SIGTERM clients are sent elsewhere once two looks at readiness a second apart have failed.
+SERVE_ON_S = 2.6
+LOOK_EVERY_S = 0.03
+LAST_WORD_S = 0.3  # before the grace ends
+log = structlog.get_logger()
+
+
+class ReadinessCalls:
+    """Handler of the front that the platform asks whether callers may be sent here."""
+
+    ready = True
+
+    def __init__(self, plane: DataPlane) -> None:
+        self._plane = plane
+
+    def take(self, connection: ClientConnection, request: ClientRequest) -> None:
+        match (request.method, segments(request)):
+            case (b"GET" | b"HEAD", ("readiness",)):
+                connection.answer(200 if self._plane.can_serve() else 503, [], b"")
+            case _:
+                problem(404, "there is no such call here", connection)
+
+    def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
+        pass
+
+
+class DataPlane:
+    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
+        self.boot = boot
+        self._loop = loop
+        self._is_ending = False
+        self._list_due = False
+        self.lines = Lines(loop, self._receive)
+        here = boot.internal(ROLE)
+        life = secrets.token_hex(4)
+        record = Record(boot.node_name, here, ROLE, boot.zone, life, 1)
+        self.directory = Directory(record, boot.seeds_internal(), random.Random(secrets.randbits(64)),
+                                   loop.time())
+        self.directory.changed = lambda record: self._list_soon()
+        self.exchange = Exchange(loop, self.lines, self.directory, self._configured)
+        descriptors = Descriptors(boot.limits.file_descriptors)
+        self.out = WayOut(boot, loop, self.lines, here, self._cores, life)
+        self.door = Door(loop, descriptors, boot.bound("drain-s", 2.0))
+        self.lives = Lives(self._backend_changed)
+        self.door.failed = self.lives.down
+        self._reader = MeshReader()
+        self.front = Frontend(loop, self._reader, descriptors, self.out, Bounds(16 << 10, 64 << 20, 3.2, 15.5))
+        self.beats = Frontend(loop, PathReader(MAX_BEAT), descriptors, BackendCalls(self.lives))
+        self.readiness = Frontend(loop, PathReader(MAX_BEAT), descriptors, ReadinessCalls(self))
+
+    async def start(self) -> None:
+        addresses = self.boot.listen_addresses
+        assert addresses.outbound and addresses.readiness and addresses.control_plane
+        await self.lines.listen(*read_address(self.boot.internal(ROLE)))
+        self.exchange.start()
+        self._list()
+        await self.beats.listen(*read_address(addresses.control_plane))
+        await self.front.listen(*read_address(addresses.outbound))
+        await self.readiness.listen(*read_address(addresses.readiness))
+
+    def can_serve(self) -> bool:
+        return not self._is_ending and self.out.ready
+
+    # --- what comes ---
+
+    def _receive(self, message: Message, line: Line, number: int) -> None:
+        match message:
+            case Run():
+                self.door.take(message, line, number)
+            case AskOperation():
+                self.out.asked(message, lambda reply: line.respond(number, reply))
+            case _:
+                self.exchange.receive(message, line, number)
+
+    def _configured(self, revision: int, body: bytes) -> None:
+        try:
+            document = parse(body)
+        except BadSettings as faults:  # a core of a newer version may know more than this one
+            log.error("configuration not understood", step="apply", error=str(faults)[:300])
+            return
+        self.out.routes = Routes(document)
+        limits = document.limits
+        self.front.bounds = Bounds(limits.max_header_bytes, limits.max_body_bytes,
+                                   limits.header_timeout_s + 0.2, limits.idle_timeout_s + 0.5)
+        self._reader.max_body = limits.max_body_bytes
+        self.exchange.configured(revision, body)
+        log.info("configuration in force", revision=revision)
+
+    def _backend_changed(self, backend: Backend | None) -> None:
+        log.info("backend", instance=backend and backend.instance, state=backend and backend.state)
+        self.door.know(backend)
+        self.directory.say(msgspec.structs.replace(self.directory.own, backend=backend))
+        self.exchange.flush()
+        self._list_soon()
+
+    # --- lists ---
+
+    def _cores(self) -> list[str]:
+        """Internal addresses of the core, the one that says it leads in front."""
+        now = self._loop.time()
+        records = [record for record in self.directory.alive(now) if record.role == "controlplane"]
+        records.sort(key=lambda record: record.state != "leading")
+        return list(dict.fromkeys([*(record.address for record in records), *self.boot.seeds_internal()]))
+
+    def _list_soon(self) -> None:
+        if not self._list_due:
+            self._list_due = True
+            self._loop.call_soon(self._list_now)
+
+    def _list_now(self) -> None:
+        self._list_due = False
+        now = self._loop.time()
+        planes = [record for record in self.directory.records.values() if record.role == ROLE]
+        alive = [record for record in planes if not self.directory.is_silent(record.node, now)]
+        # Where most have gone silent it is this one that is cut off: the lists stay.
+        if len(alive) * 2 <= len(planes):
+            alive = planes
+        listed: dict[str, list[Listed]] = {}
+        for record in alive:
+            backend = record.backend
+            if backend is not None and record.state == "up" and backend.state in ("ready", "draining"):
+                listed.setdefault(backend.service, []).append(Listed(backend, record.address))
+        for backends in listed.values():
+            backends.sort(key=lambda one: one.backend.instance)
+        self.out.know(listed)
+
+    def _list(self) -> None:
+        self._list_now()
+        self._loop.call_later(LIST_EVERY_S, self._list)
+
+    # --- the end ---
+
+    async def end(self, grace_s: float) -> None:
+        """Serve on until callers have been sent elsewhere, answer what was taken, and go."""
+        last_word_at = self._loop.time() + grace_s - LAST_WORD_S
+        self._is_ending = True
+        self.directory.say(msgspec.structs.replace(self.directory.own, state="leaving"))
+        self.exchange.flush()
+        await asyncio.sleep(min(SERVE_ON_S, grace_s / 2))
+        self.front.closing = True
+        self.front.close_idle()
+        await asyncio.sleep(0.1)
+        self.front.stop_listening()
+        while self._loop.time() < last_word_at and (
+                self.out.open_requests() or self.door.busy() or self.front.connections):
+            self.front.close_idle()
+            await asyncio.sleep(LOOK_EVERY_S)
+        self.out.fail_all()
+        await asyncio.sleep(0.02)
+        for front in (self.beats, self.readiness):
+            front.stop_listening()
+        self.exchange.stop()
+        self.lines.close()
--- /dev/null
+++ b/cometdoor/dataplane/way.py
@@ -0,0 +1,176 @@
+"""The way from this proxy to the backends of one service: an instance of the decision module, and the lines to
+the doors beside them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from cometdoor.configuration.document import Route
+from cometdoor.core.clock import LoopClock, now_ms
+from cometdoor.core.evidence import Reading, Stage, answered
+from cometdoor.core.host import Address, Caller, Host, HostSettings, OnWire
+from cometdoor.http.messages import ClientRequest, end_to_end
+from cometdoor.wire.lines import Call, Lines, PeerError
+from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
+from jasperhall import api
+from jasperhall.api import Effect, ListKind, Outcome, State
+
+WARM_UP_MS = 3_000.0  # of a backend that has just started, where it says so
+COLD_FROM = 0.5
+# Of further arrivals that all proxies together may cause, by ratio and slack: a part of the ratio is left for
+# the calls that repeated runs make, and of the slack each proxy has one, so that half a hundred may restart.
+RATIO_SHARE = 0.6
+FLOOR = 1.0
+# Sends of one try, those included that a door turned away: those cost a way there and back, and no promise.
+SENDS = 6
+BULK = "bulk"  # the lane of large answers: a gate check must not wait behind one
+
+
+@dataclass(frozen=True, slots=True)
+class ClassKey:
+    """What the module must know of a route; routes that are alike in it are one class."""
+
+    route_type: str
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    max_attempts: int
+
+
+def class_of(key: ClassKey) -> api.RequestClass:
+    repeatable = key.route_type in ("idempotent", "download")
+    return api.RequestClass(
+        aim_ms=key.target_latency_s * 1000.0, deadline_ms=key.timeout_s * 1000.0,
+        effect=Effect.SAFE if repeatable else Effect.UNSAFE, worth=2.0 if key.priority <= 1 else 1.0,
+        late_worth=0.4, max_runs=max(key.max_attempts, 1))
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A backend, and the proxy that is its door."""
+
+    backend: Backend
+    door: str  # internal address
+
+
+class AtDoor:
+    """One attempt."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+
+    def stage(self) -> Stage:
+        return Stage.WRITTEN if self.call.line.is_open else Stage.CONNECTING
+
+    def abort(self) -> None:
+        self.call.cancel()
+
+
+class Way:
+    """Carrier of its host: `send` hands an attempt to a door."""
+
+    def __init__(self, service: str, loop: asyncio.AbstractEventLoop, lines: Lines, *, caller_service: str,
+                 budget_ratio: float, seed: int) -> None:
+        self.service = service
+        self._lines = lines
+        self._caller = caller_service.encode()
+        self._classes: dict[ClassKey, int] = {}
+        first = ClassKey("idempotent", 1.0, 1.0, 1, 2)
+        settings = api.Settings(
+            classes=(class_of(first),), tier=1, tiers=2, max_attempts=SENDS,
+            attempt_budget=api.AttemptBudget(FLOOR, budget_ratio * RATIO_SHARE, counts_unrun=False),
+            cold_from=COLD_FROM, warm_up_ms=WARM_UP_MS)
+        self._classes[first] = 0
+        self._host: Host[ClientRequest, Ran] = Host(HostSettings(settings, seed, True), LoopClock(loop), self)
+        self._started_at: dict[str, float] = {}
+        self._listed: tuple[Listed, ...] = ()
+
+    # --- what the proxy asks for ---
+
+    def take(self, caller: Caller[Ran], request: ClientRequest, route: Route) -> None:
+        key = ClassKey(route.route_type, route.timeout_s, route.target_latency_s, route.priority,
+                       route.max_attempts)
+        place = self._classes.get(key)
+        if place is None:
+            place = self._classes[key] = self._host.add_class(class_of(key))
+        request.class_index = place
+        self._host.take(caller, request)
+
+    def caller_gone(self, caller: Caller[Ran]) -> None:
+        self._host.caller_gone(caller)
+
+    def open_requests(self) -> int:
+        return self._host.open_requests()
+
+    def fail_all(self) -> None:
+        self._host.fail_all()
+
+    def know(self, listed: Sequence[Listed]) -> None:
+        """All backends of the service that are there; the draining ones too."""
+        if tuple(listed) == self._listed:
+            return
+        self._listed = tuple(listed)
+        servers, addresses = [], {}
+        now = now_ms()
+        for one in listed:
+            backend = one.backend
+            if backend.instance not in self._started_at:
+                left = backend.warm_left_s * 1000.0
+                self._started_at[backend.instance] = now - max(WARM_UP_MS - left, 0.0) if left > 0 else 0.0
+            host, _, port = one.door.rpartition(":")
+            addresses[backend.instance] = (host, int(port))
+            state = State.READY if backend.state == "ready" else State.DRAINING
+            servers.append(api.Server(backend.instance, 1.0, state=state,
+                                      started_at=self._started_at[backend.instance]))
+        for name in self._started_at.keys() - addresses.keys():
+            del self._started_at[name]
+        self._host.list_changed(api.ListChanged(ListKind.FULL, tuple(servers)), addresses)
+
+    # --- the host's calls ---
+
+    def send(self, server: str, address: Address, request: ClientRequest, until_ms: float,
+             done: Callable[[Reading, Ran | None], None]) -> OnWire | Outcome:
+        route: Route = request.route
+        once = route.route_type not in ("idempotent", "download")
+        run = Run(request.trace, request.method, request.target, self._headers(request), request.body,
+                  max(until_ms - now_ms(), 1.0), route.target_latency_s * 1000.0, route.priority, self.service,
+                  server, once)
+        call = self._lines.call(f"{address[0]}:{address[1]}", run, lambda reply: done(*read(reply)),
+                                BULK if route.route_type == "download" else "")
+        return Outcome.CONNECT_FAILED if isinstance(call, PeerError) else AtDoor(call)
+
+    def _headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
+        kept = [header for header in end_to_end(request.headers) if header[0].lower() not in OURS]
+        kept.append((b"Cometdoor-Caller-Service", self._caller))
+        return kept
+
+    def close_idle(self, server: str) -> None:
+        pass  # lines belong to doors, not to backends
+
+    def retire(self, server: str) -> None:
+        pass
+
+
+OURS = frozenset({b"cometdoor-deadline-ms", b"cometdoor-expected-instance", b"cometdoor-caller-service"})
+
+
+def read(reply: Message | PeerError) -> tuple[Reading, Ran | None]:
+    """What came of an attempt."""
+    match reply:
+        case Ran():
+            outcome = Outcome.OK if reply.status < 500 else Outcome.ERROR
+            return answered(outcome), reply
+        case NotRun():
+            return answered(Outcome.FULL), None
+        case Broke():
+            return Reading(Outcome(reply.outcome), reply.blame), None
+        case PeerError():
+            if reply.may_have_arrived:
+                return Reading(Outcome.RESET, 1.0, way=True), None
+            return Reading(Outcome.CONNECT_FAILED, 1.0, way=True), None
+        case _:
+            return Reading(Outcome.ERROR, 0.5), None
--- /dev/null
+++ b/cometdoor/dataplane/wayout.py
@@ -0,0 +1,242 @@
+"""The way out for callers on this machine: which route, which service, whether a key's operation runs here."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from cometdoor.configuration.document import Route
+from cometdoor.configuration.routes import Routes, choose
+from cometdoor.core.boot import Boot
+from cometdoor.dataplane.way import Listed, Way
+from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.messages import BadRequest, ClientRequest, read_fields, read_number
+from cometdoor.keys import operations
+from cometdoor.keys.claims import ClaimClient
+from cometdoor.keys.operations import DoAsk, DoClaim, DoRun, Operations
+from cometdoor.wire.lines import Lines, PeerError
+from cometdoor.wire.messages import AskOperation, Claim, Message, OperationIs, Ran
+
+ATTEMPT, DEADLINE, KEY = b"cometdoor-attempt-id", b"cometdoor-deadline-ms", b"cometdoor-idempotency-key"
+ONCE = frozenset({b"host", b"content-length", b"transfer-encoding", ATTEMPT, DEADLINE, KEY})
+NO_ROUTES_PAUSE_S = 0.3  # no configuration is here yet: it comes within a second of the start
+KEY_SHARE = 0.9  # of its time that a keyed try waits for its claim, or for another's run
+KEY_PAUSE_MS = 150.0  # an election takes some tenths of a second
+EXPIRE_S = 5.0
+log = structlog.get_logger()
+
+
+class MeshReader:
+    """Reads what a caller's request says of itself. Routes are looked up when it is whole."""
+
+    def __init__(self) -> None:
+        self.max_body = 64 << 20
+
+    def read(self, request: ClientRequest) -> None:
+        fields = read_fields(request, ONCE, self.max_body)
+        request.trace = fields.get(ATTEMPT, b"")
+        if not request.trace:
+            raise BadRequest(400, "Cometdoor-Attempt-Id is missing")
+        if not fields.get(b"host"):
+            raise BadRequest(400, "Host is missing")
+        if not request.target.startswith(b"/"):
+            raise BadRequest(400, "the target is no path")
+        try:
+            request.left_ms = read_number(fields[DEADLINE]) if DEADLINE in fields else 0.0
+        except ValueError:
+            raise BadRequest(400, "Cometdoor-Deadline-Ms is no number") from None
+        request.service = None
+        request.route = fields[b"host"].decode("latin-1"), fields.get(KEY, b"").decode("latin-1")
+
+
+class Ask:
+    """One try of a client: the caller of a host, or of a key's operation."""
+
+    __slots__ = ("connection", "key", "request", "timer", "way")
+
+    def __init__(self, connection: ClientConnection, request: ClientRequest, key: str = "") -> None:
+        self.connection: ClientConnection | None = connection
+        self.request = request
+        self.key = key
+        self.way: Way | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        connection, self.connection = self.connection, None
+        if connection is not None and connection.request is self.request:
+            connection.answer(status, headers, body)
+
+    # --- the host's calls ---
+
+    def served(self, answer: Ran) -> None:
+        self.answer(answer.status, answer.headers, answer.body)
+
+    def refused(self, retry_after_ms: float) -> None:
+        self.answer(503, [(b"Retry-After", b"%.3f" % (max(retry_after_ms, 20.0) / 1000.0))], b"")
+
+    def failed(self) -> None:
+        self.answer(502, [], b"")
+
+
+class KeyedRun:
+    """The run of a key's operation: no client holds it, and it goes on when its client leaves."""
+
+    def __init__(self, out: WayOut, key: str) -> None:
+        self._out = out
+        self._key = key
+
+    def served(self, answer: Ran) -> None:
+        self._out.carry_out(self._out.operations.served(self._key, answer))
+
+    def refused(self, retry_after_ms: float) -> None:
+        self._out.carry_out(self._out.operations.never_ran(self._key))
+
+    def failed(self) -> None:
+        self._out.carry_out(self._out.operations.failed(self._key))
+
+
+class WayOut:
+    """Handler of the front that callers on this machine use."""
+
+    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop, lines: Lines, here: str,
+                 cores: Callable[[], list[str]], life: str) -> None:
+        self.routes: Routes | None = None
+        self.operations: Operations[Ask] = Operations(life, boot.bound("idempotency-window-s", 60.0))
+        self._boot = boot
+        self._loop = loop
+        self._lines = lines
+        self._here = here
+        self._chance = random.Random(secrets.randbits(64))
+        self._claims = ClaimClient(loop, lines, cores)
+        self._ways: dict[str, Way] = {}
+        self._listed: dict[str, list[Listed]] = {}
+        self._asks: dict[ClientConnection, Ask] = {}
+        self._expire()
+
+    @property
+    def ready(self) -> bool:
+        return self.routes is not None
+
+    def open_requests(self) -> int:
+        return sum(way.open_requests() for way in self._ways.values())
+
+    def fail_all(self) -> None:
+        for way in self._ways.values():
+            way.fail_all()
+
+    def know(self, listed: dict[str, list[Listed]]) -> None:
+        """All backends that are there, by service."""
+        self._listed = listed
+        for service, way in self._ways.items():
+            way.know(listed.get(service, []))
+
+    def _way(self, service: str) -> Way:
+        way = self._ways.get(service)
+        if way is None:
+            way = self._ways[service] = Way(
+                service, self._loop, self._lines, caller_service=self._boot.service,
+                budget_ratio=self._boot.bound("retry-budget-ratio", 0.2), seed=self._chance.getrandbits(32))
+            way.know(self._listed.get(service, []))
+        return way
+
+    # --- the front's calls ---
+
+    def take(self, connection: ClientConnection, request: ClientRequest) -> None:
+        if self.routes is None:
+            connection.answer(503, [(b"Retry-After", b"%.3f" % NO_ROUTES_PAUSE_S)], b"")
+            return
+        host, key = request.route
+        path = request.target.split(b"?", 1)[0].decode("latin-1")
+        route = self.routes.find(host, path)
+        if route is None:
+            connection.answer(404, [], b"no route")
+            return
+        request.route = route
+        timeout_ms = route.timeout_s * 1000.0
+        request.left_ms = min(request.left_ms, timeout_ms) if request.left_ms > 0 else timeout_ms
+        if route.route_type == "keyed" and key:
+            self._take_keyed(connection, request, route, key)
+            return
+        ask = Ask(connection, request)
+        ask.way = self._way(choose(route, self._chance))
+        self._asks[connection] = ask
+        ask.way.take(ask, request, route)
+
+    def _take_keyed(self, connection: ClientConnection, request: ClientRequest, route: Route, key: str) -> None:
+        ask = Ask(connection, request, key)
+        self._asks[connection] = ask
+        ask.timer = self._loop.call_later(KEY_SHARE * request.left_ms / 1000.0, self._too_late, ask)
+        self.carry_out(self.operations.arrive(key, ask, self._loop.time()))
+
+    def _too_late(self, ask: Ask) -> None:
+        ask.timer = None
+        self.carry_out(self.operations.gone(ask.key, ask, refuse=True))
+
+    def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
+        ask = self._asks.pop(connection, None)
+        if ask is None or ask.request is not request:
+            return
+        ask.connection = None
+        if ask.key:
+            if ask.timer is not None:
+                ask.timer.cancel()
+            self.carry_out(self.operations.gone(ask.key, ask))
+        elif ask.way is not None and request.route.route_type in ("idempotent", "download"):
+            ask.way.caller_gone(ask)
+
+    # --- keyed operations ---
+
+    def carry_out(self, actions: Sequence[operations.Action[Ask]]) -> None:
+        for action in actions:
+            match action:
+                case DoClaim():
+                    self._claim(action)
+                case DoRun():
+                    request = action.ask.request
+                    route: Route = request.route
+                    self._way(choose(route, self._chance)).take(KeyedRun(self, action.key), request, route)
+                case DoAsk():
+                    self._ask(action)
+                case operations.Answer():
+                    headers = [(name, value) for name, value in action.answer.headers
+                               if name.lower() != ATTEMPT]
+                    headers.append((b"Cometdoor-Attempt-Id", action.ask.request.trace))
+                    action.ask.answer(action.answer.status, headers, action.answer.body)
+                case operations.Refuse():
+                    action.ask.refused(KEY_PAUSE_MS)
+                case operations.Unknown():
+                    action.ask.failed()
+                case operations.AtWork():
+                    action.ask.answer(409, [(b"Retry-After", b"0.2")], b"the key is at work")
+
+    def _claim(self, action: DoClaim) -> None:
+        key = action.key
+        self._claims.claim(
+            Claim(key, action.claim, self._here, action.instead),
+            lambda holder, claim: self.carry_out(self.operations.claimed(key, holder, claim)))
+
+    def _ask(self, action: DoAsk) -> None:
+        def told(reply: Message | PeerError) -> None:
+            known = reply if isinstance(reply, OperationIs) else None
+            self.carry_out(self.operations.told(action.key, action.claim, known))
+        if action.holder == self._here:
+            # Of a former life of this proxy: what came of it went with that.
+            told(OperationIs("unknown"))
+            return
+        call = self._lines.call(action.holder, AskOperation(action.key, action.claim), told)
+        if isinstance(call, PeerError):
+            self._loop.call_soon(told, call)
+
+    def asked(self, message: AskOperation, respond: Callable[[OperationIs], None]) -> None:
+        self.operations.asked(message.key, message.claim, respond)
+
+    def _expire(self) -> None:
+        self.operations.expire(self._loop.time())
+        self._loop.call_later(EXPIRE_S, self._expire)
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -37,10 +37,20 @@
 SWEEP_S = 0.1
 LOOK_AT = 8  # connections for one that may go; newcomers by hundreds must not make a search each
 ACCEPTS = 32  # in one turn of the loop: descriptors of those turned away are free again before the next
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+REASONS = {200: b"OK", 307: b"Temporary Redirect", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout", 409: b"Conflict",
-           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-           503: b"Service Unavailable"}
+           412: b"Precondition Failed", 413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+           502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What callers may send and how long they may take."""
+
+    head_bytes: int = MAX_HEAD
+    body_bytes: int = MAX_BODY
+    read_s: float = READ_S
+    idle_s: float = IDLE_S
 
 
 class Handler(Protocol):
@@ -116,7 +126,7 @@
                 self._bad_input(BadRequest(400, "malformed"))
         else:
             self._raw_size += len(data)
-            if self._in_request and self._raw_size - self._body_size > MAX_HEAD:
+            if self._in_request and self._raw_size - self._body_size > self._front.bounds.head_bytes:
                 self._bad_input(BadRequest(431, "the head is too large"))
 
     def pause_writing(self) -> None:
@@ -165,7 +175,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._body_size += len(body)
-        if self._body_size > MAX_BODY:
+        if self._body_size > self._front.bounds.body_bytes:
             raise BadRequest(413, "the body is too large")
         self._body.append(body)
 
@@ -342,6 +352,7 @@
     reader: Reader
     descriptors: Descriptors
     handler: Handler
+    bounds: Bounds = field(default_factory=Bounds)
     serves_several: bool = False  # services, whose callers share the places
     closing: bool = False  # answers end their connections
     connections: dict[ClientConnection, None] = field(default_factory=dict)
@@ -496,10 +507,10 @@
         what lies in the machine's buffers is read first."""
         now, self._swept_at = self._swept_at, self.loop.time()
         crowded = len(self.connections) > self.most() // 2
-        for connection in self._due(self.reading, now - READ_S):
+        for connection in self._due(self.reading, now - self.bounds.read_s):
             connection.too_slow()
         for idle in (self.idle, self.checking):
-            for connection in self._due(idle, now - (SPARE_IDLE_S if crowded else IDLE_S)):
+            for connection in self._due(idle, now - (SPARE_IDLE_S if crowded else self.bounds.idle_s)):
                 connection.close_if_idle()
         for connection in list(self.unread):
             connection.count_unread()
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -49,6 +49,7 @@
     cost_ms: float | None = None
     is_retry: bool = False
     service: Any = None  # where several are served: the one that it was routed to
+    route: Any = None  # where routes say more than the service: the one that it took
 
 
 class Reader(Protocol):
@@ -76,28 +77,29 @@
     return [header for header in headers if header[0].lower() not in dropped]
 
 
-def check_framing(headers: dict[bytes, bytes]) -> None:
+def check_framing(headers: dict[bytes, bytes], max_body: int = MAX_BODY) -> None:
     """Guards against a second request hidden in the body, and against bodies that can't be held."""
     length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
     if length is not None and coding is not None:
         raise BadRequest(400, "both Content-Length and Transfer-Encoding")
     if coding is not None and coding.strip().lower() != b"chunked":
         raise BadRequest(400, "an unknown Transfer-Encoding")
-    if length is not None and (len(length) > 9 or int(length) > MAX_BODY):
+    if length is not None and (len(length) > 9 or int(length) > max_body):
         raise BadRequest(413, "the body is too large")
 
 
-def read_fields(request: ClientRequest) -> dict[bytes, bytes]:
+def read_fields(request: ClientRequest, once: frozenset[bytes] = ONCE,
+                max_body: int = MAX_BODY) -> dict[bytes, bytes]:
     """All fields by lower-case name, once nothing in them can be read in two ways; raises BadRequest."""
     headers: dict[bytes, bytes] = {}
     for name, value in request.headers:
         name = name.lower()
-        if name in headers and name in ONCE:
+        if name in headers and name in once:
             raise BadRequest(400, f"{name.decode()} is repeated")
         if b"_" in name and name.replace(b"_", b"-") in FRAMING:
             raise BadRequest(400, f"{name.decode()} is misspelt")
         headers[name] = value
-    check_framing(headers)
-    if b"connection" in headers and named_by_connection(request.headers) & ONCE:
+    check_framing(headers, max_body)
+    if b"connection" in headers and named_by_connection(request.headers) & once:
         raise BadRequest(400, "Connection names what must go on")
     return headers
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -106,10 +106,13 @@
 class Exchange:
     """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
 
-    __slots__ = ("connection", "done", "hold_s", "payload")
+    __slots__ = ("accepts", "connection", "done", "hold_s", "payload")
 
-    def __init__(self, payload: Callable[[], bytes], done: Done, hold_s: float = 0.0) -> None:
-        """`hold_s`: for so long at most its last byte may be held back; 0: all is written at once."""
+    def __init__(self, payload: Callable[[], bytes], done: Done, hold_s: float = 0.0,
+                 accepts: Callable[[Answer], bool] | None = None) -> None:
+        """`hold_s`: for so long at most its last byte may be held back; 0: all is written at once.
+        `accepts`: whether an answer is this one's, where answers say whose they are; None: any is."""
+        self.accepts = accepts
         self.payload = payload  # made when it is written: it says how much time is left then
         self.done = done
         self.hold_s = hold_s
@@ -129,7 +132,7 @@
 class Connection(asyncio.Protocol):
     __slots__ = ("_answer", "_body", "_handshake_s", "_headers", "_in_answer", "_in_head", "_interim",
                  "_kept_for_s", "_last_byte", "_opening", "_parser", "_paused", "_raw_size", "_reusable",
-                 "_size", "_too_long", "_transport", "_wrote", "address", "closed", "exchange", "idle_since",
+                 "_size", "_surplus", "_too_long", "_transport", "_wrote", "address", "closed", "exchange", "idle_since",
                  "is_retired", "pool", "server", "timer")
 
     def __init__(self, pool: Pool, server: str, address: Address, exchange: Exchange) -> None:
@@ -151,7 +154,7 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._raw_size = self._size = self._interim = 0
-        self._in_head = self._in_answer = self._too_long = False
+        self._in_head = self._in_answer = self._too_long = self._surplus = False
         self._answer: Answer | None = None
         self._reusable = False
 
@@ -333,8 +336,14 @@
         if status < 200 or self._answer is not None:
             self._in_answer = False
             return
-        self._answer = Answer(status, self._headers, b"".join(self._body))
-        self._reusable = self._parser.should_keep_alive()
+        answer = Answer(status, self._headers, b"".join(self._body))
+        exchange = self.exchange
+        if exchange is not None and exchange.accepts is not None and not exchange.accepts(answer):
+            # A surplus answer to an earlier request, late: this one's own may follow.
+            self._in_answer, self._size, self._surplus = False, 0, True
+            return
+        self._answer = answer
+        self._reusable = self._parser.should_keep_alive() and not self._surplus
 
     def eof_received(self) -> None:
         self._broken(End.CLOSED)
--- /dev/null
+++ b/cometdoor/keys/__init__.py
@@ -0,0 +1,1 @@
+"""One operation per key, whichever proxies its tries reach."""
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from cometdoor.core.schema import BadSettings
-from cometdoor.lifetime import end_serving, settle_collector
+from cometdoor.core.lifetime import end_serving, settle_collector
 from cometdoor.services.running import Services
 from cometdoor.settings import Settings, load_settings
 
--- /dev/null
+++ b/cometdoor/wire/messages.py
@@ -0,0 +1,323 @@
+"""Every message between the processes of the mesh (msgspec, as arrays under a tag of one letter or two).
+
+A frame is four bytes of length (big-endian) and a `Frame`. A call and its reply carry the same number; 0
+stands for a message that awaits no reply. Fields are only ever added at the end, with a default: processes
+of two versions understand one another while one takes the other's place.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+MAX_FRAME = 80 << 20  # bytes: a request's body may have 64 MiB
+
+
+class Ping(msgspec.Struct, tag="p", array_like=True):
+    """Whoever waits for something on a line that says nothing asks whether the other end is there."""
+
+
+class Pong(msgspec.Struct, tag="q", array_like=True):
+    """The answer to it."""
+
+
+class Refusal(msgspec.Struct, tag="no", array_like=True):
+    """A call that can't be taken here; nothing came of it."""
+
+    reason: str
+    leader: str = ""  # internal address of the core machine that leads, where known
+
+
+# --- between data planes ---
+
+
+class Run(msgspec.Struct, tag="r", array_like=True):
+    """A request for the backend beside the proxy that is called."""
+
+    attempt_id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]  # end to end, and without those that the door writes
+    body: bytes
+    left_ms: float
+    aim_ms: float
+    priority: int
+    service: str
+    instance: str
+    once: bool  # it may not run twice
+    further: bool = False  # an arrival past the request's first
+
+
+class Ran(msgspec.Struct, tag="a", array_like=True):
+    """The backend's whole answer."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class NotRun(msgspec.Struct, tag="n", array_like=True):
+    """It has not run and never will: the door has said so."""
+
+    reason: str
+    wait_ms: float = 0.0  # after which there may be room
+
+
+class Broke(msgspec.Struct, tag="b", array_like=True):
+    """It reached the backend, and no whole answer came: it may have run."""
+
+    outcome: str  # of jasperhall.api.Outcome
+    blame: float
+
+
+class Cancel(msgspec.Struct, tag="c", array_like=True):
+    """Nobody waits for that call any more."""
+
+    call: int
+
+
+# --- news ---
+
+
+class Backend(msgspec.Struct, array_like=True, frozen=True):
+    """A backend as the proxy beside it knows it."""
+
+    instance: str
+    service: str
+    address: str
+    revision: str
+    capacity: int
+    state: str  # "ready", "draining" or "down"
+    warm_left_s: float = 0.0
+
+
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """What one process says of itself. Only it raises the version; the higher one holds."""
+
+    node: str
+    address: str  # internal, "ip:port"
+    role: str  # "dataplane" or "controlplane"
+    zone: str
+    life: str  # drawn at its start
+    version: int
+    state: str = "up"  # or "leaving"
+    backend: Backend | None = None
+    control: str = ""  # where it serves control
+
+
+class News(msgspec.Struct, tag="w", array_like=True):
+    """Records that the sender holds new, what it has of all others, and the configuration that it has."""
+
+    sender: str
+    records: list[Record]
+    revision: int  # of the newest configuration in force that the sender has; 0 for none
+    digest: dict[str, int] | None = None  # node -> version; None: nothing is asked
+    neighbours: list[str] = []  # some of the sender's partial view
+    answer: bool = False  # to a digest
+
+
+class AskConfiguration(msgspec.Struct, tag="ac", array_like=True):
+    newer_than: int
+
+
+class ConfigurationIs(msgspec.Struct, tag="ci", array_like=True):
+    revision: int  # 0: nothing newer
+    body: bytes = b""
+
+
+# --- the core's log ---
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """One of the core. The id belongs to a disk: an empty one is another member."""
+
+    id: str
+    address: str  # internal
+    control: str  # where it serves control
+    node: str = ""
+
+
+class Noop(msgspec.Struct, tag="e0", array_like=True, frozen=True):
+    """The first of a term: with it what came before is known to be committed."""
+
+
+class Configure(msgspec.Struct, tag="e1", array_like=True, frozen=True):
+    base: int
+    revision: int
+    body: bytes
+
+
+class Members(msgspec.Struct, tag="e2", array_like=True, frozen=True):
+    """The core from this entry on, whether it is committed or not: one more or one less than before."""
+
+    members: tuple[Member, ...]
+
+
+class Claim(msgspec.Struct, tag="e3", array_like=True, frozen=True):
+    """The right to run a key's operation. `instead`: of a claim that its holder gave up unrun."""
+
+    key: str
+    claim: str
+    holder: str  # internal address
+    instead: str = ""
+
+
+class Passed(msgspec.Struct, tag="e4", array_like=True, frozen=True):
+    """So much time went by on the leader's steady clock since it led or last said so."""
+
+    ms: int
+
+
+Change = Noop | Configure | Members | Claim | Passed
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    index: int
+    term: int
+    change: Change
+
+
+class AskVote(msgspec.Struct, tag="v", array_like=True):
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    trial: bool  # it only asks whether it would be elected (prevote)
+    address: str  # where the answer goes; the same in what follows
+    handed: bool = False  # the leader has named it
+
+
+class Vote(msgspec.Struct, tag="vr", array_like=True):
+    term: int
+    voter: str
+    granted: bool
+    trial: bool
+
+
+class Append(msgspec.Struct, tag="ap", array_like=True):
+    term: int
+    leader: str
+    address: str
+    previous_index: int
+    previous_term: int
+    entries: list[Entry]
+    committed: int
+    round: int  # of the leader's heartbeats: told back, so that a lease and a read have their proof
+
+
+class Appended(msgspec.Struct, tag="ar", array_like=True):
+    term: int
+    follower: str
+    success: bool
+    index: int  # of the last entry that is on its disk; on failure: from where it may be tried again
+    round: int
+
+
+class Install(msgspec.Struct, tag="is", array_like=True):
+    term: int
+    leader: str
+    address: str
+    last_index: int
+    last_term: int
+    state: bytes
+    round: int
+
+
+class TakeOver(msgspec.Struct, tag="to", array_like=True):
+    """The leader's last word: the named one stands for election at once."""
+
+    term: int
+    leader: str
+
+
+class Join(msgspec.Struct, tag="j", array_like=True):
+    member: Member
+
+
+class Leave(msgspec.Struct, tag="l", array_like=True):
+    member: str
+
+
+class AskLeader(msgspec.Struct, tag="al", array_like=True):
+    pass
+
+
+class LeaderIs(msgspec.Struct, tag="li", array_like=True):
+    leader: str  # internal address; empty: none is known
+    members: list[str] = []  # internal addresses
+
+
+class Claims(msgspec.Struct, tag="k", array_like=True):
+    """What one proxy asks for at one moment."""
+
+    claims: list[Claim]
+
+
+class Claimed(msgspec.Struct, tag="kr", array_like=True):
+    """For each in turn who holds the key now, and by which claim; empty: it could not be ordered."""
+
+    holders: list[tuple[str, str]]
+
+
+# --- one operation per key, between proxies ---
+
+
+class AskOperation(msgspec.Struct, tag="o", array_like=True):
+    key: str
+    claim: str
+
+
+class OperationIs(msgspec.Struct, tag="or", array_like=True):
+    state: str  # "done", "running", "unrun" (given up by its holder) or "unknown"
+    answer: Ran | None = None
+
+
+Message = (Ping | Pong | Refusal | Run | Ran | NotRun | Broke | Cancel | News | AskConfiguration
+           | ConfigurationIs | AskVote | Vote | Append | Appended | Install | TakeOver | Join | Leave
+           | AskLeader | LeaderIs | Claims | Claimed | AskOperation | OperationIs)
+
+
+class Frame(msgspec.Struct, array_like=True):
+    call: int
+    is_reply: bool
+    message: Message
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+class BadFrame(Exception):
+    """The peer does not speak our protocol: its line is closed."""
+
+
+def encode(frame: Frame) -> bytes:
+    body = _encoder.encode(frame)
+    return len(body).to_bytes(4, "big") + body
+
+
+class Splitter:
+    """Bytes in, frames out."""
+
+    def __init__(self) -> None:
+        self._held = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """Raises BadFrame; nothing of what came with it is taken."""
+        held = self._held
+        held += data
+        frames: list[Frame] = []
+        at = 0
+        while len(held) - at >= 4:
+            size = int.from_bytes(held[at:at + 4], "big")
+            if size > MAX_FRAME:
+                raise BadFrame(f"a frame of {size} bytes")
+            if len(held) - at - 4 < size:
+                break
+            try:
+                frames.append(_decoder.decode(memoryview(held)[at + 4:at + 4 + size].tobytes()))
+            except msgspec.MsgspecError as problem:
+                raise BadFrame(str(problem)) from problem
+            at += 4 + size
+        if at:
+            del held[:at]
+        return frames
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -37,6 +37,7 @@
     worth: float = 1.0
     late_worth: float = 0.0  # share of the worth that an answer between aim and deadline earns
     stream: bool = False
+    max_runs: int = 0  # attempts that may have run, at most; 0: as many as attempts are allowed
 
     def __post_init__(self) -> None:
         _positive(self, "aim_ms", "deadline_ms")
@@ -58,6 +59,7 @@
     floor: float = 0.0  # so many in any case
     per_request: float = 0.0  # and this many for each request taken in the span
     span_ms: float = 10_000.0
+    counts_unrun: bool = True  # also attempts that are known never to have run
 
     def __post_init__(self) -> None:
         _not_negative(self, "floor", "per_request")
@@ -234,7 +236,14 @@
     for_ms: float
 
 
-Event = (RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted | Advised
+@dataclass(frozen=True, slots=True)
+class ClassAdded:
+    """One more class of requests, at the place behind the last one."""
+
+    cls: RequestClass
+
+
+Event = (ClassAdded | RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted | Advised
          | Lent)
 
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -11,6 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import replace
 from heapq import heapify, heappop, heappush
 from zlib import crc32
 
@@ -187,6 +188,11 @@
         self._valued_at = -math.inf
         self.aim_ms = sum(cls.aim_ms for cls in settings.classes) / len(settings.classes)  # of a mean request
 
+    def add_class(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._earned.append(Average(SERVICE_MEMORY_MS))
+        self._values.append(settings.classes[-1].worth)
+
     def ended(self, class_index: int, share: float, weight: float, now: float) -> None:
         """A request earned this share of its class's worth. Above its tenant's share it weighs less."""
         earned = self._earned[class_index]
@@ -231,6 +237,10 @@
         self.strain = Average(2.0 * self.answers.fade_ms)  # the share of their aims that requests took
         self.started_at: float | None = None
 
+    def add_class(self, settings: api.Settings) -> None:
+        self.goal.add_class(settings)
+        self.strained_ms = min(self.strained_ms, settings.classes[-1].aim_ms * STRAINED_SHARE)
+
     def limit(self, now: float) -> float:
         """As many as were lately answered in the time that an answer should take (Little's law)."""
         if self.started_at is None:
@@ -473,6 +483,11 @@
                 self._close(event.request, now)
             case api.StreamStarted():
                 self._stream_started(event)
+            case api.ClassAdded():
+                self._settings = replace(self._settings, classes=(*self._settings.classes, event.cls))
+                self._class_latency.append(Average())
+                self._patience.append(Patience())
+                self._admission.add_class(self._settings)
             case api.Advised():
                 self._advised(event, now)
             case api.Lent():
@@ -805,7 +820,8 @@
         using up what the others' requests need. Harms where turning away is dear: all servers full,
         a request is turned away as often as it has attempts.
         """
-        if self._settings.attempt_budget:
+        budget = self._settings.attempt_budget
+        if budget and budget.counts_unrun:
             return bool(request.attempts)
         return request.may_have_run() is not None
 
@@ -815,6 +831,8 @@
             return False
         if len(request.attempts) >= self._settings.max_attempts:
             return False
+        if request.cls.max_runs and sum(not one.never_ran for one in request.attempts) >= request.cls.max_runs:
+            return False
         if self._spends_budget(request) and not self._budget.allows_one(now):
             return False
         if request.outstanding() and not self._settings.may_duplicate:
