--- a/cometdoor/control/consensus.py
+++ b/cometdoor/control/consensus.py
@@ -138,7 +138,8 @@
         self.state_of: Callable[[], bytes] = lambda: b""  # of all that is committed and applied
         self.applied = self.committed  # kept by the driver
         self.installed: Snapshot | None = None  # a leader's state, for the driver to take
-        self.least_members = 1  # from where on anything is accepted
+        self.least_members = 1  # from where on the first change is accepted
+        self.is_established = False  # one was: the core has been that large
         self.elections = 0
         self._chance = chance
         self._now = now
@@ -378,7 +379,7 @@
         return self.role is Role.LEADER and self.committed >= self._own_noop
 
     def may_accept(self) -> bool:
-        return (self.leads and len(self._members) >= self.least_members
+        return (self.leads and (self.is_established or len(self._members) >= self.least_members)
                 and self._now - self._handed_at > 2 * ELECTION_MOST_S)
 
     def propose(self, change: Change) -> int:
@@ -563,7 +564,10 @@
         now = self._now
         self._joiners = {id: one for id, one in self._joiners.items() if now - one[1] < JOINER_S}
         here = self._members
-        goes: str | None = next((member.id for member in here if member.id in self._leaving), None)
+        goes: str | None = None
+        # Who leaves in order may only start again: it stays a member unless another has come in its place.
+        if len(here) % 2 == 0:
+            goes = next((member.id for member in here if member.id in self._leaving), None)
         if goes is None:
             fresh = {joiner.address: joiner.id for joiner, _ in self._joiners.values()}
             goes = next((member.id for member in here
--- a/cometdoor/control/core.py
+++ b/cometdoor/control/core.py
@@ -89,6 +89,7 @@
         self.consensus.least_members = least_members
         if found.held.snapshot is not None:
             self.state.load(found.held.snapshot.state)
+            self.consensus.is_established = self.state.revision > 0
         # A file is written by one life only.
         self._vault.begin(self.consensus.compact())
         log.info("core member", id=found.held.id, fresh=fresh, founds=founds and fresh,
@@ -131,7 +132,7 @@
         self._wake()
 
     def leave(self) -> None:
-        """Planned: hand over the lead and ask to be taken out."""
+        """Planned: hand over the lead, and ask to be taken out if another has come in its place."""
         self._leaving = True
         if self.consensus.role is Role.LEADER:
             self.consensus.hand_over()
@@ -255,6 +256,7 @@
             self.state.load(consensus.installed.state)
             consensus.applied = consensus.installed.last_index
             consensus.installed = None
+            consensus.is_established = self.state.revision > 0
             self.changed()
         revision = self.state.revision
         while consensus.applied < consensus.committed:
@@ -265,6 +267,7 @@
             if waiter is not None:
                 waiter(verdict if term == entry.term else None)
         if self.state.revision != revision:
+            consensus.is_established = True
             self.changed()
 
     # --- the disk ---
