--- a/cometdoor/planning/lending.py
+++ b/cometdoor/planning/lending.py
@@ -23,7 +23,7 @@
 from cometdoor.planning.reports import SERVER_ID
 
 # Of the budget, what all planners may lend together. The module's own part takes half of it as a flow, and
-# half of a window's flow as a burst (COLD_MARGIN in jasperhall/balancer.py): three quarters in one window.
+# half of a window's flow as a burst (COLD_MARGIN in jasperhall/warmth.py): three quarters in one window.
 LENT_SHARE = 0.2
 LOAN_MS = 1_000.0  # short beside the seconds that a server takes to warm up, long beside a beat of reports
 FRESH_MS = 1_000.0
--- a/tests/jasperhall/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from jasperhall import api, averages, balancer
+from jasperhall import admission, api, averages, balancer, tries, warmth
+from jasperhall.admission import STRAINED_SHARE, Admission
 from jasperhall.api import ListKind, Outcome, State
-from jasperhall.balancer import Admission
 from jasperhall.suspicion import REST_MS
 from tests.jasperhall.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, servers
 
 SAFE_INDEX, KEYED_INDEX, KEYED_ALL_INDEX, UNSAFE_INDEX = range(4)
-DELAY = SAFE.aim_ms * balancer.BACKUP_DELAY
+DELAY = SAFE.aim_ms * tries.BACKUP_DELAY
 
 
 def started(*entries: api.Server, settings: api.Settings = SETTINGS, seed: int = 1) -> Checker:
@@ -143,14 +143,14 @@
 
 def test_clients_that_all_give_up_sooner_are_not_taken_for_repeats() -> None:
     """Churn day of national-lookup: a tenth was refused for 10 s, at half the limit, as if it came late."""
-    patience = balancer.Patience()
+    patience = admission.Patience()
     late = [patience.is_short(4000.0 if at < 5_000 else 2000.0, float(at)) for at in range(0, 20_000, 100)]
-    assert not any(late[:50]) and sum(late[50:]) <= balancer.PATIENCE_MEMORY_MS / 100 + 1
+    assert not any(late[:50]) and sum(late[50:]) <= admission.PATIENCE_MEMORY_MS / 100 + 1
     assert not any(late[80:])
 
 
 def test_repeats_beside_first_tries_are_told_by_the_time_they_have_left() -> None:
-    patience = balancer.Patience()
+    patience = admission.Patience()
     late = [patience.is_short(4000.0 if at % 500 == 0 else 1500.0, float(at)) for at in range(0, 20_000, 100)]
     assert [index for index, short in enumerate(late) if not short] == list(range(0, 200, 5))
 
@@ -217,7 +217,7 @@
     bore = sum(before[name] for name in own)
     assert bore >= 200
     # Warm to 0.25 after 3 s, 0.175 on the mean, each with a call to begin with.
-    most = bore * 0.175 * settings.overload_factor * balancer.COLD_MARGIN + len(own)
+    most = bore * 0.175 * settings.overload_factor * warmth.COLD_MARGIN + len(own)
     assert 0 < sum(after[name] for name in own) <= most
 
 
@@ -234,7 +234,7 @@
     warm = warm if own_zone_is_cold else warm[:1]  # that the other side is wanted at all
     checker.list_servers(one, *warm)
     after = serve(checker, 300, tag="b")
-    most = max(before.values()) * 0.175 * settings.overload_factor * balancer.COLD_MARGIN
+    most = max(before.values()) * 0.175 * settings.overload_factor * warmth.COLD_MARGIN
     assert after[one.name] <= 2.0 + most
 
 
@@ -537,7 +537,7 @@
             admission.strain.add(strain, float(at))
             admission.limit(float(at))
         limits.append(admission.limit(10_000.0))
-    at_20_a_second = 20.0 * balancer.STRAINED_SHARE * SAFE.aim_ms / 1000.0
+    at_20_a_second = 20.0 * STRAINED_SHARE * SAFE.aim_ms / 1000.0
     assert limits[1] <= 1.0 + at_20_a_second  # 1 for the floor
     assert limits[1] < 0.66 * limits[0]
 
@@ -673,7 +673,7 @@
     """Of 100 tries with that much time left, how many go out while half of the limit is taken."""
     classes = (replace(SAFE, late_worth=late_worth, aim_ms=1000, deadline_ms=3000),)
     checker = started(*servers(30), settings=replace(SETTINGS, classes=classes))
-    for number in range(int(30 * balancer.FLOOR * balancer.SPARE_SHARE) + 1):
+    for number in range(int(30 * balancer.FLOOR * admission.SPARE_SHARE) + 1):
         checker.request(f"w{number}", left_ms=2700.0)
     return sum(bool(sent_to(checker.request(f"p{number}", left_ms=left_ms))) for number in range(20))
 
@@ -718,11 +718,11 @@
     checker = started(*servers(6))
     serve(checker, 60)
     (server,) = sent_to(checker.request("r", UNSAFE_INDEX))
-    weight = {name: checker.balancer._weight(member, checker.now)
-              for name, member in checker.balancer._members.items()}
+    weight = {name: checker.balancer._choosing.weight(member, checker.now)
+              for name, member in checker.balancer._choosing.members.items()}
     checker.advance(DELAY + 1)
-    for name, member in checker.balancer._members.items():
-        kept = checker.balancer._weight(member, checker.now) / weight[name]
+    for name, member in checker.balancer._choosing.members.items():
+        kept = checker.balancer._choosing.weight(member, checker.now) / weight[name]
         assert (kept < 0.8) is (name == server)
 
 
@@ -803,9 +803,9 @@
             checker.request(f"r{number}-{part}", part)
         checker.advance(3100.0)
     balancer = checker.balancer
-    assert len(balancer._members) == 2
+    assert len(balancer._choosing.members) == 2
     assert len(balancer._requests) == 0
-    assert len(balancer._rotation) < 20
+    assert len(balancer._choosing.rotation) < 20
     assert len(balancer._timers) == 0
     assert not balancer._admission.waiting
 
@@ -917,7 +917,7 @@
     checker = after_a_reset(2000.0, 1.0)
     assert not closes(checker, 900.0, "early")
     assert closes(checker, 1100.0, "late")
-    assert not closes(checker, balancer.REAP_MEMORY_MS, "forgotten")
+    assert not closes(checker, tries.REAP_MEMORY_MS, "forgotten")
 
 
 def test_a_second_connection_is_not_trusted_either() -> None:
@@ -936,7 +936,7 @@
 
 def test_a_lost_connection_is_not_held_against_its_server() -> None:
     checker = after_a_reset(2000.0, 1.0)
-    assert checker.balancer._members["s0"].failures.total == 0.0
+    assert checker.balancer._choosing.members["s0"].failures.total == 0.0
 
 
 def test_backends_that_come_and_go_leave_nothing_behind() -> None:
@@ -954,8 +954,8 @@
                 checker.end(name, attempt, Outcome.CANCELLED)
         checker.advance(20_000.0)
     module = checker.balancer
-    assert len(module._members) == 4
-    assert len(module._rotation) <= 12
+    assert len(module._choosing.members) == 4
+    assert len(module._choosing.rotation) <= 12
     assert not module._requests and len(module._timers) <= 1
 
 
--- a/tests/jasperhall/test_gate.py
+++ b/tests/jasperhall/test_gate.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from jasperhall import balancer
-from jasperhall.balancer import BackupGate
+from jasperhall import tries
+from jasperhall.tries import BackupGate
 
 
 def do_backup(gate: BackupGate, now: float) -> bool:
@@ -17,7 +17,7 @@
 
 
 LATER = 5000.0
-AFTER_WINDOW = balancer.WINDOW_MS + 2000.0
+AFTER_WINDOW = tries.WINDOW_MS + 2000.0
 
 
 def test_an_idle_gate_opens_at_once() -> None:
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize(("legs", "allowed"), [(19, False), (20, False), (21, True)])
 def test_the_cap_itself_closes_it(legs: int, allowed: bool) -> None:
-    assert balancer.MAX_BACKUP_RATIO == 0.05
+    assert tries.MAX_BACKUP_RATIO == 0.05
     gate = BackupGate()
     assert do_backup(gate, 0.0)
     for _ in range(legs):
@@ -81,4 +81,4 @@
     gate = BackupGate()
     for second in range(1000):
         gate.leg_completed(1000.0 * second)
-    assert len(gate._seconds) <= balancer.WINDOW_MS / 1000.0 + 2
+    assert len(gate._seconds) <= tries.WINDOW_MS / 1000.0 + 2
--- a/tests/planning/test_fleet.py
+++ b/tests/planning/test_fleet.py
@@ -12,7 +12,7 @@
 
 from cometdoor.planning import lending
 from jasperhall.api import ListChanged, State
-from jasperhall.balancer import Balancer
+from jasperhall.warmth import Warmth
 from standins.fleet import CASES, Fleet, Node, Result, Size, drawn, outcome, play
 
 SEEDS = 5 * len(CASES)
@@ -70,7 +70,7 @@
 
 
 def test_it_sees_a_cold_server_pushed_over(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Balancer, "_may_warm", lambda self, member, now: True)
+    monkeypatch.setattr(Warmth, "may_warm", lambda self, member, now: True)
     assert broken_by("only cold servers left", range(6))
 
 
--- a/tests/planning/test_lending.py
+++ b/tests/planning/test_lending.py
@@ -19,7 +19,7 @@
 )
 from cometdoor.planning.reports import server_id
 from jasperhall.api import Server
-from jasperhall.balancer import Member, Side
+from jasperhall.members import Member, Side
 
 RULES = ColdRules(cold_from=0.3, overload_factor=3.0, fall_ms=2000.0)
 RATE = 0.5  # sends in a ms to a warm server
--- a/tests/standins/test_simulation.py
+++ b/tests/standins/test_simulation.py
@@ -10,7 +10,7 @@
 
 from cometdoor.core.host import Host
 from cometdoor.services.membership import Membership
-from jasperhall.balancer import Request
+from jasperhall.tries import Request
 from standins.rules import Breach
 from standins.simulation import Broken, World, main, play
 from standins.virtual import VirtualClock
