Mesh demo: the two programs as real processes on loopback, held against the backends' ledgers

Cause: a newcomer had no way to see the mesh run. Change: standins/mesh.py, 'cometdoor mesh demo', 'make mesh'.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,13 @@
 VENV ?= .venv
 IN_VENV = PATH="$(VENV)/bin:$$PATH"
 
-.PHONY: demo test
+.PHONY: demo mesh test
 demo: $(VENV)/.demo
 	$(VENV)/bin/python -m cometdoor demo
 
+mesh: $(VENV)/.mesh
+	$(VENV)/bin/python -m cometdoor mesh demo
+
 test: $(VENV)/.dev
 	$(IN_VENV) ruff check .
 	$(IN_VENV) mypy
@@ -18,6 +21,11 @@
 	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-demo.txt
 	touch $@
 
+$(VENV)/.mesh: requirements-mesh.txt requirements-demo.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements-mesh.txt
+	touch $@
+
 $(VENV)/.dev: requirements.txt requirements-mesh.txt requirements-demo.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip -q install -r requirements-mesh.txt -r requirements-dev.txt
--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -18,7 +18,7 @@
 LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
 BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
 
-MESH = ("dataplane", "controlplane")  # the mesh's words; the others are in cometdoor/cli.py
+MESH = ("dataplane", "controlplane", "mesh")  # the mesh's words; the others are in cometdoor/cli.py
 log = logging.getLogger("cometdoor")
 
 
@@ -65,7 +65,7 @@
         sys.modules["rich"] = None  # type: ignore[assignment]
         from cometdoor.programs import app
 
-        return app(prog_name="cometdoor", standalone_mode=False) or 0
+        app(prog_name="cometdoor")
     if len(sys.argv) > 1:
         from cometdoor import cli  # not imported by the platform's proxy: memory is scarce there
 
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -97,3 +97,18 @@
 def controlplane() -> None:
     """A member of the core; COMETDOOR_NODE_FILE names its settings."""
     run("controlplane")
+
+
+mesh = typer.Typer(no_args_is_help=True, help="The whole mesh on this machine.")
+app.add_typer(mesh, name="mesh")
+
+
+@mesh.command()
+def demo(seconds: float = 20.0) -> None:
+    """Real processes on loopback: requests are served while a core member and a backend are killed."""
+    try:
+        from standins import mesh as on_this_machine
+    except ImportError as problem:
+        print(f"cometdoor: the demo runs from the repository: {problem}", file=sys.stderr)
+        raise typer.Exit(1) from None
+    raise typer.Exit(on_this_machine.run(seconds))
