Mesh's command line: usage errors are told, not traced

Cause: typer asks rich for help and errors, which daemons do not load; found by trying wrong words by hand. Change: plain help and errors. Measured: wrong options end in status 2 with the usage.

--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -18,6 +18,7 @@
 from cometdoor.core.schema import BadSettings
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+                  rich_markup_mode=None,
                   help="A service mesh: a data plane beside each backend, a control plane on a few machines.")
 
 
@@ -99,7 +100,7 @@
     run("controlplane")
 
 
-mesh = typer.Typer(no_args_is_help=True, help="The whole mesh on this machine.")
+mesh = typer.Typer(no_args_is_help=True, rich_markup_mode=None, help="The whole mesh on this machine.")
 app.add_typer(mesh, name="mesh")
 
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -1,7 +1,7 @@
 """The mesh on this machine, as real processes: three core members, four data planes with stand-in backends.
 
-An operator's configuration is sent, requests are served, a core member and a backend are killed; at the end the
-backends' ledgers are held against what the clients saw. Each machine is an address of 127/8.
+An operator's configuration is sent, requests are served, a core member and a backend are killed; at the end
+the backends' ledgers are held against what the clients saw. Each machine is an address of 127/8.
 """
 
 from __future__ import annotations
