The front end split by concern, settings and nodes with the packages that own them

Cause: 523 lines read connections, made room and kept time limits at once; loose files lay at the top; core imported http. Change: http/caller.py, http/lifetime.py, services/settings.py, discovery/config.py and node.py; moved as they were.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -10,9 +10,9 @@
 
 import uvloop
 
-from cometdoor.config import BadConfig, NodeConfig, load_config, need_restart
-from cometdoor.core.lifetime import end_serving, settle_collector
-from cometdoor.node import Node
+from cometdoor.discovery.config import BadConfig, NodeConfig, load_config, need_restart
+from cometdoor.discovery.node import Node
+from cometdoor.http.lifetime import end_serving, settle_collector
 
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
 LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
--- a/cometdoor/cli.py
+++ b/cometdoor/cli.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from cometdoor.core.schema import BadSettings, read_bytes, read_content
-from cometdoor.settings import Settings, load_settings, read_settings
+from cometdoor.services.settings import Settings, load_settings, read_settings
 
 
 def main(arguments: Sequence[str]) -> int:
--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -12,7 +12,7 @@
 from cometdoor.control.core import Core
 from cometdoor.control.state import Verdict
 from cometdoor.core.schema import BadSettings
-from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import ClientRequest, read_fields
 from cometdoor.wire.messages import Configure
 
--- a/cometdoor/dataplane/beats.py
+++ b/cometdoor/dataplane/beats.py
@@ -16,7 +16,7 @@
 from cometdoor.core.checked import Content, convert, named
 from cometdoor.core.schema import BadSettings
 from cometdoor.core.words import read_address
-from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import ClientRequest
 from cometdoor.wire.messages import Backend
 
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -20,7 +20,8 @@
 from cometdoor.dataplane.door import Door
 from cometdoor.dataplane.way import Listed
 from cometdoor.dataplane.wayout import MeshReader, WayOut
-from cometdoor.http.frontend import Bounds, ClientConnection, Frontend
+from cometdoor.http.caller import ClientConnection
+from cometdoor.http.frontend import Bounds, Frontend
 from cometdoor.http.messages import ClientRequest
 from cometdoor.news.directory import Directory
 from cometdoor.news.exchange import Exchange
--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/wayout.py
@@ -13,7 +13,7 @@
 from cometdoor.configuration.routes import Routes, choose
 from cometdoor.core.boot import Boot
 from cometdoor.dataplane.way import Listed, Way
-from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import BadRequest, ClientRequest, read_fields, read_number
 from cometdoor.keys import operations
 from cometdoor.keys.claims import ClaimClient
--- a/cometdoor/node.py
+++ b/cometdoor/discovery/node.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from cometdoor.config import NodeConfig
 from cometdoor.core.host import Address, HostSettings
 from cometdoor.core.shares import Descriptors
+from cometdoor.discovery.config import NodeConfig
 from cometdoor.discovery.platform import Discovery, ListReader
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.platform import PlatformReader
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -10,7 +10,7 @@
 from cometdoor.core.evidence import Reading
 from cometdoor.core.host import Address, Host, HostSettings, Observer, OnWire
 from cometdoor.core.shares import Places
-from cometdoor.http.frontend import ClientConnection
+from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import ClientRequest, end_to_end
 from cometdoor.http.upstream import Answer, Exchange, Pool, load_of, outcome_of
 from jasperhall import api
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -14,8 +14,8 @@
 import typer
 
 from cometdoor.core.boot import Boot, load_boot
-from cometdoor.core.lifetime import settle_collector
 from cometdoor.core.schema import BadSettings
+from cometdoor.http.lifetime import settle_collector
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   rich_markup_mode=None,
--- a/cometdoor/services/plan.py
+++ b/cometdoor/services/plan.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cometdoor.settings import ServiceEntry, Settings
+from cometdoor.services.settings import ServiceEntry, Settings
 
 # What a running instance can take over; all else needs a new one, which has learned nothing yet.
 CARRIED = {"routes", "servers", "limits"}
--- a/cometdoor/services/running.py
+++ b/cometdoor/services/running.py
@@ -14,7 +14,8 @@
 from cometdoor.core.shares import Descriptors, Stock, callers_part
 from cometdoor.core.words import read_address
 from cometdoor.discovery.platform import Discovery, ListReader
-from cometdoor.http.frontend import ClientConnection, Frontend
+from cometdoor.http.caller import ClientConnection
+from cometdoor.http.frontend import Frontend
 from cometdoor.http.messages import BadRequest, ClientRequest
 from cometdoor.http.service import Caps, HttpService
 from cometdoor.http.upstream import outcome_of, outcome_of_any
@@ -22,7 +23,7 @@
 from cometdoor.services.plan import Plan, plan
 from cometdoor.services.reader import ServicesReader
 from cometdoor.services.routes import Routes
-from cometdoor.settings import ServiceEntry, Settings
+from cometdoor.services.settings import ServiceEntry, Settings
 from jasperhall import api
 from jasperhall.api import Effect, ListChanged, ListKind, Outcome, Scope, Server, State
 
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from cometdoor.core.lifetime import end_serving, settle_collector
 from cometdoor.core.schema import BadSettings
+from cometdoor.http.lifetime import end_serving, settle_collector
 from cometdoor.services.running import Services
-from cometdoor.settings import Settings, load_settings
+from cometdoor.services.settings import Settings, load_settings
 
 if TYPE_CHECKING:
     from cometdoor.planning.voice import Voices  # imported where a file of forwarders is given
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -13,11 +13,11 @@
 
 import uvloop
 
-from cometdoor.config import read_config
 from cometdoor.core.shares import Descriptors
+from cometdoor.discovery.config import read_config
+from cometdoor.discovery.node import Node
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.service import HttpService
-from cometdoor.node import Node
 from jasperhall import api
 from tests.jasperhall.test_simhost import INFO
 
--- a/tests/test_settings_file.py
+++ b/tests/services/test_settings_file.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from cometdoor.core.schema import BadSettings, Problem
-from cometdoor.settings import load_settings, read_settings
+from cometdoor.services.settings import load_settings, read_settings
 
-EXAMPLE = Path(__file__).parents[1] / "deploy" / "services.example.toml"
+EXAMPLE = Path(__file__).parents[2] / "deploy" / "services.example.toml"
 GOOD = """
 [[listener]]
 address = "127.0.0.1:8080"
--- a/tests/services/town.py
+++ b/tests/services/town.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from cometdoor.services.running import Services
-from cometdoor.settings import Settings, read_settings
+from cometdoor.services.settings import Settings, read_settings
 from standins.ledger import Ledger
 from standins.load import ClassLoad, Load
 from standins.model import Behaviour, Cold, KeyStore, ServerModel, exponential
