Ways out prefer backends of their own zone while those are not slower

Cause: two in three calls crossed zones, downloads of 90 kB among them; bytes between zones are priced. Change: the module's own preference, told the zones of callers and backends.

--- a/cometdoor/core/boot.py
+++ b/cometdoor/core/boot.py
@@ -49,6 +49,7 @@
     bounds: list[str] = field(default_factory=list)
     application: str | None = None
     service: str = ""
+    zones: dict[str, str] = field(default_factory=dict)  # region of each
     listen_addresses: ListenAddresses = named("listen-addresses", default_factory=ListenAddresses)
     limits: Limits = field(default_factory=Limits)
     fault_tolerance: FaultTolerance = named("fault-tolerance", default_factory=FaultTolerance)
@@ -61,6 +62,11 @@
                 return float(value)
         return default
 
+    def zone_place(self, zone: str) -> int:
+        """A number for the zone, the same wherever the file names the same zones."""
+        known = sorted(self.zones)
+        return known.index(zone) if zone in known else len(known)
+
     def internal(self, role: str) -> str:
         """Where a process of that role is spoken to by the others, on this machine."""
         return f"{self.ip_address}:{self.internal_ports[0] + ROLE_PORTS[role]}"
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -153,7 +153,8 @@
         for record in alive:
             backend = record.backend
             if backend is not None and record.state == "up" and backend.state in ("ready", "draining"):
-                listed.setdefault(backend.service, []).append(Listed(backend, record.address))
+                listed.setdefault(backend.service, []).append(Listed(
+                    backend, record.address, self.boot.zone_place(record.zone)))
         for backends in listed.values():
             backends.sort(key=lambda one: one.backend.instance)
         self.out.know(listed)
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -56,6 +56,7 @@
 
     backend: Backend
     door: str  # internal address
+    zone: int = 0
 
 
 class AtDoor:
@@ -77,7 +78,7 @@
     """Carrier of its host: `send` hands an attempt to a door."""
 
     def __init__(self, service: str, loop: asyncio.AbstractEventLoop, lines: Lines, *, caller_service: str,
-                 budget_ratio: float, seed: int) -> None:
+                 budget_ratio: float, seed: int, zone: int = 0, zones: int = 1) -> None:
         self.service = service
         self._lines = lines
         self._caller = caller_service.encode()
@@ -88,7 +89,8 @@
         settings = api.Settings(
             classes=(class_of(first),), tier=1, tiers=2, max_attempts=SENDS,
             attempt_budget=api.AttemptBudget(FLOOR, budget_ratio * RATIO_SHARE, counts_unrun=False),
-            cold_from=COLD_FROM, warm_up_ms=WARM_UP_MS)
+            cold_from=COLD_FROM, warm_up_ms=WARM_UP_MS, zone=zone,
+            cross_zone_price=float(zones > 1))
         self._classes[first] = 0
         self._host: Host[ClientRequest, Ran] = Host(HostSettings(settings, seed, True), LoopClock(loop), self)
         self._started_at: dict[str, float] = {}
@@ -134,7 +136,7 @@
             host, _, port = one.door.rpartition(":")
             addresses[backend.instance] = (host, int(port))
             state = State.READY if backend.state == "ready" else State.DRAINING
-            servers.append(api.Server(backend.instance, 1.0, state=state,
+            servers.append(api.Server(backend.instance, 1.0, one.zone, state=state,
                                       started_at=self._started_at[backend.instance]))
         for name in self._started_at.keys() - addresses.keys():
             del self._started_at[name]
--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/wayout.py
@@ -142,7 +142,8 @@
         if way is None:
             way = self._ways[service] = Way(
                 service, self._loop, self._lines, caller_service=self._boot.service,
-                budget_ratio=self._boot.bound("retry-budget-ratio", 0.2), seed=self._chance.getrandbits(32))
+                budget_ratio=self._boot.bound("retry-budget-ratio", 0.2), seed=self._chance.getrandbits(32),
+                zone=self._boot.zone_place(self._boot.zone), zones=len(self._boot.zones))
             way.know(self._listed.get(service, []))
         return way
 
