A test waits for the end to have begun before it sends SIGHUP

Cause: it sent SIGTERM and SIGHUP at one moment, and nothing promises their order; one failure in a fresh clone. Change: SIGHUP follows the log's word.

--- a/tests/services/test_serve.py
+++ b/tests/services/test_serve.py
@@ -114,6 +114,7 @@
         assert proxy.process is not None
         file.write_bytes(b"nothing")
         proxy.process.terminate()
+        await proxy.said("requests are open")  # two signals sent at once may come in either order
         hang_up(proxy)
         await proxy.said("is not read again")
         a.thaw()
