Door sheds by what a place earns; calls that come together share their fate

Cause: with two of three backends of a called service gone, calls of searches, first due, took the places that urgent requests earn more with, and one of a pair was served without the other.

Change: places are given by due time while all can be in time; else who earns least for its work is shed, its group with it. Runs that fail further on are held back only where their own places are short. What each way and door did is logged every 5 s: copies, sheds, what is held back.

--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -12,7 +12,7 @@
 from cometdoor.core.host import Address
 from cometdoor.core.shares import Descriptors
 from cometdoor.core.words import read_address
-from cometdoor.dataplane.places import Job, Places
+from cometdoor.dataplane.places import Job, Kind, Places
 from cometdoor.http.messages import end_to_end
 from cometdoor.http.upstream import Answer, Exchange, Pool
 from cometdoor.wire.lines import Line
@@ -99,19 +99,31 @@
                 self._address = read_address(backend.address)
                 if before is not None:
                     self._pool.retire(before.instance)
-                    self._turn_away("another backend is here")
+                    self._turn_away_all("another backend is here")
             if backend.state == "draining" and (before is None or before.state != "draining"):
                 self._closes_at = self._loop.time() + DRAIN_SHARE * self._drain_s
                 self._ensure_look()
         elif before is not None:
             self._pool.retire(before.instance)
-            self._turn_away("the backend is gone")
+            self._turn_away_all("the backend is gone")
 
-    def _turn_away(self, reason: str) -> None:
+    def _turn_away_all(self, reason: str) -> None:
         for visit in list(self._visits.values()):
             self.places.withdraw(visit.job)
             self._finish(visit, NotRun(reason))
 
+    def _turn_away(self, jobs: list[Job], reason: str) -> None:
+        if jobs:
+            now = now_ms()
+            wait = self.places.wait_ms(len(self.places.waiting), now)
+            for job in jobs:
+                self._finish(self._visits[job.number], NotRun(reason, wait))
+
+    def report(self) -> None:
+        """What was done lately, as a log line."""
+        if counts := self.places.report(now_ms()):
+            log.info("door", waiting=len(self.places.waiting), at_work=self.places.at_work, **counts)
+
     def busy(self) -> int:
         return len(self._at_work)
 
@@ -126,17 +138,15 @@
             line.respond(number, NotRun(f"the backend is {backend.state}"))
             return
         now = now_ms()
-        job = self.places.job(run.aim_ms, run.left_ms, now)
-        wait = self.places.offer(job, now)
-        if wait:
-            line.respond(number, NotRun("full", wait))
-            return
+        job = self.places.job(Kind(run.priority, run.aim_ms, run.once), run.left_ms, now, run.let_through,
+                              (id(line), run.group) if run.group else None, run.group_size)
         visit = Visit(self, run, lambda message: line.respond(number, message), job)
         line.serving[number] = lambda: self._called_off(visit)
+        self._visits[job.number] = visit
+        self._turn_away(self.places.offer(job, now), "full")
         if job.began_ms:
-            self._begin(visit)
-        else:
-            self._visits[job.number] = visit
+            self._begin(self._visits.pop(job.number))
+        elif job.number in self._visits:
             self._ensure_look()
 
     def _begin(self, visit: Visit) -> None:
@@ -206,12 +216,8 @@
 
     def _look_around(self) -> None:
         self._look = None
-        now = now_ms()
-        for job in self.places.overdue(now):
-            visit = self._visits.get(job.number)
-            if visit is not None:
-                self._finish(visit, NotRun("full", self.places.usual_ms(now)))
+        self._turn_away(self.places.overdue(now_ms()), "full")
         if not self._may_begin():
-            self._turn_away("the backend leaves")
+            self._turn_away_all("the backend leaves")
         if self._visits:
             self._ensure_look()
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -34,6 +34,7 @@
 # After SIGTERM clients are sent elsewhere once two looks at readiness a second apart have failed.
 SERVE_ON_S = 2.6
 LOOK_EVERY_S = 0.03
+REPORT_EVERY_S = 5.0
 LAST_WORD_S = 0.3  # before the grace ends
 log = structlog.get_logger()
 
@@ -88,6 +89,7 @@
         await self.lines.listen(*read_address(self.boot.internal(ROLE)))
         self.exchange.start()
         self._list()
+        self._report()
         await self.beats.listen(*read_address(addresses.control_plane))
         await self.front.listen(*read_address(addresses.outbound))
         await self.readiness.listen(*read_address(addresses.readiness))
@@ -163,6 +165,11 @@
         self._list_now()
         self._loop.call_later(LIST_EVERY_S, self._list)
 
+    def _report(self) -> None:
+        self.out.report()
+        self.door.report()
+        self._loop.call_later(REPORT_EVERY_S, self._report)
+
     # --- the end ---
 
     async def end(self, grace_s: float) -> None:
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -12,6 +12,8 @@
 from cometdoor.core.clock import LoopClock, now_ms
 from cometdoor.core.evidence import Reading, Stage, answered
 from cometdoor.core.host import Address, Caller, Host, HostSettings, OnWire
+from cometdoor.dataplane.places import worth_of
+from cometdoor.dataplane.tally import Tally
 from cometdoor.dataplane.throttle import Throttle
 from cometdoor.http.messages import ClientRequest, end_to_end
 from cometdoor.wire.lines import Call, Lines, PeerError
@@ -46,7 +48,7 @@
     repeatable = key.route_type in ("idempotent", "download")
     return api.RequestClass(
         aim_ms=key.target_latency_s * 1000.0, deadline_ms=key.timeout_s * 1000.0,
-        effect=Effect.SAFE if repeatable else Effect.UNSAFE, worth=2.0 if key.priority <= 1 else 1.0,
+        effect=Effect.SAFE if repeatable else Effect.UNSAFE, worth=worth_of(key.priority),
         late_worth=0.4, max_runs=max(key.max_attempts, 1))
 
 
@@ -59,6 +61,27 @@
     zone: int = 0
 
 
+class Turn:
+    """One request at the host: what came of it is told to its caller, and counted."""
+
+    __slots__ = ("caller", "throttle")
+
+    def __init__(self, caller: Caller[Ran], throttle: Throttle) -> None:
+        self.caller = caller
+        self.throttle = throttle
+
+    def served(self, answer: Ran) -> None:
+        self.throttle.placed(True, now_ms())
+        self.caller.served(answer)
+
+    def refused(self, retry_after_ms: float) -> None:
+        self.throttle.placed(False, now_ms())
+        self.caller.refused(retry_after_ms)
+
+    def failed(self) -> None:
+        self.caller.failed()
+
+
 class AtDoor:
     """One attempt."""
 
@@ -93,12 +116,14 @@
             cross_zone_price=float(zones > 1))
         self._classes[first] = 0
         self._host: Host[ClientRequest, Ran] = Host(HostSettings(settings, seed, True), LoopClock(loop), self)
+        self._tally = self._host.observer = Tally()
         self._started_at: dict[str, float] = {}
         self._listed: tuple[Listed, ...] = ()
 
     # --- what the proxy asks for ---
 
-    def take(self, caller: Caller[Ran], request: ClientRequest, route: Route) -> None:
+    def take(self, caller: Caller[Ran], request: ClientRequest, route: Route) -> Turn | None:
+        """None: it was answered at once."""
         key = ClassKey(route.route_type, route.timeout_s, route.target_latency_s, route.priority,
                        route.max_attempts)
         place = self._classes.get(key)
@@ -109,11 +134,13 @@
         throttle = self._throttles[place]
         if not throttle.admits(now_ms()):
             caller.refused(HELD_BACK_SHARE * route.target_latency_s * 1000.0)
-            return
-        self._host.take(caller, request)
+            return None
+        turn = Turn(caller, throttle)
+        self._host.take(turn, request)
+        return turn
 
-    def caller_gone(self, caller: Caller[Ran]) -> None:
-        self._host.caller_gone(caller)
+    def caller_gone(self, turn: Turn) -> None:
+        self._host.caller_gone(turn)
 
     def open_requests(self) -> int:
         return self._host.open_requests()
@@ -121,6 +148,15 @@
     def fail_all(self) -> None:
         self._host.fail_all()
 
+    def report(self) -> dict[str, object]:
+        """For the log, since the last report; empty where there was nothing to do."""
+        counts: dict[str, object] = dict(self._tally.take())
+        if not counts:
+            return counts
+        held_back = {f"{key.route_type}/{key.target_latency_s:g}s": round(self._throttles[place].part, 2)
+                     for key, place in self._classes.items() if self._throttles[place].part < 1.0}
+        return counts | {"backends": len(self._listed)} | ({"let_through": held_back} if held_back else {})
+
     def know(self, listed: Sequence[Listed]) -> None:
         """All backends of the service that are there; the draining ones too."""
         if tuple(listed) == self._listed:
@@ -152,6 +188,8 @@
                   max(until_ms - now_ms(), 1.0), route.target_latency_s * 1000.0, route.priority,
                   self.service, server, once)
         throttle = self._throttles[request.class_index]
+        run.let_through = throttle.part
+        run.group, run.group_size = throttle.group, throttle.group_size(now_ms())
 
         def replied(reply: Message | PeerError) -> None:
             reading, answer = read(reply)
--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/wayout.py
@@ -12,7 +12,7 @@
 from cometdoor.configuration.document import Route
 from cometdoor.configuration.routes import Routes, choose
 from cometdoor.core.boot import Boot
-from cometdoor.dataplane.way import Listed, Way
+from cometdoor.dataplane.way import Listed, Turn, Way
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import BadRequest, ClientRequest, read_fields, read_number
 from cometdoor.keys import operations
@@ -56,7 +56,7 @@
 class Ask:
     """One try of a client: the caller of a host, or of a key's operation."""
 
-    __slots__ = ("_over", "connection", "key", "request", "timer", "way")
+    __slots__ = ("_over", "connection", "key", "request", "timer", "turn", "way")
 
     def __init__(self, connection: ClientConnection, request: ClientRequest, key: str,
                  over: Callable[[ClientConnection], object]) -> None:
@@ -66,6 +66,7 @@
         self.request = request
         self.key = key
         self.way: Way | None = None
+        self.turn: Turn | None = None
         self.timer: asyncio.TimerHandle | None = None
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
@@ -132,6 +133,12 @@
     def open_requests(self) -> int:
         return sum(way.open_requests() for way in self._ways.values())
 
+    def report(self) -> None:
+        """What was done lately, as log lines."""
+        for service, way in self._ways.items():
+            if counts := way.report():
+                log.info("served", service=service, **counts)
+
     def fail_all(self) -> None:
         for way in self._ways.values():
             way.fail_all()
@@ -172,7 +179,7 @@
             return
         ask = self._new_ask(connection, request)
         ask.way = self._way(choose(route, self._chance))
-        ask.way.take(ask, request, route)
+        ask.turn = ask.way.take(ask, request, route)
 
     def _new_ask(self, connection: ClientConnection, request: ClientRequest, key: str = "") -> Ask:
         """Known until it is answered, or its client has gone."""
@@ -197,8 +204,9 @@
             if ask.timer is not None:
                 ask.timer.cancel()
             self.carry_out(self.operations.gone(ask.key, ask))
-        elif ask.way is not None and request.route.route_type in ("idempotent", "download"):
-            ask.way.caller_gone(ask)
+        elif ask.way is not None and ask.turn is not None and (
+                request.route.route_type in ("idempotent", "download")):
+            ask.way.caller_gone(ask.turn)
 
     # --- keyed operations ---
 
