--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -10,11 +10,12 @@
 import msgspec
 import structlog
 
-from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls, PathReader
+from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls
 from cometdoor.control.core import Core
 from cometdoor.core.boot import Boot
 from cometdoor.core.shares import Descriptors
 from cometdoor.core.words import read_address
+from cometdoor.http.calls import PathReader
 from cometdoor.http.frontend import Bounds, Frontend
 from cometdoor.news.directory import Directory
 from cometdoor.news.exchange import Exchange
--- a/cometdoor/dataplane/beats.py
+++ b/cometdoor/dataplane/beats.py
@@ -12,11 +12,11 @@
 import msgspec
 import structlog
 
-from cometdoor.control.calls import JSON, problem, segments
 from cometdoor.core.checked import Content, convert, named
 from cometdoor.core.schema import BadSettings
 from cometdoor.core.words import read_address
 from cometdoor.http.caller import ClientConnection
+from cometdoor.http.calls import JSON, problem, segments
 from cometdoor.http.messages import ClientRequest
 from cometdoor.wire.messages import Backend
 
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -11,7 +11,6 @@
 
 from cometdoor.configuration.document import parse
 from cometdoor.configuration.routes import Routes
-from cometdoor.control.calls import PathReader, problem, segments
 from cometdoor.core.boot import Boot
 from cometdoor.core.schema import BadSettings
 from cometdoor.core.shares import Descriptors
@@ -21,6 +20,7 @@
 from cometdoor.dataplane.way import Listed
 from cometdoor.dataplane.wayout import MeshReader, WayOut
 from cometdoor.http.caller import ClientConnection
+from cometdoor.http.calls import PathReader, problem, segments
 from cometdoor.http.frontend import Bounds, Frontend
 from cometdoor.http.messages import ClientRequest
 from cometdoor.news.directory import Directory
--- /dev/null
+++ b/cometdoor/discovery/program.py
@@ -0,0 +1,72 @@
+"""The platform's proxy as a program, told what it is by NODE_CONFIG; SIGHUP has it read that again."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+
+import uvloop
+
+from cometdoor.discovery.config import BadConfig, NodeConfig, load_config, need_restart
+from cometdoor.discovery.node import Node
+from cometdoor.http.lifetime import end_serving, settle_collector
+
+# SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
+LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
+BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
+log = logging.getLogger("cometdoor")
+
+
+def reload(running: NodeConfig, node: Node, stopping: asyncio.Event) -> None:
+    """Only discovery can move under a running proxy. What can't be read changes nothing."""
+    if stopping.is_set():
+        return
+    try:
+        new = load_config()
+    except BadConfig as problem:
+        log.error("the configuration stays as it was: %s", problem)
+        return
+    if names := need_restart(running, new):
+        log.warning("changed, but used only after a restart: %s", ", ".join(names))
+    node.discovery.move(new.discovery)
+
+
+async def serve(config: NodeConfig, stopping: asyncio.Event) -> None:
+    loop = asyncio.get_running_loop()
+    node = Node(config, loop)
+    # Before anybody can learn that the program is up: without a handler the signal ends it.
+    loop.add_signal_handler(signal.SIGHUP, reload, config, node, stopping)
+    await node.start(config.listen)
+    settle_collector()
+    log.info("%s serves on %s:%d", config.name, *config.listen)
+    await stopping.wait()
+    longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
+    await end_serving(node.front, node.service, min(longest_s, LONGEST_WAIT_S) + KILL_AFTER_S - BEFORE_KILL_S)
+    node.stop()
+    log.info("%s ends", config.name)
+
+
+async def run(config: NodeConfig) -> None:
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    await serve(config, stopping)
+
+
+def main() -> int:
+    """0: it ended in order; 1: it could not serve; 2: its configuration is bad."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    try:
+        config = load_config()
+    except BadConfig as problem:
+        print(f"cometdoor: bad configuration: {problem}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(run(config))
+    except OSError as problem:
+        print(f"cometdoor: {problem}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/services/test_serve.py
+++ b/tests/services/test_serve.py
@@ -56,7 +56,8 @@
 
 def test_the_platforms_proxy_imports_nothing_of_the_operators(tmp_path: Path) -> None:
     """Memory is scarce there."""
-    text = ("import sys; import cometdoor.__main__; print([name for name in sys.modules "
+    text = ("import sys; import cometdoor.__main__, cometdoor.discovery.program; "
+            "print([name for name in sys.modules "
             "if name.split('.')[0] in ('msgspec', 'rich', 'tomllib', 'argparse', 'standins') "
             "or name.startswith(('cometdoor.services', 'cometdoor.services.settings', 'cometdoor.cli', "
             "'cometdoor.planning', 'cometdoor.core.schema'))])")
