Who is refused is told to come back the later the more are turned away

Cause: in the seconds after a loss of power clients were told to come back after a quarter of their aim, into the same crowd, and were refused for good.

Change: the pause grows from that to a third of the time that is left, by the share that lately found no place, and is spread.

--- a/cometdoor/dataplane/throttle.py
+++ b/cometdoor/dataplane/throttle.py
@@ -24,6 +24,9 @@
 LEAST = 0.1  # is let through in any case
 PRIOR_COUNT = 8.0  # as if so many had succeeded: some that fail by chance are no sign
 CROWDED = 0.95  # fewer than so many of a kind find a place: others want them too
+LATEST_SHARE = 0.33  # of the time that it has left: clients heed no longer pause than a third
+CROWD_RANGE = 0.3  # turned away, from where on all pauses are the longest
+SPREAD = 0.6  # of them, from where on they are spread, so that not all come back at once
 # Calls that come within so long of one another come from one run, most likely: they share its fate.
 TOGETHER_MS = 3.0
 # Below this share of runs that succeed another run of the same request only adds to what made it fail.
@@ -70,6 +73,15 @@
         elif share > FINE:
             self.part, self._step = min(self.part + self._step, 1.0), min(2.0 * self._step, MOST)
 
+    def pause_ms(self, soon_ms: float, left_ms: float, now: float) -> float:
+        """When one that is refused should come back: soon where hardly any is turned away, and the later the
+        more are. Guards against one that comes back into the same crowd, and is refused for good. Harms where
+        the crowd has gone by then: its answer is later than need be."""
+        latest = LATEST_SHARE * left_ms
+        soon = min(soon_ms, latest)
+        crowd = min((1.0 - self._places.mean(1.0, PRIOR_COUNT, now)) / CROWD_RANGE, 1.0)
+        return soon + (latest - soon) * crowd * self._chance.uniform(SPREAD, 1.0)
+
     def placed(self, found: bool, now: float) -> None:
         """Whether there was a place for one that was let through."""
         self._places.add(float(found), now)
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -64,10 +64,11 @@
 class Turn:
     """One request at the host: what came of it is told to its caller, and counted."""
 
-    __slots__ = ("caller", "throttle")
+    __slots__ = ("caller", "request", "throttle")
 
-    def __init__(self, caller: Caller[Ran], throttle: Throttle) -> None:
+    def __init__(self, caller: Caller[Ran], request: ClientRequest, throttle: Throttle) -> None:
         self.caller = caller
+        self.request = request
         self.throttle = throttle
 
     def served(self, answer: Ran) -> None:
@@ -75,13 +76,19 @@
         self.caller.served(answer)
 
     def refused(self, retry_after_ms: float) -> None:
-        self.throttle.placed(False, now_ms())
-        self.caller.refused(retry_after_ms)
+        now = now_ms()
+        self.throttle.placed(False, now)
+        self.caller.refused(self.throttle.pause_ms(retry_after_ms, left_ms(self.request, now), now))
 
     def failed(self) -> None:
         self.caller.failed()
 
 
+def left_ms(request: ClientRequest, now: float) -> float:
+    """That its client still waits."""
+    return max(request.left_ms - (now - request.arrived_at * 1000.0), 0.0)
+
+
 class AtDoor:
     """One attempt."""
 
@@ -132,10 +139,12 @@
             self._throttles.append(Throttle(self._chance))
         request.class_index = place
         throttle = self._throttles[place]
-        if not throttle.admits(now_ms()):
-            caller.refused(HELD_BACK_SHARE * route.target_latency_s * 1000.0)
+        now = now_ms()
+        if not throttle.admits(now):
+            soon = HELD_BACK_SHARE * route.target_latency_s * 1000.0
+            caller.refused(throttle.pause_ms(soon, left_ms(request, now), now))
             return None
-        turn = Turn(caller, throttle)
+        turn = Turn(caller, request, throttle)
         self._host.take(turn, request)
         return turn
 
