--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -62,14 +62,27 @@
 
 
 class Turn:
-    """One request at the host: what came of it is told to its caller, and counted."""
+    """One request at the host: what came of it is told to its caller, and counted.
 
-    __slots__ = ("caller", "request", "throttle")
+    Guards against a promise that does not hold. The module refuses a repeatable request when it gives up,
+    since that does no harm; a refusal says that nothing has run, though. Where something may have, the
+    backend's own failure is passed on, or it is said that nothing is known.
+    """
+
+    __slots__ = ("caller", "failure", "may_have_run", "request", "throttle")
 
     def __init__(self, caller: Caller[Ran], request: ClientRequest, throttle: Throttle) -> None:
         self.caller = caller
         self.request = request
         self.throttle = throttle
+        self.may_have_run = 0  # attempts that left, less those that are known not to have run
+        self.failure: Ran | None = None  # the last one of a backend's own
+
+    def ended(self, reading: Reading, answer: Ran | None) -> None:
+        """One of its attempts."""
+        self.may_have_run -= reading.never_ran
+        if answer is not None and answer.status >= 500:
+            self.failure = answer
 
     def served(self, answer: Ran) -> None:
         self.throttle.placed(True, now_ms())
@@ -77,11 +90,18 @@
 
     def refused(self, retry_after_ms: float) -> None:
         now = now_ms()
+        if self.may_have_run:
+            self.throttle.placed(True, now)
+            self.failed()
+            return
         self.throttle.placed(False, now)
         self.caller.refused(self.throttle.pause_ms(retry_after_ms, left_ms(self.request, now), now))
 
     def failed(self) -> None:
-        self.caller.failed()
+        if self.failure is not None:
+            self.caller.served(self.failure)
+        else:
+            self.caller.failed()
 
 
 def left_ms(request: ClientRequest, now: float) -> float:
@@ -144,7 +164,7 @@
             soon = HELD_BACK_SHARE * route.target_latency_s * 1000.0
             caller.refused(throttle.pause_ms(soon, left_ms(request, now), now))
             return None
-        turn = Turn(caller, request, throttle)
+        turn = request.turn = Turn(caller, request, throttle)
         self._host.take(turn, request)
         return turn
 
@@ -197,11 +217,13 @@
                   max(until_ms - now_ms(), 1.0), route.target_latency_s * 1000.0, route.priority,
                   self.service, server, once)
         throttle = self._throttles[request.class_index]
+        turn: Turn = request.turn
         run.let_through = throttle.part
         run.group, run.group_size = throttle.group, throttle.group_size(now_ms())
 
         def replied(reply: Message | PeerError) -> None:
             reading, answer = read(reply)
+            turn.ended(reading, answer)
             if answer is not None:
                 throttle.ended(answer.status < 500, now_ms())
             if reading.outcome is Outcome.ERROR and answer is not None and not (
@@ -210,7 +232,10 @@
             done(reading, answer)
         call = self._lines.call(f"{address[0]}:{address[1]}", run, replied,
                                 BULK if route.route_type == "download" else "")
-        return Outcome.CONNECT_FAILED if isinstance(call, PeerError) else AtDoor(call)
+        if isinstance(call, PeerError):
+            return Outcome.CONNECT_FAILED
+        turn.may_have_run += 1
+        return AtDoor(call)
 
     def _headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
         kept = [header for header in end_to_end(request.headers) if header[0].lower() not in OURS]
