Probes of a backend that took no connection, seeds by SIGHUP, starts that tell all faults

Cause: what the mesh's issue asks and was missing: health probes, the configuration's max-connections at the door, errors in groups, anything new of a settings file that is read again, a start on a full disk.

Change: a backend that refused a connection is asked for its health after 0.3 s, then ever more seldom, and is ready again before its next beat. All addresses that can't be had are told at once (ExceptionGroup). New seeds are used after SIGHUP. A member's first write is tried again like all others, so a full disk keeps it waiting instead of ending it; the index of a file that has gone is no longer written anew.

--- a/cometdoor/control/core.py
+++ b/cometdoor/control/core.py
@@ -60,7 +60,7 @@
         self.changed: Callable[[], None] = lambda: None  # the configuration or the lead
         self._loop = loop
         self._lines = lines
-        self._vault = Vault(folder)
+        self.vault = Vault(folder)
         self._thread = ThreadPoolExecutor(1, "disk")
         self._seeds = seeds
         self._me = me
@@ -74,10 +74,10 @@
         self._was_leading = False
         self._leaving = False
         self._begin = False  # the next write begins a new file
-        found = self._vault.open()
+        found = self.vault.open()
         if found.is_damaged:
             log.error("the disk lost what it had promised: it counts as empty", step="open", peer=str(folder))
-            self._vault.clear()
+            self.vault.clear()
             found = type(found)()
         fresh = not found.held.id
         if fresh:
@@ -90,14 +90,18 @@
         if found.held.snapshot is not None:
             self.state.load(found.held.snapshot.state)
             self.consensus.is_established = self.state.revision > 0
-        # A file is written by one life only.
-        self._vault.begin(self.consensus.compact())
+        # A file is written by one life only. Until it is begun, the one before it stands.
+        self._first = self.consensus.compact()
+        self._is_begun = False
         log.info("core member", id=found.held.id, fresh=fresh, founds=founds and fresh,
                  last=self.consensus.last_index, term=self.consensus.term)
         if fresh and founds:
             self.consensus.bootstrap()
 
     def start(self) -> None:
+        # Like all writes tried again until it succeeds: a full or slow disk must not keep a member away.
+        self._writing = True
+        self._put(partial(self.vault.begin, self._first), 0)
         self._tick()
 
     def stop(self) -> None:
@@ -204,7 +208,7 @@
     def _seek(self, now: float) -> None:
         """Who is no member, or hears no leader, asks to be taken in; who leaves asks to be let go."""
         consensus = self.consensus
-        if now < self._join_at or consensus.role is Role.LEADER:
+        if now < self._join_at or consensus.role is Role.LEADER or not self._is_begun:
             return
         self._join_at = now + JOIN_EVERY_S
         is_member = any(member.id == self._me.id for member in consensus.members)
@@ -279,11 +283,11 @@
         if not writes:
             return
         self._writing = True
-        if self._vault.size > COMPACT_BYTES or len(self.consensus.entries) > COMPACT_ENTRIES:
+        if self.vault.size > COMPACT_BYTES or len(self.consensus.entries) > COMPACT_ENTRIES:
             # All that stands, the new writes too, begins a new file.
-            work = partial(self._vault.begin, self.consensus.compact())
+            work = partial(self.vault.begin, self.consensus.compact())
         else:
-            work = partial(self._vault.put, writes)
+            work = partial(self.vault.put, writes)
         self._put(work, len(writes))
 
     def _put(self, work: Callable[[], None], count: int) -> None:
@@ -301,6 +305,6 @@
         if problem is not None:
             log.error("the disk's thread failed", error=repr(problem))
             raise problem
-        self._writing = False
+        self._writing, self._is_begun = False, True
         self.consensus.written(count, self._loop.time())
         self._settle()
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -13,8 +13,8 @@
 from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls
 from cometdoor.control.core import Core
 from cometdoor.core.boot import Boot
+from cometdoor.core.listening import listen_all
 from cometdoor.core.shares import Descriptors
-from cometdoor.core.words import read_address
 from cometdoor.http.calls import PathReader
 from cometdoor.http.frontend import Bounds, Frontend
 from cometdoor.news.directory import Directory
@@ -50,11 +50,18 @@
                               OperatorCalls(loop, self.core), Bounds(body_bytes=MAX_CONFIGURATION))
 
     async def start(self) -> None:
-        await self.lines.listen(*read_address(self.boot.internal(ROLE)))
+        """Raises an ExceptionGroup of ListenError."""
+        control = self.boot.listen_addresses.control_plane
+        assert control is not None
+        await listen_all({"listen to the mesh": (self.lines.listen, self.boot.internal(ROLE)),
+                          "listen to operators": (self.front.listen, control)})
         self.core.start()
         self.exchange.start()
-        assert self.boot.listen_addresses.control_plane is not None
-        await self.front.listen(*read_address(self.boot.listen_addresses.control_plane))
+
+    def reloaded(self, boot: Boot) -> None:
+        """The settings file was read again: its seeds are used from now on, all else from the next start."""
+        self.directory.seeds = boot.seeds_internal()
+        self.core.knows(boot.seeds_internal())
 
     def _receive(self, message: Message, line: Line, number: int) -> None:
         if not self.core.receive(message, line, number):
--- a/cometdoor/control/vault.py
+++ b/cometdoor/control/vault.py
@@ -38,7 +38,7 @@
 _decoder = msgspec.msgpack.Decoder(list[Write])
 
 
-class DiskError(Exception):
+class DiskError(OSError):
     def __init__(self, step: str, place: str, reason: str) -> None:
         super().__init__(f"{step} of {place}: {reason}")
         self.step, self.place = step, place
@@ -152,6 +152,7 @@
         self._file = number
         path = self.folder / f"{NAME}{number:06d}"
         try:
+            self.close()  # else its index is written when it is collected, after its file has gone
             self._db = dbm.dumb.open(str(path), "n")  # noqa: SIM115 - it stays open for this life
             self._path = path.with_suffix(".dat")
             self._number = self._synced = self.size = 0
@@ -160,6 +161,12 @@
         except OSError as problem:
             raise DiskError("begin", str(path), problem.strerror or str(problem)) from problem
 
+    def close(self) -> None:
+        """Nothing rests on it: what was put is on disk. Raises OSError."""
+        if self._db is not None:
+            self._db.close()
+            self._db = None
+
     def put(self, writes: Sequence[Write]) -> None:
         """On disk when it returns. Raises DiskError: then it may be or not, and may be tried again."""
         try:
--- a/cometdoor/daemons.py
+++ b/cometdoor/daemons.py
@@ -10,13 +10,19 @@
 import logging
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import structlog
 
 from cometdoor.core.boot import Boot, load_boot
+from cometdoor.core.listening import ListenError
 from cometdoor.core.schema import BadSettings
 from cometdoor.http.lifetime import settle_collector
 
+if TYPE_CHECKING:
+    from cometdoor.control.process import ControlPlane
+    from cometdoor.dataplane.process import DataPlane
+
 
 def log_json() -> None:
     structlog.configure(
@@ -33,7 +39,6 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, boot, role)
     program: DataPlane | ControlPlane
     if role == "dataplane":
         from cometdoor.dataplane.process import DataPlane
@@ -43,6 +48,8 @@
         from cometdoor.control.process import ControlPlane
 
         program = ControlPlane(boot, loop)
+    # Before anybody can learn that the program is up: without a handler the signal ends it.
+    loop.add_signal_handler(signal.SIGHUP, reload, program, role)
     await program.start()
     settle_collector()
     log.info("serves", role=role, node=boot.node_name)
@@ -51,15 +58,19 @@
     await program.end(boot.bound("grace-s", 6.0))
 
 
-def reload(running: Boot, role: str) -> None:
-    """Says what is wrong with the file by now. Nothing in it is taken up before the next start."""
+def reload(program: DataPlane | ControlPlane, role: str) -> None:
+    """What can't be read changes nothing."""
     log = structlog.get_logger()
     try:
-        load_boot(role)
+        boot = load_boot(role)
     except BadSettings as problem:
-        log.error("settings are bad; the next start would fail", step="reload", error=str(problem))
-    else:
-        log.info("settings are good; used from the next start on", step="reload", node=running.node_name)
+        log.error("settings are bad; they stay as they were", step="reload", error=str(problem))
+        return
+    changed = [name for name in vars(boot) if getattr(boot, name) != getattr(program.boot, name)]
+    program.reloaded(boot)
+    log.info("settings read again", step="reload", node=boot.node_name,
+             used=[name for name in changed if name == "seed_nodes"],
+             after_the_next_start=[name for name in changed if name != "seed_nodes"])
 
 
 def run(role: str) -> int:
@@ -72,9 +83,11 @@
     except BadSettings as problem:
         print(problem, file=sys.stderr)
         return 2
+    status = 0
     try:
         uvloop.run(serve(boot, role))
-    except OSError as problem:
-        print(f"cometdoor {role}: {problem}", file=sys.stderr)
-        return 1
-    return 0
+    except* (ListenError, OSError) as faults:
+        for fault in faults.exceptions:
+            print(f"cometdoor {role}: {fault}", file=sys.stderr)
+        status = 1
+    return status
--- a/cometdoor/dataplane/beats.py
+++ b/cometdoor/dataplane/beats.py
@@ -101,6 +101,12 @@
             self.now = msgspec.structs.replace(self.now, state="down")
             self._changed(self.now)
 
+    def back(self) -> None:
+        """It takes connections again."""
+        if self.now is not None and self.now.state == "down":
+            self.now = msgspec.structs.replace(self.now, state="ready")
+            self._changed(self.now)
+
     def _bury(self, instance: str) -> None:
         self._former[instance] = None
         while len(self._former) > REMEMBERED:
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -24,9 +24,13 @@
 LOOK_EVERY_S = 0.02  # while somebody waits
 # Of the span between a drain's acknowledgement and its bound, in which what is already here may go to work.
 DRAIN_SHARE = 0.6
+# Between looks at the health of a backend that took no connection: it may be back before its next beat, and
+# one that is gone for good is not worth many looks.
+PROBE_S, PROBE_MOST_S = 0.3, 5.0
 NOT_EXECUTED = b"cometdoor-not-executed"
 SEAL = b"cometdoor-response-seal"
 ATTEMPT = b"cometdoor-attempt-id"
+INSTANCE = b"cometdoor-instance-id"
 log = structlog.get_logger()
 
 
@@ -78,6 +82,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, drain_s: float) -> None:
         self.backend: Backend | None = None
         self.failed: Callable[[], None] = lambda: None  # the backend takes no connection
+        self.is_back: Callable[[], None] = lambda: None  # and now it does, and says that it is well
+        self.health_path = "/health"
         self.places = Places()
         self._loop = loop
         self._drain_s = drain_s
@@ -87,6 +93,8 @@
         self._at_work: dict[Visit, None] = {}
         self._look: asyncio.TimerHandle | None = None
         self._closes_at = 0.0  # while draining: what waits then is turned away
+        self._probe: asyncio.TimerHandle | None = None
+        self._probe_s = PROBE_S
         self.is_closing = False
 
     # --- the backend's life ---
@@ -103,6 +111,10 @@
             if backend.state == "draining" and (before is None or before.state != "draining"):
                 self._closes_at = self._loop.time() + DRAIN_SHARE * self._drain_s
                 self._ensure_look()
+            if backend.state == "down":
+                self._ensure_probe()
+            else:
+                self._probe_s = PROBE_S
         elif before is not None:
             self._pool.retire(before.instance)
             self._turn_away_all("the backend is gone")
@@ -119,6 +131,34 @@
             for job in jobs:
                 self._finish(self._visits[job.number], NotRun(reason, wait))
 
+    def limit(self, health_path: str, max_connections: int) -> None:
+        """What the configuration says of the service."""
+        self.health_path = health_path
+        self._pool.most = max_connections
+
+    # --- a backend that took no connection ---
+
+    def _ensure_probe(self) -> None:
+        if self._probe is None:
+            self._probe = self._loop.call_later(self._probe_s, self._ask_health)
+
+    def _ask_health(self) -> None:
+        self._probe = None
+        backend = self.backend
+        if backend is None or backend.state != "down":
+            return
+
+        def told(reading: Reading, answer: Answer | None) -> None:
+            if (answer is not None and answer.status == 200 and self.backend is not None
+                    and field_of(answer, INSTANCE) == self.backend.instance.encode()):
+                log.info("backend is back", step="probe", peer=backend.instance)
+                self.is_back()
+        payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (
+            self.health_path.encode(), backend.address.encode())
+        self._pool.send(backend.instance, self._address, Exchange(lambda: payload, told))
+        self._probe_s = min(2 * self._probe_s, PROBE_MOST_S)
+        self._ensure_probe()
+
     def report(self) -> None:
         """What was done lately, as a log line."""
         if counts := self.places.report(now_ms()):
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -12,9 +12,9 @@
 from cometdoor.configuration.document import parse
 from cometdoor.configuration.routes import Routes
 from cometdoor.core.boot import Boot
+from cometdoor.core.listening import listen_all
 from cometdoor.core.schema import BadSettings
 from cometdoor.core.shares import Descriptors
-from cometdoor.core.words import read_address
 from cometdoor.dataplane.beats import BackendCalls, Lives
 from cometdoor.dataplane.door import Door
 from cometdoor.dataplane.way import Listed
@@ -76,7 +76,7 @@
         self.out = WayOut(boot, loop, self.lines, here, self._cores, life)
         self.door = Door(loop, descriptors, boot.bound("drain-s", 2.0))
         self.lives = Lives(self._backend_changed)
-        self.door.failed = self.lives.down
+        self.door.failed, self.door.is_back = self.lives.down, self.lives.back
         self._reader = MeshReader()
         self.front = Frontend(loop, self._reader, descriptors, self.out,
                               Bounds(16 << 10, 64 << 20, 3.2, 15.5))
@@ -84,15 +84,21 @@
         self.readiness = Frontend(loop, PathReader(MAX_BEAT), descriptors, ReadinessCalls(self))
 
     async def start(self) -> None:
+        """Raises an ExceptionGroup of ListenError."""
         addresses = self.boot.listen_addresses
         assert addresses.outbound and addresses.readiness and addresses.control_plane
-        await self.lines.listen(*read_address(self.boot.internal(ROLE)))
+        await listen_all({
+            "listen to the mesh": (self.lines.listen, self.boot.internal(ROLE)),
+            "listen to the backend": (self.beats.listen, addresses.control_plane),
+            "listen to callers": (self.front.listen, addresses.outbound),
+            "listen to the platform": (self.readiness.listen, addresses.readiness)})
         self.exchange.start()
         self._list()
         self._report()
-        await self.beats.listen(*read_address(addresses.control_plane))
-        await self.front.listen(*read_address(addresses.outbound))
-        await self.readiness.listen(*read_address(addresses.readiness))
+
+    def reloaded(self, boot: Boot) -> None:
+        """The settings file was read again: its seeds are used from now on, all else from the next start."""
+        self.directory.seeds = boot.seeds_internal()
 
     def can_serve(self) -> bool:
         return not self._is_ending and self.out.ready
@@ -114,7 +120,10 @@
         except BadSettings as faults:  # a core of a newer version may know more than this one
             log.error("configuration not understood", step="apply", error=str(faults)[:300])
             return
-        self.out.routes = Routes(document)
+        self.out.routes = routes = Routes(document)
+        own = routes.services.get(self.boot.service)
+        if own is not None:
+            self.door.limit(own.health_path, own.max_connections)
         limits = document.limits
         self.front.bounds = Bounds(limits.max_header_bytes, limits.max_body_bytes,
                                    limits.header_timeout_s + 0.2, limits.idle_timeout_s + 0.5)
--- a/cometdoor/news/directory.py
+++ b/cometdoor/news/directory.py
@@ -36,12 +36,22 @@
         self.revision = 0  # of the newest configuration here
         self.changed: Callable[[Record], None] = lambda record: None  # something that matters of another's
         self.outbox: list[tuple[str, News]] = []
-        self._seeds = [seed for seed in seeds if seed != own.address]
+        self._seeds: list[str] = []
+        self.seeds = seeds
         self._view = list(self._seeds)
         self._chance = chance
         self._exchange_at = now
         self._pulse_at = now + PULSE_S
 
+    @property
+    def seeds(self) -> list[str]:
+        """Internal addresses that are asked when nobody else is known."""
+        return self._seeds
+
+    @seeds.setter
+    def seeds(self, seeds: list[str]) -> None:
+        self._seeds = [seed for seed in seeds if seed != self.own.address]
+
     # --- of my own ---
 
     def say(self, own: Record) -> None:
