Lab: whole meshes in memory, in virtual time, and stories over them

Cause: failures of the mesh were tested part by part; whole data planes only as real processes.

Change: an event loop whose time passes when nobody has anything to do, with connections, listeners, cuts and killed processes in it.

--- /dev/null
+++ b/lab/fleet.py
@@ -0,0 +1,161 @@
+"""A whole mesh in memory: the programs' own classes on a virtual loop, with the stand-in backends and clients
+of the demo (standins/mesh.py). Stories are told on it, and days of any kind can be.
+
+    with fleet(seed=1) as town:
+        town.run(town.begin())
+        town.run(town.traffic(5.0, 60.0))
+        assert not town.account()
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import secrets
+import socket
+import tempfile
+import time
+from collections.abc import Coroutine, Iterator
+from pathlib import Path
+from typing import Any, TypeVar
+from unittest import mock
+
+import cometdoor.http.caller
+import cometdoor.http.upstream
+from cometdoor.control.process import ControlPlane
+from cometdoor.control.vault import Vault
+from cometdoor.core.boot import read_boot
+from cometdoor.dataplane.process import DataPlane
+from lab.loop import Listener, Process, VirtualLoop
+from standins.mesh import SERVICE, Backend, Mesh
+
+Result = TypeVar("Result")
+GRACE_S = 6.0
+
+
+class Fleet(Mesh):
+    """The demo's mesh; its processes are objects here."""
+
+    def __init__(self, loop: VirtualLoop, folder: Path, core: int, planes: int, services: list[str]) -> None:
+        super().__init__(folder, core, planes)
+        self.loop = loop
+        self.programs: dict[str, DataPlane | ControlPlane] = {}
+        self.backends = {address: Backend(address, self.ledger, services[place % len(services)])
+                         for place, address in enumerate(self.planes)}
+        self._processes: dict[str, Process] = {}  # programs by address
+        self._applications: dict[str, Process] = {}
+        self.vaults: list[Vault] = []  # of all lives
+        loop.set_exception_handler(lambda loop, context: self.ledger.broken.append(
+            f"{context['message']}: {context.get('exception')!r}"))
+
+    def run(self, work: Coroutine[Any, Any, Result]) -> Result:
+        return self.loop.run_until_complete(work)
+
+    def wait(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    async def begin(self, routes: list[dict[str, object]] | None = None) -> None:
+        """Started, configured, ready."""
+        await self.start()
+        assert await self.configure(1, 0, routes=routes) == 200
+        assert await self.wait_ready()
+        await asyncio.sleep(0.5)
+
+    # --- processes ---
+
+    async def launch(self, address: str) -> None:
+        role, path = self.settings(address)
+        boot = read_boot(path.read_bytes(), str(path), role)
+        process = self._processes[address] = Process(address, role)
+
+        def begin() -> Coroutine[Any, Any, None]:
+            program = DataPlane(boot, self.loop) if role == "dataplane" else ControlPlane(boot, self.loop)
+            self.programs[address] = program
+            if isinstance(program, ControlPlane):
+                self.vaults.append(program.core.vault)
+            return program.start()
+        self.loop.begin(process, begin)
+
+    def plane(self, address: str) -> DataPlane:
+        program = self.programs[address]
+        assert isinstance(program, DataPlane)
+        return program
+
+    def leader(self) -> str:
+        """The address of the core machine that leads."""
+        return next(address for address in self.core if self._processes[address].is_alive
+                    and (program := self.programs[address]) and isinstance(program, ControlPlane)
+                    and program.core.leads)
+
+    def kill(self, address: str, silent: bool = False) -> None:
+        """The program there, not its backend."""
+        self.loop.kill(self._processes[address], silent)
+
+    def restart(self, address: str) -> None:
+        self.run(self.launch(address))
+
+    def terminate(self, address: str) -> None:
+        """SIGTERM; the process is gone when its end is through."""
+        process, program = self._processes[address], self.programs[address]
+
+        async def end() -> None:
+            await program.end(GRACE_S)
+            self.loop.call_soon(self.loop.kill, process)
+        self.loop.begin(process, end)
+
+    async def start_backend(self, address: str) -> None:
+        process = self._applications[address] = Process(address, "backend")
+        self.loop.begin(process, self.backends[address].start)
+
+    def kill_backend(self, address: str) -> None:
+        self.loop.kill(self._applications[address])
+
+    def replace_backend(self, address: str, service: str = SERVICE) -> Backend:
+        """Another life at the same address."""
+        backend = self.backends[address] = Backend(address, self.ledger, service)
+        self.run(self.start_backend(address))
+        return backend
+
+    def as_backend(self, address: str, work: Coroutine[Any, Any, None]) -> None:
+        self.loop.begin(self._applications[address], lambda: work)
+
+    # --- the network ---
+
+    def cut(self, ones: list[str], others: list[str]) -> None:
+        for one in ones:
+            for other in others:
+                if one != other:
+                    self.loop.cuts |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        self.loop.cuts.clear()
+
+
+@contextlib.contextmanager
+def fleet(seed: int = 1, core: int = 3, planes: int = 4,
+          services: list[str] | None = None) -> Iterator[Fleet]:
+    """`services`: of the data planes' backends, in turn."""
+    loop = VirtualLoop()
+    chance = random.Random(seed)
+    has_unread = lambda transport: transport.has_unread()  # noqa: E731
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="cometdoor-lab-"))
+        for target, name, instead in (
+                (time, "monotonic", loop.time), (os, "fsync", lambda number: None),
+                (socket, "create_server", lambda address, **options: Listener(loop, address)),
+                (secrets, "randbits", chance.getrandbits),
+                (secrets, "token_hex", lambda count=16: f"{chance.getrandbits(8 * count):0{2 * count}x}"),
+                (cometdoor.http.caller, "is_readable", has_unread),
+                (cometdoor.http.upstream, "is_readable", has_unread)):
+            stack.enter_context(mock.patch.object(target, name, instead))
+        town = Fleet(loop, Path(folder), core, planes, services or [SERVICE])
+        try:
+            yield town
+        finally:
+            for process in [*town._processes.values(), *town._applications.values()]:
+                loop.kill(process, silent=True)
+            for vault in town.vaults:
+                vault.close()
+            loop.close()
--- /dev/null
+++ b/lab/loop.py
@@ -0,0 +1,377 @@
+"""An event loop in virtual time, with the network of a whole fleet in it.
+
+What runs on it is what runs in service: the same programs, transports and timers aside. Time passes only
+when nobody has anything to do, so a minute of a fleet is over in seconds, and one seed gives one history.
+Each callback belongs to the process that set it (a context variable says which), so a process can be killed:
+its callbacks go, and the other ends of its connections see a reset, or nothing where the power is gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import selectors
+from collections import deque
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+DELAY_S = 0.001  # one way between machines; a tenth of it within one
+SYNC_S = 0.002  # that work on a disk's thread takes
+
+Protocol = asyncio.BaseProtocol
+
+
+class Stuck(Exception):
+    """Nobody has anything to do any more, and somebody waits."""
+
+
+class Process:
+    """Some callbacks, connections and listeners that live and die together, on one machine."""
+
+    def __init__(self, machine: str, name: str) -> None:
+        self.machine = machine
+        self.name = name
+        self.is_alive = True
+        self.pipes: dict[Pipe, None] = {}
+        self.listening: list[tuple[str, int]] = []
+        self.tasks: list[asyncio.Task[Any]] = []
+
+    def __repr__(self) -> str:
+        return f"{self.name} on {self.machine}"
+
+
+WORLD = Process("", "the world")
+HERE: contextvars.ContextVar[Process] = contextvars.ContextVar("here", default=WORLD)
+
+
+class Socket:
+    """What programs set on sockets has no meaning here."""
+
+    def __init__(self, pipe: Pipe) -> None:
+        self.pipe = pipe
+
+    def setsockopt(self, *arguments: Any) -> None:
+        pass
+
+    def setblocking(self, flag: bool) -> None:
+        pass
+
+    def close(self) -> None:
+        self.pipe.abort()
+
+
+class Pipe(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, loop: VirtualLoop, process: Process, context: contextvars.Context) -> None:
+        super().__init__()
+        self.loop = loop
+        self.process = process
+        self.context = context
+        self.protocol: Any = None
+        self.peer: Pipe | None = None
+        self.is_over = False
+        self._eof_sent = False
+        self._paused = False
+        self._came: list[bytes | None] = []  # None: the other end has finished
+        self._way: deque[tuple[float, bytes | None]] = deque()  # sent and not there yet, with when it is due
+        process.pipes[self] = None
+
+    def join(self, protocol: Protocol) -> None:
+        self.protocol = protocol
+        protocol.connection_made(self)
+        self.loop.call_soon(self._hand_over, context=self.context)
+
+    # --- asyncio's calls ---
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return Socket(self) if name == "socket" else default
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.is_over
+
+    def is_reading(self) -> bool:
+        return not self._paused
+
+    def set_protocol(self, protocol: Protocol) -> None:
+        self.protocol = protocol
+
+    def get_protocol(self) -> Protocol:
+        return self.protocol  # type: ignore[no-any-return]
+
+    def pause_reading(self) -> None:
+        self._paused = True
+
+    def resume_reading(self) -> None:
+        if self._paused:
+            self._paused = False
+            self.loop.call_soon(self._hand_over, context=self.context)
+
+    def write(self, data: Any) -> None:
+        if not self.is_over and not self._eof_sent and data:
+            self._carry(bytes(data))
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        if not self.is_over and not self._eof_sent:
+            self._eof_sent = True
+            self._carry(None)
+
+    def close(self) -> None:
+        if not self.is_over:
+            self.write_eof()
+            self._end(None)
+
+    def abort(self) -> None:
+        if not self.is_over:
+            self._end(None)
+            self._reset_peer()
+
+    # --- the wire ---
+
+    def _carry(self, data: bytes | None) -> None:
+        peer = self.peer
+        if peer is not None:
+            due = self.loop.time() + self.loop.delay(self.process, peer.process)
+            self._way.append((due, data))
+            if len(self._way) == 1:
+                self.loop.call_at(due, self._arrive, peer, context=peer.context)
+
+    def _arrive(self, peer: Pipe) -> None:
+        if self.loop.is_cut(self.process.machine, peer.process.machine):
+            # Sent again and again until the way is open.
+            self.loop.call_later(0.05, self._arrive, peer, context=peer.context)
+            return
+        while self._way and self._way[0][0] <= self.loop.time() + 1e-9:
+            _, data = self._way.popleft()
+            if not peer.is_over:
+                peer._came.append(data)
+            elif data is not None and not self.is_over:
+                self.lost(ConnectionResetError("reset"))
+        if self._way:
+            self.loop.call_at(self._way[0][0], self._arrive, peer, context=peer.context)
+        peer._hand_over()
+
+    def _hand_over(self) -> None:
+        while self._came and not self._paused and not self.is_over and self.protocol is not None:
+            data = self._came.pop(0)
+            if data is not None:
+                self.protocol.data_received(data)
+            elif not self.protocol.eof_received():
+                self.close()
+
+    def has_unread(self) -> bool:
+        return bool(self._came)
+
+    def _reset_peer(self) -> None:
+        peer = self.peer
+        if peer is not None:
+            due = self.loop.time() + self.loop.delay(self.process, peer.process)
+            self.loop.call_at(due, self._arrive_reset, peer, context=peer.context)
+
+    def _arrive_reset(self, peer: Pipe) -> None:
+        if not self.loop.is_cut(self.process.machine, peer.process.machine):
+            peer.lost(ConnectionResetError("reset"))
+
+    def lost(self, problem: Exception) -> None:
+        if not self.is_over:
+            self._end(problem)
+
+    def _end(self, problem: Exception | None) -> None:
+        self.is_over = True
+        self.process.pipes.pop(self, None)
+        if self.protocol is not None:
+            self.loop.call_soon(self.protocol.connection_lost, problem, context=self.context)
+
+    def vanish(self, silent: bool) -> None:
+        """Its process is gone. `silent`: the other end is told nothing."""
+        self.is_over = True
+        if not silent:
+            self._reset_peer()
+
+
+class Listener:
+    """What `socket.create_server` gives a program that accepts by itself."""
+
+    def __init__(self, loop: VirtualLoop, address: tuple[str, int]) -> None:
+        self._loop = loop
+        self._address = address
+        self.backlog: list[Pipe] = []
+        self.wake: Callable[[], object] = lambda: None
+        loop.listen(address, self._taken)
+
+    def _taken(self, pipe: Pipe) -> None:
+        self.backlog.append(pipe)
+        self.wake()
+
+    def accept(self) -> tuple[Socket, None]:
+        if not self.backlog:
+            raise BlockingIOError
+        return Socket(self.backlog.pop(0)), None
+
+    def setblocking(self, flag: bool) -> None:
+        pass
+
+    def getsockname(self) -> tuple[str, int]:
+        return self._address
+
+    def close(self) -> None:
+        self._loop.unlisten(self._address)
+        for pipe in self.backlog:
+            pipe.abort()
+
+
+class Server:
+    """What `create_server` gives."""
+
+    def __init__(self, loop: VirtualLoop, address: tuple[str, int]) -> None:
+        self._loop, self._address = loop, address
+
+    def close(self) -> None:
+        self._loop.unlisten(self._address)
+
+
+class _Nothing(selectors.DefaultSelector):
+    """Waits by letting time pass."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise Stuck("nobody has anything to do")
+        self._loop.now += max(timeout, 0.0)
+        return []
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.cuts: set[tuple[str, str]] = set()  # ordered pairs of machines between which nothing passes
+        self._selector = _Nothing(self)
+        self._listeners: dict[tuple[str, int], tuple[Process, contextvars.Context,
+                                                     Callable[[Pipe], None]]] = {}
+        self.dark: set[str] = set()  # machines without power: they don't even refuse
+        self.set_task_factory(self._new_task)  # type: ignore[arg-type]
+
+    # --- BaseEventLoop's hooks ---
+
+    def time(self) -> float:
+        return self.now
+
+    def _process_events(self, events: list[Any]) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def _new_task(self, loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any],
+                  **options: Any) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, **options)
+        process = HERE.get()
+        process.tasks = [one for one in process.tasks if not one.done()]
+        process.tasks.append(task)
+        return task
+
+    def run_in_executor(self, executor: Any, work: Callable[..., Any],  # type: ignore[override]
+                        *arguments: Any) -> asyncio.Future[Any]:
+        future: asyncio.Future[Any] = self.create_future()
+        try:
+            result = work(*arguments)
+        except Exception as problem:
+            self.call_later(SYNC_S, future.set_exception, problem)
+        else:
+            self.call_later(SYNC_S, future.set_result, result)
+        return future
+
+    def add_reader(self, listener: Any, call: Callable[..., Any],  # type: ignore[override]
+                   *arguments: Any) -> None:
+        context = contextvars.copy_context()
+        listener.wake = lambda: self.call_soon(call, *arguments, context=context)
+        listener.wake()
+
+    def remove_reader(self, listener: Any) -> bool:
+        listener.wake = lambda: None
+        return True
+
+    # --- connections ---
+
+    def delay(self, one: Process, other: Process) -> float:
+        return DELAY_S if one.machine != other.machine else DELAY_S / 10
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        return (sender, receiver) in self.cuts
+
+    def listen(self, address: tuple[str, int], take: Callable[[Pipe], None]) -> None:
+        if address in self._listeners:
+            raise OSError(98, f"{address[0]}:{address[1]} is in use")
+        process = HERE.get()
+        process.listening.append(address)
+        self._listeners[address] = process, contextvars.copy_context(), take
+
+    def unlisten(self, address: tuple[str, int]) -> None:
+        self._listeners.pop(address, None)
+
+    async def create_server(self, factory: Any, host: Any = None, port: Any = None,  # type: ignore[override]
+                            **options: Any) -> Server:
+        self.listen((host, port), lambda pipe: pipe.join(factory()))
+        return Server(self, (host, port))
+
+    async def create_connection(self, factory: Any, host: Any = None, port: Any = None,  # type: ignore[override]
+                                **options: Any) -> tuple[Pipe, Any]:
+        here = HERE.get()
+        target = Process(host, "unknown")
+        await asyncio.sleep(2 * self.delay(here, target))
+        while (self.is_cut(here.machine, host) or self.is_cut(host, here.machine) or host in self.dark):
+            await asyncio.sleep(0.05)  # whoever dials gives up by a time-out of its own
+        found = self._listeners.get((host, port))
+        if found is None:
+            raise ConnectionRefusedError(111, f"{host}:{port} refuses")
+        process, context, take = found
+        ours, theirs = Pipe(self, here, contextvars.copy_context()), Pipe(self, process, context)
+        ours.peer, theirs.peer = theirs, ours
+        protocol = factory()
+        ours.join(protocol)
+        self.call_soon(take, theirs, context=context)
+        return ours, protocol
+
+    async def connect_accepted_socket(self, factory: Any, raw: Any,  # type: ignore[override]
+                                      **options: Any) -> Any:
+        protocol = factory()
+        raw.pipe.join(protocol)
+        return raw.pipe, protocol
+
+    # --- processes ---
+
+    def begin(self, process: Process, call: Callable[[], Awaitable[None] | None]) -> None:
+        """Run `call` as that process, and whatever comes of it."""
+        context = contextvars.copy_context()
+        context.run(HERE.set, process)
+        started = context.run(call)
+        if started is not None:
+            context.run(self.create_task, started)  # type: ignore[arg-type]
+
+    def kill(self, process: Process, silent: bool = False) -> None:
+        """`silent`: its machine has no power; the others are told nothing."""
+        process.is_alive = False
+        handles: list[Any] = [*self._ready, *self._scheduled]  # type: ignore[attr-defined]
+        for handle in handles:
+            if handle._context.get(HERE) is process:
+                handle.cancel()
+        for task in process.tasks:
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        for pipe in list(process.pipes):
+            pipe.vanish(silent)
+        process.pipes.clear()
+        for address in process.listening:
+            self.unlisten(address)
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -59,6 +59,7 @@
     runs: Counter[str] = field(default_factory=Counter)  # attempt id -> runs
     runs_of_key: Counter[str] = field(default_factory=Counter)
     seals: dict[str, str] = field(default_factory=dict)  # seal -> attempt id that it was given for
+    asked_inside: set[str] = field(default_factory=set)  # attempt ids of calls that backends made
     wrong_instance: int = 0
     asked: int = 0
     ends: Counter[int] = field(default_factory=Counter)
@@ -66,16 +67,32 @@
 
 
 class Backend:
-    def __init__(self, address: str, ledger: Ledger) -> None:
+    def __init__(self, address: str, ledger: Ledger, service: str = SERVICE) -> None:
         self.address = address
+        self.service = service
         self.instance = "i-" + secrets.token_hex(5)
+        self.capacity = 6
+        self.state = "ready"
+        self.work_s: Callable[[], float] = lambda: 0.02
+        self.calls: list[str] = []  # paths that each run calls through the mesh, at once
+        self.loses = 0  # so many of the next answers
+        self.beats_each_s = 0.5
+        self.runs = 0
+        self.acknowledged_at: float | None = None  # its notice that it drains
+        self.last_run_at = 0.0
+        self.probes = 0  # health answers that it gave
         self._ledger = ledger
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task[None] | None = None
         self._connections: set[asyncio.StreamWriter] = set()
+        self._sequence = 0
+        self._called = 0
 
-    async def start(self) -> None:
+    async def listen(self) -> None:
         self._server = await asyncio.start_server(self._serve, self.address, APPLICATION)
+
+    async def start(self) -> None:
+        await self.listen()
         self._beats = asyncio.create_task(self._beat())
 
     def kill(self) -> None:
@@ -86,31 +103,71 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
+    async def say(self) -> bool:
+        """One beat; whether it was acknowledged."""
+        self._sequence += 1
+        beat = {"service": self.service, "address": f"{self.address}:{APPLICATION}", "zone": "here",
+                "revision": "v1", "capacity": self.capacity, "lifecycle-state": self.state,
+                "warmup-left-s": 0, "call-sequence": self._sequence}
+        try:
+            status, _, _ = await ask(self.address, CONTROL, "POST", f"/Instances.Heartbeat/{self.instance}",
+                                     {}, json.dumps(beat).encode(), 1.0)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return False
+        return status == 200
+
+    async def drain(self, drain_s: float) -> None:
+        """Leave in order: say so, serve on, sign off, end."""
+        self.state = "draining"
+        while not await self.say():
+            await asyncio.sleep(0.1)
+        self.acknowledged_at = time.monotonic()
+        await asyncio.sleep(drain_s + 0.3)
+        await ask(self.address, CONTROL, "POST", f"/Instances.Deregister/{self.instance}", {})
+        self.kill()
+
     async def _beat(self) -> None:
-        for sequence in range(1, 1 << 30):
-            beat = {"service": SERVICE, "address": f"{self.address}:{APPLICATION}", "zone": "here",
-                    "revision": "v1", "capacity": 6, "lifecycle-state": "ready", "warmup-left-s": 0,
-                    "call-sequence": sequence}
-            try:
-                await ask(self.address, CONTROL, "POST", f"/Instances.Heartbeat/{self.instance}", {},
-                          json.dumps(beat).encode(), 1.0)
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                await asyncio.sleep(0.1)
-                continue
-            await asyncio.sleep(0.5)
+        while True:
+            await asyncio.sleep(self.beats_each_s if await self.say() else 0.1)
+
+    async def _call(self, path: str, fields: Headers) -> bool:
+        self._called += 1
+        headers = {"Host": HOST, "Cometdoor-Attempt-Id": f"{self.instance}-{self._called}",
+                   "Cometdoor-Deadline-Ms": fields.get("cometdoor-deadline-ms", "1000")}
+        self._ledger.asked_inside.add(headers["Cometdoor-Attempt-Id"])
+        try:
+            status, _, _ = await ask(self.address, OUT, "GET", path, headers)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return False
+        return status == 200
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections.add(writer)
         try:
             while True:
                 _, fields, _ = await read_message(reader)
+                if fields[""].startswith("GET /health "):
+                    self.probes += 1
+                    writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                                 f"Cometdoor-Instance-Id: {self.instance}\r\n\r\n".encode())
+                    continue
                 if fields.get("cometdoor-expected-instance") != self.instance:
                     self._ledger.wrong_instance += 1
                 attempt, key = fields["cometdoor-attempt-id"], fields.get("cometdoor-idempotency-key")
                 self._ledger.runs[attempt] += 1
+                self.runs += 1
+                self.last_run_at = time.monotonic()
                 if key:
                     self._ledger.runs_of_key[key] += 1
-                await asyncio.sleep(0.02)
+                made = await asyncio.gather(*(self._call(path, fields) for path in self.calls))
+                await asyncio.sleep(self.work_s())
+                if self.loses:
+                    self.loses -= 1
+                    return
+                if not all(made):
+                    writer.write(f"HTTP/1.1 500 X\r\nContent-Length: 0\r\n"
+                                 f"Cometdoor-Attempt-Id: {attempt}\r\n\r\n".encode())
+                    continue
                 seal, body = secrets.token_hex(6), attempt.encode()
                 self._ledger.seals[seal] = attempt
                 writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
@@ -123,21 +180,26 @@
             writer.close()
 
 
-def configuration(revision: int) -> bytes:
-    routes = [{"name": f"r-{kind}", "path-prefix": f"/{kind}/", "route-type": kind, "timeout-s": 2,
-               "target-latency-s": 0.5, "priority": 1, "service": SERVICE, "max-attempts": 2}
-              for kind in ("idempotent", "keyed")]
-    return json.dumps({"revision": revision, "services": [{"name": SERVICE}], "limits": {},
+def route(prefix: str, kind: str = "idempotent", service: str = SERVICE,
+          more: dict[str, object] | None = None) -> dict[str, object]:
+    return {"name": f"r-{prefix}", "path-prefix": f"/{prefix}/", "route-type": kind, "timeout-s": 2,
+            "target-latency-s": 0.5, "priority": 1, "service": service, "max-attempts": 2} | (more or {})
+
+
+def configuration(revision: int, routes: list[dict[str, object]] | None = None) -> bytes:
+    routes = routes or [route("idempotent"), route("keyed", "keyed")]
+    services = sorted({str(one["service"]) for one in routes})
+    return json.dumps({"revision": revision, "services": [{"name": name} for name in services], "limits": {},
                        "hosts": [{"hostname": HOST, "host-routes": routes}]}).encode()
 
 
-def settings(folder: Path, role: str, address: str, seeds: list[str]) -> Path:
+def settings(folder: Path, role: str, address: str, seeds: list[str], service: str = SERVICE) -> Path:
     core = role == "controlplane"
     listen = {"control-plane": CONTROL} if core else {
         "control-plane": CONTROL, "readiness": READY, "outbound": OUT}
     lines = [f'node-name = "{address}"', f'role = "{role}"', f'ip-address = "{address}"', 'zone = "here"',
              f"internal-ports = [{INTERNAL},{INTERNAL + 15}]", f"seed-nodes = {json.dumps(seeds)}",
-             "initial-start = true", f'service = "{SERVICE}"', 'bounds = ["grace-s=6","drain-s=2"]']
+             "initial-start = true", f'service = "{service}"', 'bounds = ["grace-s=6","drain-s=2"]']
     if core:
         lines.append(f'data-directory = "{folder / address}"')
     lines += ["[listen-addresses]", *(f'{name} = "{address}:{port}"' for name, port in listen.items())]
@@ -156,16 +218,27 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     async def start(self) -> None:
+        for address in [*self.core, *self.planes]:
+            await self.launch(address)
+        for address in self.planes:
+            await self.start_backend(address)
+
+    def settings(self, address: str) -> tuple[str, Path]:
+        """The role there, and its settings file."""
+        role = "controlplane" if address in self.core else "dataplane"
+        service = self.backends[address].service if address in self.backends else SERVICE
         seeds = [f"{address}:{CONTROL}" for address in self.core]
-        for role, addresses in (("controlplane", self.core), ("dataplane", self.planes)):
-            for address in addresses:
-                path = settings(self.folder, role, address, seeds)
-                with (self.folder / f"{address}.log").open("wb") as log:
-                    self.processes[address] = await asyncio.create_subprocess_exec(
-                        sys.executable, "-m", "cometdoor", role, cwd=ROOT, stdout=log, stderr=log,
-                        env=os.environ | {"COMETDOOR_NODE_FILE": str(path)})
-        for backend in self.backends.values():
-            await backend.start()
+        return role, settings(self.folder, role, address, seeds, service)
+
+    async def launch(self, address: str) -> None:
+        role, path = self.settings(address)
+        with (self.folder / f"{address}.log").open("wb") as log:
+            self.processes[address] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "cometdoor", role, cwd=ROOT, stdout=log, stderr=log,
+                env=os.environ | {"COMETDOOR_NODE_FILE": str(path)})
+
+    async def start_backend(self, address: str) -> None:
+        await self.backends[address].start()
 
     async def stop(self) -> None:
         for process in self.processes.values():
@@ -176,14 +249,15 @@
         for backend in self.backends.values():
             backend.kill()
 
-    async def configure(self, revision: int, base: int, within_s: float = 10.0) -> int:
+    async def configure(self, revision: int, base: int, within_s: float = 10.0,
+                        routes: list[dict[str, object]] | None = None) -> int:
         """The status that the operator got in the end, following redirections and asking again as it may."""
         until = time.monotonic() + within_s
         address, tried = self.core[0], 0
         while time.monotonic() < until:
             try:
                 status, fields, _ = await ask(address, CONTROL, "POST", "/Configuration.Replace", {
-                    "Cometdoor-Base-Version": str(base)}, configuration(revision), 1.5)
+                    "Cometdoor-Base-Version": str(base)}, configuration(revision, routes), 1.5)
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 status, fields = 0, {}
             if status == 307:
@@ -211,12 +285,12 @@
                 await asyncio.sleep(0.05)
         return True
 
-    async def request(self, address: str, kind: str, key: str = "") -> None:
-        """One client's request, tried again once as a client may."""
+    async def request(self, address: str, kind: str, key: str = "", tries: int = 2) -> int:
+        """One client's request, tried again once as a client may; its last status, 0 for none."""
         ledger = self.ledger
         ledger.asked += 1
         status = 0
-        for _ in range(2):
+        for _ in range(tries):
             attempt = secrets.token_hex(8)
             headers = {"Host": HOST, "Cometdoor-Attempt-Id": attempt, "Cometdoor-Deadline-Ms": "2000"}
             if key:
@@ -235,20 +309,25 @@
                 break
             await asyncio.sleep(float(fields.get("retry-after", "0.1")))
         ledger.ends[status] += 1
+        return status
 
-    async def traffic(self, seconds: float, per_s: float, then: dict[float, Callable[[], None]]) -> None:
-        """`then`: what is done so many seconds in."""
+    async def traffic(self, seconds: float, per_s: float,
+                      then: dict[float, Callable[[], object]] | None = None,
+                      at: list[str] | None = None) -> None:
+        """`then`: what is done so many seconds in. `at`: where clients are; None: at all data planes."""
         began = time.monotonic()
-        due = dict(then)
-        tasks: set[asyncio.Task[None]] = set()
+        due = dict(then or {})
+        at = at or self.planes
+        tasks: set[asyncio.Task[int]] = set()
         count = 0
         while (passed := time.monotonic() - began) < seconds:
-            for at in [at for at in due if at <= passed]:
-                due.pop(at)()
+            for moment in [moment for moment in due if moment <= passed]:
+                due.pop(moment)()
             count += 1
-            address = self.planes[count % len(self.planes)]
+            address = at[count % len(at)]
             kind = "keyed" if count % 4 == 0 else "idempotent"
-            key = f"k-{count // 8}" if kind == "keyed" else ""  # each key is asked for twice, at two proxies
+            # Each key is asked for twice, at two proxies.
+            key = f"k-{began:.0f}-{count // 8}" if kind == "keyed" else ""
             task = asyncio.create_task(self.request(address, kind, key))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
