Client library: calls, the operator's side, a backend's side, three examples

Cause: the first tool beside the daemons that the users ask for.

Change: cometdoor/client, async and blocking. Errors say what is known (NotRun, MayHaveRun, HasRun); tries heed what a status promises, Retry-After, the deadline and a budget of the client's own. Examples: a booking, a backend that leaves, a change that survives another operator's. It imports nothing of the daemons.

--- /dev/null
+++ b/examples/change.py
@@ -0,0 +1,34 @@
+"""An operator's change that survives another operator's, made at the same moment.
+
+    python -m examples.change 10.0.0.1:8144,10.0.0.2:8144 r-search 2.5
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Any
+
+from cometdoor.client import Operator
+
+
+async def set_timeout(operator: Operator, route: str, timeout_s: float) -> int:
+    """The version that has it. Raises Invalid, Unanswered, or KeyError where there is no such route."""
+
+    def edit(configuration: dict[str, Any]) -> None:
+        found = [one for host in configuration.get("hosts", []) for one in host["host-routes"]
+                 if one["name"] == route]
+        if not found:
+            raise KeyError(route)
+        for one in found:
+            one["timeout-s"] = timeout_s
+    return int((await operator.change(edit))["revision"])
+
+
+async def main(addresses: str, route: str, timeout_s: str) -> None:
+    version = await set_timeout(Operator(addresses.split(",")), route, float(timeout_s))
+    print(f"in force with version {version}")
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:4]))
