state show, verify and export read a member's disk offline; members asks the core

Cause: what a disk of the core holds could not be looked at, and who leads only by hand.

Measured: by stories: each kind of damage is told, a loss of power is none.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -9,7 +9,7 @@
 import sys
 
 DAEMONS = ("dataplane", "controlplane")
-MESH = (*DAEMONS, "mesh")
+MESH = (*DAEMONS, "mesh", "state", "members")
 
 
 def main() -> int:
--- /dev/null
+++ b/stories/control/test_offline.py
@@ -0,0 +1,73 @@
+"""A member's data directory, read without the member."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from ward import raises, test
+
+from cometdoor.control.consensus import Identity, Known, Promise, Stored
+from cometdoor.control.offline import read_holding
+from cometdoor.control.vault import BLOCK, Vault
+from cometdoor.wire.messages import Configure, Entry, Member, Members
+
+BODY = b'{"revision": 3, "services": [], "hosts": []}'
+
+
+def a_directory(folder: Path) -> Path:
+    """Given a member that knows of one configuration in force, and of a later one that may be."""
+    vault = Vault(folder)
+    vault.open()
+    vault.begin([Identity("me"), Promise(2, "me")])
+    vault.put([Stored([Entry(1, 1, Members((Member("me", "a", "c"),)))])])
+    vault.put([Stored([Entry(2, 2, Configure(0, 3, BODY))])])
+    vault.put([Stored([Entry(3, 2, Configure(3, 5, BODY))]), Known(2)])
+    vault.close()
+    return folder
+
+
+def command(*words: str) -> tuple[int, str, str]:
+    done = subprocess.run([sys.executable, "-m", "cometdoor", *words], capture_output=True, text=True,
+                          check=False)
+    return done.returncode, done.stdout, done.stderr
+
+
+@test("what is in force is told from what only may be")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        holding = read_holding(a_directory(Path(name)))
+        assert holding.state.revision == 3 and [one.revision for one in holding.later()] == [5]
+        assert holding.members == ("me@a",) and not holding.faults and not holding.notes
+
+
+@test("each kind of damage is told, and a loss of power is none")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        path = next(a_directory(Path(name)).glob("*.dat"))
+        whole = path.read_bytes()
+        path.write_bytes(whole[:-BLOCK])  # the last write was not synced
+        assert not read_holding(Path(name)).faults
+        flipped = bytearray(whole)
+        flipped[2 * BLOCK + 60] ^= 4  # in a value that a later one calls synced
+        path.write_bytes(bytes(flipped))
+        assert "lost what it had promised" in read_holding(Path(name)).faults[0]
+        with raises(NotADirectoryError):
+            read_holding(Path(name) / "nowhere")
+
+
+@test("the commands say it in words, in JSON and by their exit status")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        a_directory(Path(name))
+        status, out, _ = command("state", "show", name, "--json")
+        assert status == 0 and json.loads(out)["later-revisions"] == [5]
+        status, out, told = command("state", "export", name)
+        assert status == 0 and out.encode().strip() == BODY and "revision 5" in told
+        assert command("state", "verify", name)[0] == 0
+        next(Path(name).glob("*.dat")).write_bytes(b"\0" * 4 * BLOCK)
+        status, out, _ = command("state", "verify", name)
+        assert status == 1 and "no file holds a whole value" in out
+    assert command("state", "show", "/nowhere")[0] == 2
+    assert command("members", "127.0.0.1:1")[0] == 1
