--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 test: $(VENV)/.dev
 	$(IN_VENV) ruff check .
 	$(IN_VENV) mypy
-	$(IN_VENV) pytest
+	$(IN_VENV) pytest -n 4 --dist loadfile
 	$(IN_VENV) python -m stories
 
 $(VENV)/.demo: requirements.txt requirements-demo.txt
