benchmarks.control: states, walks, planted defects, schedules and cuts of power in one run

Cause: what holds of the core was spread over tests, and no run said how far it is checked.

Change: one benchmark on all cores, whose last line is one JSON object.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,160 @@
+"""Does the core keep what it has acknowledged, and how soon is it led again?
+
+Every state of three members to a depth, long walks, planted defects that must be found (`lab/exhaustive.py`,
+`lab/defects.py`), thousands of schedules in virtual time with losses (`lab/core.py`), and a loss of power at
+every block of a member's file. Times are virtual. Of the states those that lie behind two first events count for
+each, since every process explores behind its own.
+
+    python -m benchmarks.control [--quick] [--schedules COUNT] [--depth STEPS]
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+from collections.abc import Sequence
+from multiprocessing import get_context
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from benchmarks.report import report, say
+from cometdoor.control.consensus import Identity, Promise, Stored
+from cometdoor.control.vault import BLOCK, Vault, read_folder
+from cometdoor.wire.messages import Claim, Entry
+from lab import exhaustive
+from lab.core import Broken, Core, schedule
+from lab.defects import DEFECTS, shows
+from lab.exhaustive import Limits, World, explore, walk
+
+MEMBERS = 3
+LOAD_PER_S = 154  # claims, as many as the busier of the users' sites orders
+LOADED_S = 4.0
+
+
+Counted = tuple[int, str]  # how many, and what did not hold; empty: all did
+
+
+def states(job: tuple[int, int]) -> Counted:
+    first, depth = job
+    try:
+        return explore(MEMBERS, depth, first=first), ""
+    except exhaustive.Broken as broken:
+        return 0, str(broken)
+
+
+def steps(seed: int) -> Counted:
+    try:
+        return walk(3 if seed % 2 else 5, seed, 24, Limits(3, 4, 1)), ""
+    except exhaustive.Broken as broken:
+        return 0, f"walk {seed}: {broken}"
+
+
+def acknowledged(seed: int) -> Counted:
+    try:
+        return len(schedule(seed, 3 if seed % 2 else 5, 6.0).acknowledged), ""
+    except Broken as broken:
+        return 0, str(broken)
+
+
+def tell(results: Sequence[Counted]) -> tuple[int, list[str]]:
+    """The sum, and all that did not hold."""
+    broken = [text for _, text in results if text]
+    for text in broken[:5]:
+        say(f"BROKEN: {text}")
+    return sum(count for count, _ in results), broken
+
+
+def election_s(seed: int) -> float:
+    """From the loss of a leader until another may accept."""
+    core = Core(seed, MEMBERS)
+    core.run_until_led()
+    core.run(1.0 + core.chance.random())
+    leader = core.leader()
+    assert leader is not None
+    core.kill(leader)
+    return core.run_until_led()
+
+
+def commits_and_syncs(seed: int) -> tuple[int, int]:
+    """Under load, at the leader's disk."""
+    core = Core(seed, MEMBERS)
+    core.run_until_led()
+    core.run(1.0)
+    leader = core.leader()
+    assert leader is not None
+    for machine in core.machines:
+        machine.sync_s = 0.03  # a disk in trouble: what comes meanwhile goes together
+    before, ordered, began = core.machines[leader].disk.numbers, len(core.acknowledged), core.now
+    proposed = 0
+    while core.now < began + LOADED_S:
+        while proposed < (core.now - began) * LOAD_PER_S:
+            proposed += 1
+            core.propose(Claim(f"k{proposed}", f"c{proposed}", "h"))
+        core.run(0.005)
+    return len(core.acknowledged) - ordered, core.machines[leader].disk.numbers - before
+
+
+def power_cuts() -> tuple[int, int]:
+    """A member's file cut at each block, at each third also inside: tried, and found as far as synced."""
+    with TemporaryDirectory() as name:
+        folder = Path(name)
+        vault = Vault(folder)
+        vault.open()
+        vault.begin([Identity("me"), Promise(1, "me")])
+        sizes = [vault.size]
+        for index in range(1, 121):
+            vault.put([Stored([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
+            sizes.append(vault.size)
+        vault.close()
+        path = next(folder.glob("*.dat"))
+        whole = path.read_bytes()
+        tried = recovered = 0
+        for place in range(0, len(whole) + 1, BLOCK):
+            for cut in {place, max(place - 200, 0)} if place % (3 * BLOCK) == 0 else {place}:
+                tried += 1
+                path.write_bytes(whole[:cut])
+                found, _ = read_folder(folder)
+                # A value may be whole before its last block is full: what was synced is the least.
+                synced = sum(size <= cut for size in sizes)
+                recovered += not found.is_damaged and found.last >= synced and (
+                    [entry.index for entry in found.held.entries] == list(range(1, max(found.last, 1))))
+        return tried, recovered
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--schedules", type=int, default=20_000)
+    parser.add_argument("--depth", type=int, default=4)
+    chosen = parser.parse_args()
+    schedules, walks, elections = (2_000, 2_000, 400) if chosen.quick else (chosen.schedules, 40_000, 4_000)
+    firsts = len(list(World.of(MEMBERS).choices()))
+    with get_context("fork").Pool(os.cpu_count()) as pool:
+        explored = pool.map_async(states, [(first, chosen.depth) for first in range(firsts)], chunksize=1)
+        planted = pool.map_async(shows, list(DEFECTS), chunksize=1)
+        walked = pool.map_async(steps, range(walks), chunksize=20)
+        kept = pool.map_async(acknowledged, range(schedules), chunksize=10)
+        led = pool.map_async(election_s, range(elections), chunksize=10)
+        loaded = pool.map_async(commits_and_syncs, range(8), chunksize=1)
+        tried, recovered = power_cuts()
+        found = planted.get()
+        for name, what in zip(DEFECTS, found, strict=True):
+            say(f"{name}: {what[:100] or 'NOT FOUND'}")
+        commits, syncs = (sum(column) for column in zip(*loaded.get(), strict=True))
+        times = sorted(led.get())
+        (explored_sum, one), (walked_sum, two), (kept_sum, three) = (
+            tell(results.get()) for results in (explored, walked, kept))
+        broken = [*one, *two, *three]
+        report({
+            "states_explored": explored_sum, "depth": chosen.depth, "steps_walked": walked_sum,
+            "mutations_planted": len(DEFECTS), "mutations_found": sum(bool(what) for what in found),
+            "schedules": schedules, "acknowledged": kept_sum, "broken": len(broken),
+            "acknowledged_lost": sum("lost" in text or "lacks" in text for text in broken),
+            "two_leaders_in_a_term": sum("two leaders" in text for text in broken),
+            "power_cuts_tried": tried, "power_cuts_recovered": recovered,
+            "commits_per_sync": commits / syncs, "election_s_p50": times[len(times) // 2],
+            "election_s_p99": times[int(len(times) * 0.99)]})
+
+
+if __name__ == "__main__":
+    main()
