--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -2,8 +2,8 @@
 
 Every state of three members to a depth, long walks, planted defects that must be found (`lab/exhaustive.py`,
 `lab/defects.py`), thousands of schedules in virtual time with losses (`lab/core.py`), and a loss of power at
-every block of a member's file. Times are virtual. Of the states those that lie behind two first events count for
-each, since every process explores behind its own.
+every block of a member's file. Times are virtual. A state that lies behind two first events counts for each:
+every process explores behind its own.
 
     python -m benchmarks.control [--quick] [--schedules COUNT] [--depth STEPS]
 """
