A door tells groups of two kinds apart

Cause: found on a second reading: calls that come together are numbered by kind, and a door shed another kind's calls of the same number with them.

Change: the kind is part of the group.

--- a/cometdoor/dataplane/places.py
+++ b/cometdoor/dataplane/places.py
@@ -52,7 +52,8 @@
     until_ms: float = field(compare=False)  # its caller waits no longer
     arrived_ms: float = field(compare=False)
     let_through: float = field(default=1.0, compare=False)  # of its kind, by the proxy that it comes from
-    group: Hashable = field(default=None, compare=False)  # of those that came together; None: it came alone
+    # Of those of its kind that came together; None: it came alone.
+    group: Hashable = field(default=None, compare=False)
     group_size: float = field(default=1.0, compare=False)
     began_ms: float = field(default=0.0, compare=False)
 
@@ -106,7 +107,7 @@
         self.waiting: list[Job] = []  # the one due first in front
         self._kinds = Kinds()
         self._counts: Counter[str] = Counter()
-        self._shed: dict[Hashable, None] = {}  # groups of which one was shed, the last ones
+        self._shed: dict[tuple[Kind, Hashable], None] = {}  # groups of which one was shed, the last ones
         self._work_ms = Average()
         self._last = 0
 
@@ -129,7 +130,7 @@
         if self.at_work < self.capacity and not self.waiting:
             self._begin(job, now)
             return []
-        if job.group is not None and job.group in self._shed:
+        if job.group is not None and (job.kind, job.group) in self._shed:
             self._turned_away(job, "shed", now)
             return [job]
         insort(self.waiting, job)
@@ -143,12 +144,12 @@
     def _shed_group(self, job: Job, now: float) -> list[Job]:
         """Those that came together serve one run, which needs all of them."""
         out = [one for one in self.waiting
-               if one is job or (one.group is not None and one.group == job.group)]
+               if one is job or (one.group is not None and one.group == job.group and one.kind == job.kind)]
         for one in out:
             self.waiting.remove(one)
             self._turned_away(one, "shed", now)
         if job.group is not None:
-            self._shed[job.group] = None
+            self._shed[job.kind, job.group] = None
             if len(self._shed) > REMEMBERED:
                 del self._shed[next(iter(self._shed))]
         return out
--- a/stories/dataplane/test_places.py
+++ b/stories/dataplane/test_places.py
@@ -33,6 +33,20 @@
     assert len(places.waiting) < 5 and places.wait_ms(len(places.waiting), 0.0) > 0.5 * 200.0
 
 
+@test("of those that came together all are shed or none, and another kind's group of that number is another")
+def _() -> None:
+    places = Places()
+    for _ in range(20):
+        places.offer(places.job(QUICK, 1000.0, 0.0), 0.0)
+    first, second = (places.job(QUICK, 1000.0, 0.0, 1.0, ("line", 7), 2.0) for _ in range(2))
+    assert places.offer(first, 0.0) == [first]
+    for job in list(places.waiting):
+        places.withdraw(job)
+    assert places.offer(second, 0.0) == [second]  # though there would be room by now
+    other = places.job(URGENT, 1000.0, 0.0, 1.0, ("line", 7), 1.0)
+    assert other not in places.offer(other, 0.0)
+
+
 @test("in a long shortage the urgent are served, and each other kind keeps a part")
 def _() -> None:
     # Given one place, and three times the work that it can do: urgent ones alone fill 0.4 of it
