make test plays the planners' tests alone, the others on three processes

Cause: with all on four processes one of 1,122 failed: its stand-ins share a loop with five proxies, and read late where the machine is busy.

Change: two runs of pytest.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 test: $(VENV)/.dev
 	$(IN_VENV) ruff check .
 	$(IN_VENV) mypy
-	$(IN_VENV) pytest -n 4 --dist loadfile
+	$(IN_VENV) pytest -n 3 --dist loadfile --ignore tests/planning
+	$(IN_VENV) pytest tests/planning  # alone: on a busy machine its stand-ins read late, and tell of it
 	$(IN_VENV) python -m stories
 
 $(VENV)/.demo: requirements.txt requirements-demo.txt
