A configuration's health-path and max-connections are checked before they are in force

A health-path with a line end would have put lines of its own into a request, and max-connections 0 would have closed the door, both acknowledged with 200.

Change: 400 with their place.

--- a/cometdoor/configuration/document.py
+++ b/cometdoor/configuration/document.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,6 +13,7 @@
 
 ROUTE_TYPES = ("idempotent", "non_idempotent", "keyed", "download")
 WHERE = "configuration"
+PATH = re.compile(r"/[!-~]*")
 
 
 @dataclass(frozen=True)
@@ -99,6 +101,11 @@
         elif service.name in services:
             yield f"services.{index}.name", f"{service.name} stands there already"
         services.add(service.name)
+        # Both reach a backend by the door: the one as a line of a request, the other as what it may open.
+        if not PATH.fullmatch(service.health_path):
+            yield f"services.{index}.health-path", f"{service.health_path!r} is no path"
+        if service.max_connections < 1:
+            yield f"services.{index}.max-connections", f"{service.max_connections} is not at least 1"
     places: set[tuple[str, str]] = set()
     for at, host in enumerate(document.hosts):
         if not host.hostname.strip():
--- a/stories/configuration/test_document.py
+++ b/stories/configuration/test_document.py
@@ -34,6 +34,8 @@
     "revision": lambda c: c.update(revision="7"),
     "hosts.0.host-routes.0.name": lambda c: c["hosts"][0]["host-routes"][0].pop("name"),
     "services": lambda c: c.update(services={}),
+    "services.0.health-path": lambda c: c["services"][0].update({"health-path": "/h HTTP/1.1\r\nHost: x"}),
+    "services.0.max-connections": lambda c: c["services"][0].update({"max-connections": 0}),
 }
 
 
