Kept connections are believed in again after a crash, and lines take back what never left

The estimate of how long idle connections live had counted the 17 that broke in the crash, was asked of the next life by way of 'all servers', and nothing was ever kept again that could disprove it. Ruled out: copies (24 a second over all), backends' own Connection: close, max-connections. Found beside it: a call that was given up while its line was being dialled was sent all the same once the line came up, after its caller had been told that it never ran.

Change: where no server is left nothing is believed of the next; one in fifty refused calls tries a kept connection, and one that serves halves what spoke against its age; an end later than a dead connection would show is none of its age's. A line takes back what has not left. SIGHUP names what changed since the file was last read.

--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -29,7 +29,7 @@
 
 class ControlPlane:
     def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
-        self.boot = boot
+        self.boot = self.read_last = boot  # what it started with, and what the file says now
         self._loop = loop
         control = boot.listen_addresses.control_plane
         assert control is not None and boot.data_directory is not None
--- a/cometdoor/core/keeping.py
+++ b/cometdoor/core/keeping.py
@@ -21,6 +21,11 @@
 RISK_REPEATABLE, RISK_ONCE = 0.1, 0.01
 # As if so many had outlived any age. One death among few must tell: the next is met at the same age.
 PRIOR = 4.0
+# Of the calls that are refused a kept connection for its age, one in so many takes it all the same. Without
+# them what was believed once of all ages (a crash, a burst of lost answers) stood for ever, since nothing
+# that could disprove it was met any more: doors opened a connection for each request for the rest of a day.
+TRIAL_EVERY = 50
+DISPROVED = 0.5  # of the deaths that spoke against an age, when a connection of that age serves
 KNOWN = 20.0  # ends, from where on a server's own say it all: two that died among fewer are chance
 
 
@@ -46,6 +51,14 @@
         if idle_s >= FIRST_S:
             self._count(self._outlived, idle_s)
 
+    def disprove(self, idle_s: float) -> None:
+        """One of an age that was thought to be past most of them has served."""
+        if self.risk(idle_s) > RISK_REPEATABLE:
+            for place in self._died:
+                if place <= _bin(idle_s):
+                    self._died[place] *= DISPROVED
+            self._risks = None
+
     def _count(self, ends: dict[int, float], idle_s: float) -> None:
         place = _bin(idle_s)
         ends[place] = ends.get(place, 0.0) + 1.0
@@ -84,13 +97,16 @@
     def __init__(self) -> None:
         self._all = Keeping()
         self._of: dict[str, Keeping] = {}
+        self._refused = 0
 
     def died(self, server: str, idle_s: float) -> None:
         for keeping in (self._of.setdefault(server, Keeping()), self._all):
             keeping.died(idle_s)
 
     def outlived(self, server: str, idle_s: float) -> None:
-        for keeping in (self._of.setdefault(server, Keeping()), self._all):
+        own = self._of.setdefault(server, Keeping())
+        own.disprove(idle_s)
+        for keeping in (own, self._all):
             keeping.outlived(idle_s)
 
     def is_worth(self, server: str, idle_s: float, once: bool) -> bool:
@@ -99,5 +115,12 @@
             return False
         return (own is not None and own.is_known()) or self._all.is_worth(idle_s, once)
 
+    def is_trial(self) -> bool:
+        """Asked of each call that may be made again and finds no connection worth taking but for its age."""
+        self._refused += 1
+        return self._refused % TRIAL_EVERY == 0
+
     def forget(self, server: str) -> None:
         self._of.pop(server, None)
+        if not self._of:
+            self._all = Keeping()  # of whom it told nobody is left
--- a/cometdoor/daemons.py
+++ b/cometdoor/daemons.py
@@ -66,7 +66,8 @@
     except BadSettings as problem:
         log.error("settings are bad; they stay as they were", step="reload", error=str(problem))
         return
-    changed = [name for name in vars(boot) if getattr(boot, name) != getattr(program.boot, name)]
+    changed = [name for name in vars(boot) if getattr(boot, name) != getattr(program.read_last, name)]
+    program.read_last = boot
     program.reloaded(boot)
     log.info("settings read again", step="reload", node=boot.node_name,
              used=[name for name in changed if name == "seed_nodes"],
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -95,6 +95,7 @@
         self._closes_at = 0.0  # while draining: what waits then is turned away
         self._probe: asyncio.TimerHandle | None = None
         self._probe_s = PROBE_S
+        self._opened = 0  # connections, at the last report
         self.is_closing = False
 
     # --- the backend's life ---
@@ -161,12 +162,18 @@
 
     def report(self) -> None:
         """What was done lately, as a log line."""
+        opened, self._opened = self._pool.opened - self._opened, self._pool.opened
         if counts := self.places.report(now_ms()):
-            log.info("door", waiting=len(self.places.waiting), at_work=self.places.at_work, **counts)
+            log.info("door", waiting=len(self.places.waiting), at_work=self.places.at_work,
+                     connections_opened=opened, **counts)
 
     def busy(self) -> int:
         return len(self._at_work)
 
+    def opened(self) -> int:
+        """Connections to backends so far."""
+        return self._pool.opened
+
     # --- requests ---
 
     def take(self, run: Run, line: Line, number: int) -> None:
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -60,7 +60,7 @@
 
 class DataPlane:
     def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop) -> None:
-        self.boot = boot
+        self.boot = self.read_last = boot  # what it started with, and what the file says now
         self._loop = loop
         self._is_ending = False
         self._list_due = False
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -112,16 +112,17 @@
 class AtDoor:
     """One attempt."""
 
-    __slots__ = ("call",)
+    __slots__ = ("call", "turn")
 
-    def __init__(self, call: Call) -> None:
+    def __init__(self, call: Call, turn: Turn) -> None:
         self.call = call
+        self.turn = turn
 
     def stage(self) -> Stage:
         return Stage.WRITTEN if self.call.line.is_open else Stage.CONNECTING
 
     def abort(self) -> None:
-        self.call.cancel()
+        self.turn.may_have_run -= self.call.cancel()
 
 
 class Way:
@@ -235,7 +236,7 @@
         if isinstance(call, PeerError):
             return Outcome.CONNECT_FAILED
         turn.may_have_run += 1
-        return AtDoor(call)
+        return AtDoor(call, turn)
 
     def _headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
         kept = [header for header in end_to_end(request.headers) if header[0].lower() not in OURS]
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -132,8 +132,8 @@
 class Connection(asyncio.Protocol):
     __slots__ = ("_answer", "_body", "_handshake_s", "_headers", "_in_answer", "_in_head", "_interim",
                  "_kept_for_s", "_last_byte", "_opening", "_parser", "_paused", "_raw_size", "_reusable",
-                 "_size", "_surplus", "_too_long", "_transport", "_wrote", "address", "closed", "exchange",
-                 "idle_since", "is_retired", "pool", "server", "timer")
+                 "_size", "_surplus", "_too_long", "_transport", "_written_at", "_wrote", "address",
+                 "closed", "exchange", "idle_since", "is_retired", "pool", "server", "timer")
 
     def __init__(self, pool: Pool, server: str, address: Address, exchange: Exchange) -> None:
         self.pool = pool
@@ -149,6 +149,7 @@
         self._kept_for_s = 0.0  # it was idle for so long before this request; 0: it is fresh
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._wrote = self._paused = False
+        self._written_at = 0.0
         self._last_byte: asyncio.TimerHandle | None = None  # while it is held back
         self._handshake_s = 0.0
         self._headers: Headers = []
@@ -204,6 +205,7 @@
         self._answer = None
         self._raw_size = self._size = self._interim = 0  # _finish or abort gave back what it held
         data = self.exchange.payload()
+        self._written_at = self.pool.loop.time()
         if self.exchange.hold_s:
             hold_s = min(max(HOLD_HANDSHAKES * self._handshake_s, HOLD_LEAST_S), HOLD_MOST_S,
                          self.exchange.hold_s)
@@ -367,9 +369,11 @@
     def _finish(self, reading: Reading, answer: Answer | None = None) -> None:
         exchange, self.exchange = self.exchange, None
         if exchange is not None and self._kept_for_s and not self.is_retired:
-            if reading.doubtful:
+            # Who is dead says so at once; what ends later has been at work.
+            if reading.doubtful and self.pool.loop.time() - self._written_at <= max(
+                    HOLD_MOST_S, HOLD_HANDSHAKES * self._handshake_s):
                 self.pool.keepings.died(self.server, self._kept_for_s)
-            elif answer is not None:
+            elif reading.doubtful or answer is not None:
                 self.pool.keepings.outlived(self.server, self._kept_for_s)
         self._stop_timer()
         self._forget_last_byte()
@@ -430,6 +434,7 @@
         self.outcome_of = outcome_of
         self.most: int | None = None  # connections that may be open at once, beside what `places` allow
         self.held_bytes = 0  # of answers that are coming in
+        self.opened = 0  # connections so far
         self._behind = behind
         self._places = places
         self._count = 0
@@ -461,6 +466,7 @@
         if not self._places.take() and not (self.close_oldest_idle() and self._places.take()):
             return False
         self._count += 1
+        self.opened += 1
         return True
 
     def held(self) -> int:
@@ -479,6 +485,9 @@
                 self._take_out(connection)
                 return connection
             elif not self.keepings.is_worth(server, connection.idle_s(), once=False):
+                if not once and self.keepings.is_trial():
+                    self._take_out(connection)
+                    return connection
                 connection.abort()  # it only gets older
         return None
 
--- a/cometdoor/wire/lines.py
+++ b/cometdoor/wire/lines.py
@@ -47,13 +47,18 @@
     line: Line
     number: int
     done: Done | None  # None once over
+    frame: bytes
 
-    def cancel(self) -> None:
-        """Nobody waits any more; the peer is told."""
-        if self.done is not None:
-            self.done = None
-            self.line.calls.pop(self.number, None)
-            self.line.write(Frame(0, False, Cancel(self.number)))
+    def cancel(self) -> bool:
+        """Nobody waits any more; the peer is told. True: it never left, and the peer will not hear of it."""
+        if self.done is None:
+            return False
+        self.done = None
+        self.line.calls.pop(self.number, None)
+        if self.line.take_back(self.frame):
+            return True
+        self.line.write(Frame(0, False, Cancel(self.number)))
+        return False
 
     def forget(self) -> None:
         """Nobody waits any more, and the peer needs not know."""
@@ -132,13 +137,24 @@
         if number:
             self.write(Frame(number, True, message))
 
-    def write(self, frame: Frame) -> None:
-        if self.is_over:
-            return
-        self._out.append(encode(frame))
-        if self.is_open and not self._flush_due:
-            self._flush_due = True
-            self._lines.loop.call_soon(self._flush)
+    def write(self, frame: Frame) -> bytes:
+        """What is written, sooner or later; see `take_back`."""
+        data = encode(frame)
+        if not self.is_over:
+            self._out.append(data)
+            if self.is_open and not self._flush_due:
+                self._flush_due = True
+                self._lines.loop.call_soon(self._flush)
+        return data
+
+    def take_back(self, data: bytes) -> bool:
+        """Whether it had not left yet. Guards against a request that was given up while the line was being
+        dialled, and would run once it is open."""
+        for place, one in enumerate(self._out):
+            if one is data:
+                del self._out[place]
+                return True
+        return False
 
     def _flush(self) -> None:
         self._flush_due = False
@@ -248,8 +264,8 @@
         if line.unsent() > MAX_UNSENT:
             return PeerError("write", peer, "too much lies unsent", False)
         self._last_call += 1
-        call = line.calls[self._last_call] = Call(line, self._last_call, done)
-        line.write(Frame(call.number, False, message))
+        written = line.write(Frame(self._last_call, False, message))
+        call = line.calls[self._last_call] = Call(line, self._last_call, done, written)
         return call
 
     def _sweep(self) -> None:
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -44,7 +44,6 @@
     service: str
     instance: str
     once: bool  # it may not run twice
-    further: bool = False  # an arrival past the request's first
     let_through: float = 1.0  # the part of its kind that its proxy lets through
     group: int = 0  # number of those that came together with it at that proxy, of its kind; 0: alone
     group_size: float = 1.0  # how many of its kind come together there on the mean
--- a/stories/mesh/test_fleet.py
+++ b/stories/mesh/test_fleet.py
@@ -73,6 +73,33 @@
         assert set(town.ledger.ends) == {200} and not town.account(), (town.ledger.ends, town.account())
 
 
+@test("after its backend crashed a door keeps connections to the next one, as before")
+def _() -> None:
+    with fleet(seed=14, planes=3) as town:
+        # Given backends that were busy, so that many connections broke at once when one of them crashed
+        town.run(town.begin(routes=[route("idempotent")]))
+        crashed = town.planes[1]
+        for backend in town.backends.values():
+            backend.capacity, backend.work_s = 30, lambda: 0.25
+
+        async def burst(count: int) -> list[int]:
+            return list(await asyncio.gather(*(
+                town.request(town.planes[place % 3], "idempotent") for place in range(count))))
+        for _ in range(3):
+            town.run(burst(60))
+            town.wait(0.08)
+        town.kill_backend(crashed)
+        town.wait(0.5)
+        # When another life begins there, and is called a hundred times
+        town.replace_backend(crashed)
+        town.wait(1.5)
+        before = town.plane(crashed).door.opened()
+        town.run(town.traffic(12.0, 30.0, at=[crashed]))
+        # Then few connections are opened
+        opened, runs = town.plane(crashed).door.opened() - before, town.backends[crashed].runs
+        assert runs >= 60 and opened <= 0.2 * runs, (opened, runs)
+
+
 @test("an address that another service's backend took over never gets the old one's requests")
 def _() -> None:
     with fleet(seed=4, planes=6, services=["tents", "maps"]) as town:
--- a/tests/core/test_keeping.py
+++ b/tests/core/test_keeping.py
@@ -76,3 +76,25 @@
     assert pool.is_worth("new", 1.5, once=True) and not pool.is_worth("old", 1.5, once=False)
     pool.forget("new")
     assert not pool.is_worth("new", 1.5, once=False)
+
+
+def test_what_was_believed_of_all_ages_is_disproved_by_trials() -> None:
+    """A burst of ends at all ages: without trials every call opened a connection from there on."""
+    pool, random = Keepings(), Random(1)
+    for _ in range(60):
+        pool.died("s", random.uniform(0.06, 1.0))
+    refused = 0
+    for _ in range(4000):
+        if pool.is_worth("s", 0.3, once=False) or pool.is_trial():
+            pool.outlived("s", 0.3)
+        else:
+            refused += 1
+    assert refused < 500
+
+
+def test_where_nobody_is_left_nothing_is_believed_of_who_comes_next() -> None:
+    pool = Keepings()
+    for _ in range(40):
+        pool.died("crashed", 0.2)
+    pool.forget("crashed")
+    assert pool.is_worth("next", 0.5, once=True)
