--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/wayout.py
@@ -138,6 +138,8 @@
         for service, way in self._ways.items():
             if counts := way.report():
                 log.info("served", service=service, **counts)
+        if keys := self.operations.report():
+            log.info("keys", **keys)
 
     def fail_all(self) -> None:
         for way in self._ways.values():
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -107,6 +108,12 @@
         self._window_s = window_s + KEPT_SLACK_S
         self._table: dict[str, Operation[AskT]] = {}  # oldest first
         self._last = 0
+        self._counts: Counter[str] = Counter()
+
+    def report(self) -> dict[str, int]:
+        """For the log, since the last report: how tries of keys ended."""
+        counts, self._counts = self._counts, Counter()
+        return dict(counts)
 
     def __len__(self) -> int:
         return len(self._table)
@@ -125,8 +132,10 @@
         match operation.stage:
             case Stage.DONE:
                 assert operation.answer is not None
+                self._counts["repeat_answered"] += 1
                 return [Answer(ask, operation.answer)]
             case Stage.UNKNOWN:
+                self._counts["repeat_unknown"] += 1
                 return [Unknown(ask)]
             case Stage.FREE:
                 if not operation.is_claimed:
@@ -147,7 +156,9 @@
         if not refuse:
             return []
         # What waits behind another's run has not run under its own name.
-        return [Refuse(ask) if operation.stage is Stage.CLAIMING else AtWork(ask)]
+        is_claiming = operation.stage is Stage.CLAIMING
+        self._counts["claim_too_late" if is_claiming else "at_work"] += 1
+        return [Refuse(ask) if is_claiming else AtWork(ask)]
 
     def _run(self, operation: Operation[AskT], ask: AskT) -> list[Action[AskT]]:
         operation.stage, operation.runs_for = Stage.RUNNING, ask
@@ -162,6 +173,7 @@
             return []
         if not claim:
             operation.stage = Stage.FREE
+            self._counts["claim_not_ordered"] += len(operation.waiting)
             self._tell(operation)
             return self._refuse_all(operation)
         if claim == operation.claim:
@@ -190,6 +202,8 @@
         else:
             del self._table[key]  # the next try asks anew
         at_work = reply is not None and reply.state == "running"
+        self._counts["at_work" if at_work else "holder_forgot" if reply is not None
+                     else "holder_not_reached"] += len(waiting)
         return [AtWork(ask) if at_work else Unknown(ask) for ask in waiting]
 
     # --- the run's end ---
@@ -200,6 +214,7 @@
             return []
         ask, operation.runs_for = operation.runs_for, None
         first: list[Action[AskT]] = [Answer(ask, answer)] if ask is not None else []
+        self._counts["served"] += 1
         return first + self._settle(operation, answer)
 
     def _settle(self, operation: Operation[AskT], answer: Ran) -> list[Action[AskT]]:
@@ -229,6 +244,7 @@
         operation.stage = Stage.UNKNOWN
         asks = [*([operation.runs_for] if operation.runs_for is not None else []), *operation.waiting]
         operation.runs_for, operation.waiting = None, []
+        self._counts["run_failed"] += len(asks)
         self._tell(operation)
         return [Unknown(ask) for ask in asks]
 
--- a/lab/core.py
+++ b/lab/core.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from cometdoor.control.consensus import Consensus, Held, Role, Write
-from cometdoor.control.state import State
+from cometdoor.control.state import State, Verdict
 from cometdoor.control.vault import pack, read_values, scan
 from cometdoor.wire.messages import Change, Claim, Configure, Frame, Join, Member, encode
 from cometdoor.wire.messages import Splitter as _Splitter
@@ -203,11 +203,11 @@
         while consensus.applied < consensus.committed:
             consensus.applied += 1
             entry = consensus.entry(consensus.applied)
-            machine.state.apply(entry.change)
+            verdict = machine.state.apply(entry.change)
             consensus.is_established = machine.state.revision > 0
             waited = self._waiting.pop((place, machine.life, entry.index), None)
             if waited is not None and waited[0] == entry.term:
-                self.acknowledged.append((entry.index, waited[1]))
+                self._ordered(entry.index, waited[1], verdict)
         is_member = any(member.id == consensus.me.id for member in consensus.members)
         if consensus.role is not Role.LEADER and self.now >= machine.join_at and (
                 not is_member or self.now - consensus.heard_leader_at > 1.5):
@@ -223,6 +223,10 @@
                 delay = DELAY_S * self.chance.uniform(0.5, 3.0)
                 self._line.append((self.now + delay, self._order, place, to, message))
 
+    def _ordered(self, index: int, change: Change, verdict: Verdict) -> None:
+        """Who proposed it is told what became of it."""
+        self.acknowledged.append((index, change))
+
     # --- then ---
 
     def _check(self) -> None:
