A core is rebuilt from what is left, and tells its log

Cause: with a majority's disks lost for good an operator could export a configuration and had to wait by hand until lost claims were too old. Nobody could see what a running core had ordered.

Change: cometdoor state rebuild SETTINGS DIR... writes a core of one member from the disk whose log reaches furthest; it takes no new key until the window has passed on its own clock, and says what may never have been acknowledged. cometdoor log IP:PORT shows the entries of a member's log.

Measured: a story over a whole mesh: two of three disks lost, three members again, no key run twice.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -9,7 +9,7 @@
 import sys
 
 DAEMONS = ("dataplane", "controlplane")
-MESH = (*DAEMONS, "mesh", "state", "members")
+MESH = (*DAEMONS, "mesh", "state", "members", "log")
 
 
 def main() -> int:
--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -14,14 +14,33 @@
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.calls import JSON, problem, segments
 from cometdoor.http.messages import ClientRequest
-from cometdoor.wire.messages import Configure
+from cometdoor.wire.messages import Change, Claim, Configure, Members, Noop, Passed
 
 MAX_CONFIGURATION = 8 << 20  # bytes; thousands of routes are under one
+LOG_PAGE = 200  # entries in one answer
 WAIT_FOR_LEADER_S = 0.6  # of the second that callers are patient
 LOOK_EVERY_S = 0.03
 log = structlog.get_logger()
 
 
+def describe(change: Change) -> dict[str, object]:
+    """A change in words; of configurations and claims what tells one from another."""
+    match change:
+        case Configure():
+            return {"change": "configuration", "base": change.base, "revision": change.revision,
+                    "bytes": len(change.body)}
+        case Members():
+            return {"change": "members",
+                    "members": [f"{one.id}@{one.address}" for one in change.members]}
+        case Claim():
+            return {"change": "claim", "key": change.key, "holder": change.holder, "claim": change.claim,
+                    "instead": change.instead}
+        case Passed():
+            return {"change": "time", "ms": change.ms}
+        case Noop():
+            return {"change": "lead"}
+
+
 class OperatorCalls:
     """Handler of the front that serves control."""
 
@@ -39,6 +58,8 @@
                 self._led(connection, request, self._describe)
             case (b"GET", ("Core.Describe",)):
                 connection.answer(200, JSON, json.dumps(self.describe_core()).encode())
+            case (b"GET", ("Core.Log", after)) if after.isdigit():
+                connection.answer(200, JSON, json.dumps(self.describe_log(int(after))).encode())
             case (_, ("Configuration.Replace" | "Configuration.Describe" | "Core.Describe",)):
                 problem(405, "another method is needed", connection)
             case _:
@@ -52,9 +73,20 @@
         return {"id": consensus.me.id, "role": consensus.role.value, "term": consensus.term,
                 "leader": consensus.leader, "committed": consensus.committed, "last": consensus.last_index,
                 "revision": self._core.state.revision, "keys": len(self._core.state.keys),
+                "keys-closed": self._core.state.is_closed,
                 "members": [{"id": member.id, "node": member.node, "control-plane": member.control,
                              "internal": member.address} for member in consensus.members]}
 
+    def describe_log(self, after: int) -> dict[str, object]:
+        """The entries behind that index, as this member holds them."""
+        consensus = self._core.consensus
+        entries = consensus.entries[max(after - consensus.base, 0):][:LOG_PAGE]
+        return {"snapshot-index": consensus.base, "committed": consensus.committed,
+                "last": consensus.last_index, "entries": [
+                    {"index": entry.index, "term": entry.term,
+                     "committed": entry.index <= consensus.committed, **describe(entry.change)}
+                    for entry in entries]}
+
     def _led(self, connection: ClientConnection, request: ClientRequest, call: object,
              until: float | None = None) -> None:
         """Here if this one leads, at the leader if another does; waits a moment while nobody does."""
--- a/cometdoor/control/state.py
+++ b/cometdoor/control/state.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cometdoor.wire.messages import Change, Claim, Configure, Passed
+from cometdoor.wire.messages import KEYS_CLOSED, Change, Claim, Configure, Passed
 
 # Kept on for so long past the window: from a request's sending to its claim, and one leader's uncounted time.
 WINDOW_SLACK_MS = 5_000
@@ -30,6 +30,7 @@
     taken: list[tuple[int, int]]
     now_ms: int
     keys: list[tuple[str, Kept]]
+    closed_until_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,17 @@
         self.now_ms = 0
         self.keys: dict[str, Kept] = {}  # oldest first
         self._taken: dict[int, int] = {}  # revision -> checksum of what was taken under it
+        # Of a core that was rebuilt from what was left: until then no new claim is taken, since one that was
+        # lost may stand against it.
+        self.closed_until_ms = 0
+
+    @property
+    def is_closed(self) -> bool:
+        return self.now_ms < self.closed_until_ms
+
+    def close_keys(self) -> None:
+        """For as long as any claim could have been made for."""
+        self.closed_until_ms = self.now_ms + self._window_ms
 
     def apply(self, change: Change) -> Verdict:
         match change:
@@ -76,6 +88,8 @@
 
     def _claim(self, change: Claim) -> Verdict:
         kept = self.keys.get(change.key)
+        if kept is None and self.is_closed:
+            return Verdict(False, self.revision, KEYS_CLOSED)
         if kept is None or (change.instead and kept.claim == change.instead):
             # The window counts from the first: a claim instead of one that never ran begins anew.
             self.keys.pop(change.key, None)
@@ -92,9 +106,10 @@
 
     def image(self) -> bytes:
         return msgspec.msgpack.encode(Image(self.revision, self.body, list(self._taken.items()), self.now_ms,
-                                            list(self.keys.items())))
+                                            list(self.keys.items()), self.closed_until_ms))
 
     def load(self, image: bytes) -> None:
         held = msgspec.msgpack.decode(image, type=Image)
         self.revision, self.body, self.now_ms = held.revision, held.body, held.now_ms
         self._taken, self.keys = dict(held.taken), dict(held.keys)
+        self.closed_until_ms = held.closed_until_ms
--- a/cometdoor/keys/claims.py
+++ b/cometdoor/keys/claims.py
@@ -60,9 +60,9 @@
         if isinstance(reply, Claimed) and len(reply.holders) == len(self._claims):
             self._client.leader = peer
             open_ones = [(one, holder) for one, holder in zip(self._claims, reply.holders, strict=True)]
-            self._claims = [one for one, holder in open_ones if not holder[1]]
+            self._claims = [one for one, holder in open_ones if not any(holder)]
             for (_, done), holder in open_ones:
-                if holder[1]:
+                if any(holder):
                     done(*holder)
             if self._claims:
                 self._client.mistrust(peer)
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -6,7 +6,7 @@
 import json
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Any
 
 import typer
 
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from cometdoor.control.offline import Holding
 
+NEWEST = 20  # entries of the log that are shown unless others are asked for
+
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   rich_markup_mode=None,
                   help="A service mesh: a data plane beside each backend, a control plane on a few machines.")
@@ -89,6 +91,68 @@
               file=sys.stderr)
 
 
+@state.command()
+def rebuild(settings: Annotated[Path, typer.Argument(help="the new member's settings file")],
+            folders: Annotated[list[Path], typer.Argument(help="data directories that are left")]) -> None:
+    """A core of one member out of what is left, where a majority of the disks is lost for good.
+
+    It is written to the data-directory of the settings, which must be empty; others join it with empty ones.
+    """
+    from cometdoor.control.rebuild import CannotRebuild
+    from cometdoor.control.rebuild import rebuild as build
+    from cometdoor.core.boot import read_boot
+    from cometdoor.core.schema import BadSettings, read_bytes
+    from cometdoor.wire.messages import Member
+
+    try:
+        boot = read_boot(read_bytes(settings), str(settings), "controlplane")
+        assert boot.data_directory is not None and boot.listen_addresses.control_plane is not None
+        me = Member("", boot.internal("controlplane"), boot.listen_addresses.control_plane, boot.node_name)
+        done = build(folders, Path(boot.data_directory), me, boot.bound("idempotency-window-s", 60.0))
+    except BadSettings as problem:
+        print(problem, file=sys.stderr)
+        raise typer.Exit(2) from None
+    except (OSError, CannotRebuild) as problem:
+        print(f"cometdoor: {problem}", file=sys.stderr)
+        raise typer.Exit(1) from None
+    print(f"member {done.member} in {boot.data_directory}, from {done.source}, the furthest of {done.disks}\n"
+          f"configuration {done.revision or 'none'}; {done.last_index} entries, {done.committed} of them "
+          f"known to be committed\nthe core was {', '.join(done.members_before) or 'not known'}\n"
+          "what stood only on the other disks is lost; no key is taken until the window has passed")
+    if done.unsure:
+        print(f"cometdoor: revision {', '.join(map(str, done.unsure))}: kept, though nobody may have been "
+              "told that it is in force: ask its operators", file=sys.stderr)
+
+
+@app.command("log")
+def show_log(address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")],
+             after: Annotated[int, typer.Option(help="only entries behind that index")] = -1,
+             as_json: AsJson = False) -> None:
+    """The newest entries of the core's log, as one member holds them: + is committed, ? not known to be."""
+    from cometdoor.client.wire import Broken, ask_once
+
+    def ask(behind: int) -> dict[str, Any]:
+        answer = asyncio.run(ask_once(address, "GET", f"/Core.Log/{behind}", {}, b"", 2.0))
+        found = json.loads(answer.body)
+        found["entries"] = list(found["entries"])
+        return dict(found)
+    try:
+        found = ask(after if after >= 0 else 1 << 60)
+        if after < 0:
+            found = ask(max(found["last"] - NEWEST, 0))
+        lines = [f"{one['index']:>8} {'+' if one['committed'] else '?'} term {one['term']:<4} " + " ".join(
+            f"{value}" if name == "change" else f"{name}={value}" for name, value in one.items()
+            if name not in ("index", "committed", "term") and value != "") for one in found["entries"]]
+    except (Broken, ValueError, KeyError, TypeError) as problem:
+        print(f"cometdoor: no core member answers at {address}: {problem}", file=sys.stderr)
+        raise typer.Exit(1) from None
+    if as_json:
+        print(json.dumps(found))
+    else:
+        print("\n".join([f"a snapshot holds all up to {found['snapshot-index']}; {found['committed']} of "
+                         f"{found['last']} are committed", *lines]))
+
+
 @app.command()
 def members(address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")],
             as_json: AsJson = False) -> None:
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -287,8 +287,12 @@
     claims: list[Claim]
 
 
+KEYS_CLOSED = "-"
+
+
 class Claimed(msgspec.Struct, tag="kr", array_like=True):
-    """For each in turn who holds the key now, and by which claim; empty: it could not be ordered."""
+    """For each in turn who holds the key now, and by which claim; both empty: it could not be ordered.
+    `KEYS_CLOSED` and no claim: no new claim is taken for now, and it is not worth asking again at once."""
 
     holders: list[tuple[str, str]]
 
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 from collections.abc import Coroutine, Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, TypeVar
 from unittest import mock
@@ -67,7 +68,8 @@
 
     async def launch(self, address: str) -> None:
         role, path = self.settings(address)
-        boot = read_boot(path.read_bytes(), str(path), role)
+        boot = replace(read_boot(path.read_bytes(), str(path), role),
+                       initial_start=address not in self._processes)  # true once in its life
         process = self._processes[address] = Process(address, role)
 
         def begin() -> Coroutine[Any, Any, None]:
--- a/stories/control/test_offline.py
+++ b/stories/control/test_offline.py
@@ -71,3 +71,48 @@
         assert status == 1 and "no file holds a whole value" in out
     assert command("state", "show", "/nowhere")[0] == 2
     assert command("members", "127.0.0.1:1")[0] == 1
+
+
+def settings_of(folder: Path, directory: Path) -> Path:
+    path = folder / "boot.toml"
+    path.write_text('node-name = "n"\nip-address = "127.0.0.1"\nzone = "z"\ninternal-ports = [7380, 7395]\n'
+                    f'data-directory = "{directory}"\n[listen-addresses]\ncontrol-plane = "127.0.0.1:8144"\n')
+    return path
+
+
+@test("a core is built of the disk whose log reaches furthest, and says what is not sure")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        folder = Path(name)
+        far = a_directory(folder / "far")
+        behind = Vault(folder / "behind")
+        behind.open()
+        behind.begin([Identity("other"), Promise(7, "other"), Stored([Entry(1, 1, Members(()))])])
+        behind.close()
+        settings = str(settings_of(folder, folder / "new"))
+        status, out, told = command("state", "rebuild", settings, str(folder / "behind"), str(far))
+        assert status == 0 and "configuration 5" in out and "far, the furthest of 2" in out
+        assert "revision 5: kept" in told
+        held = read_holding(folder / "new")
+        assert held.state.revision == 5 and held.held.term == 8 and held.state.is_closed
+        assert len(held.members) == 1 and held.members[0].endswith("@127.0.0.1:7381") and not held.faults
+        # And nothing that is there is written over
+        assert command("state", "rebuild", settings, str(far))[0] == 1
+        assert read_holding(folder / "new").held.id == held.held.id
+
+
+@test("of what is damaged or holds no member no core is built")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        folder = Path(name)
+        settings = str(settings_of(folder, folder / "new"))
+        path = next(a_directory(folder / "old").glob("*.dat"))
+        flipped = bytearray(path.read_bytes())
+        flipped[2 * BLOCK + 60] ^= 4
+        path.write_bytes(bytes(flipped))
+        status, _, told = command("state", "rebuild", settings, str(folder / "old"))
+        assert status == 1 and "lost what it had promised" in told and not (folder / "new").exists()
+        (folder / "none").mkdir()
+        assert command("state", "rebuild", settings, str(folder / "none"))[0] == 1
+        assert command("state", "rebuild", str(folder / "no.toml"), str(folder / "old"))[0] == 2
+        assert command("log", "127.0.0.1:1")[0] == 1
--- a/stories/mesh/test_fleet.py
+++ b/stories/mesh/test_fleet.py
@@ -12,11 +12,13 @@
 
 from cometdoor.control.consensus import Write
 from cometdoor.control.process import ControlPlane
+from cometdoor.control.rebuild import rebuild
 from cometdoor.control.vault import DiskError, Vault
 from cometdoor.core.listening import ListenError
 from cometdoor.dataplane.process import DataPlane
+from cometdoor.wire.messages import Member
 from lab.fleet import fleet
-from standins.mesh import CONTROL, OUT, READY, ask, route
+from standins.mesh import CONTROL, INTERNAL, OUT, READY, ask, route
 
 structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
 DRAIN_S = 2.0
@@ -398,3 +400,59 @@
         assert len(faults) == 4 and all(isinstance(fault, ListenError) for fault in faults)
         assert {fault.peer.rpartition(":")[2] for fault in faults if isinstance(fault, ListenError)} >= {
             str(OUT), str(READY), str(CONTROL)}
+
+
+@test("a core of which one disk is left is built anew: its configuration stands, and no key runs twice")
+def _() -> None:
+    with fleet(seed=17) as town:
+        # Given a mesh with a configuration and keys that have run
+        town.run(town.begin())
+        assert town.run(town.configure(4, 1)) == 200
+        town.run(town.traffic(3.0, 60.0))
+        keys = list(town.ledger.runs_of_key)
+        assert len(keys) > 10
+        # When two of three disks are lost for good, and the core is built of the third one's
+        left = town.core[1]
+        for address in town.core:
+            town.kill(address, silent=True)
+        town.wait(2.0)
+        (town.folder / left).rename(town.folder / "left")
+        for address in town.core:
+            if address != left:
+                (town.folder / address).rename(town.folder / f"lost-{address}")
+        done = rebuild([town.folder / "left"], town.folder / left,
+                       Member("", f"{left}:{INTERNAL + 1}", f"{left}:{CONTROL}", left), 60.0)
+        assert done.revision == 4 and len(done.members_before) == 3
+        for address in (left, *(address for address in town.core if address != left)):
+            town.restart(address)
+            town.wait(3.0)
+        # Then it has three members, the configuration is there, and the next one is taken
+        core = town.programs[town.leader()]
+        assert isinstance(core, ControlPlane) and len(core.core.consensus.members) == 3
+        assert town.run(town.configure(6, 4)) == 200
+        # And until all lost claims are too old no new key is taken, and the others' requests are served
+        before = len(town.ledger.runs_of_key)
+        town.run(town.traffic(3.0, 60.0))
+        assert len(town.ledger.runs_of_key) == before and town.ledger.ends[503] >= 20, town.ledger.ends
+        town.wait(70.0)
+        town.run(town.traffic(3.0, 60.0))
+        assert len(town.ledger.runs_of_key) > before
+        assert not town.account(), town.account()
+
+
+@test("a member tells its log in words, from where it is asked")
+def _() -> None:
+    with fleet(seed=18, planes=2) as town:
+        town.run(town.begin())
+        assert town.run(town.request(town.planes[0], "keyed", "k-1")) == 200
+
+        async def look(after: str) -> tuple[int, list[dict[str, object]]]:
+            status, _, body = await ask(town.leader(), CONTROL, "GET", f"/Core.Log/{after}", {})
+            return status, json.loads(body).get("entries", [])
+        _, entries = town.run(look("0"))
+        changes = [entry["change"] for entry in entries]
+        assert changes[0] == "members" and {"configuration", "claim", "lead"} <= set(changes)
+        assert all(entry["committed"] for entry in entries if entry["change"] == "configuration")
+        _, later = town.run(look(str(entries[2]["index"])))
+        assert later[:len(entries) - 3] == entries[3:]
+        assert town.run(look("soon"))[0] == 404 and town.run(look("999999")) == (200, [])
