One budget of further tries for all proxies: own parts, a leader's pool, offers

Nobody counted what repeated runs call.

Change: cometdoor/budget: half of the ratio is each proxy's own, the core's leader grants from a pool by leases, calm proxies offer what they don't need; calls of repeated runs are taken off. The module takes another floor as an event.

--- a/cometdoor/control/core.py
+++ b/cometdoor/control/core.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from cometdoor.budget.pool import Pool
 from cometdoor.control.consensus import Consensus, Role
 from cometdoor.control.state import State, Verdict
 from cometdoor.control.vault import DiskError, Vault
@@ -23,6 +24,7 @@
     Append,
     Appended,
     AskLeader,
+    AskShares,
     AskVote,
     Change,
     Claim,
@@ -36,6 +38,7 @@
     Message,
     Passed,
     Refusal,
+    SharesAre,
     TakeOver,
     Vote,
 )
@@ -54,8 +57,10 @@
 
 class Core:
     def __init__(self, loop: asyncio.AbstractEventLoop, lines: Lines, folder: Path, me: Member,
-                 window_s: float, *, seeds: list[str], founds: bool, least_members: int) -> None:
-        """`seeds`: internal addresses of members; `founds`: it begins the core if its disk is empty."""
+                 window_s: float, *, budget: Callable[[float], Pool], seeds: list[str], founds: bool,
+                 least_members: int) -> None:
+        """`budget`: a pool at the moment at which it is the leader's to give out. `seeds`: internal addresses
+        of members; `founds`: it begins the core if its disk is empty."""
         self.state = State(window_s)
         self.changed: Callable[[], None] = lambda: None  # the configuration or the lead
         self._loop = loop
@@ -73,6 +78,8 @@
         self._passed_at: float | None = None
         self._was_leading = False
         self._leaving = False
+        self._new_pool = budget
+        self._pool: Pool | None = None  # while it leads
         self._begin = False  # the next write begins a new file
         found = self.vault.open()
         if found.is_damaged:
@@ -159,6 +166,14 @@
                                               [member.address for member in self.consensus.members]))
             case Claims():
                 self._claim(message.claims, line, number)
+            case AskShares():
+                now = self._loop.time()
+                if self._pool is None or not self.consensus.may_accept():
+                    leader = self.leader()
+                    line.respond(number, Refusal("another leads", leader.address if leader else ""))
+                else:
+                    line.respond(number, SharesAre(now, self._pool.ask(
+                        message.life, message.stamp, message.needs, now)))
             case _:
                 return False
         return True
@@ -247,6 +262,7 @@
             read[2](True)
         if consensus.leads != self._was_leading:
             self._was_leading = consensus.leads
+            self._pool = self._new_pool(self._loop.time()) if consensus.leads else None
             log.info("lead", leads=consensus.leads, term=consensus.term, id=self._me.id)
             self.changed()
         if consensus.role is not Role.LEADER and self._waiters:
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -10,6 +10,7 @@
 import msgspec
 import structlog
 
+from cometdoor.budget.pool import Pool
 from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls
 from cometdoor.control.core import Core
 from cometdoor.core.boot import Boot
@@ -39,6 +40,8 @@
         self.core = Core(
             loop, self.lines, Path(boot.data_directory), Member("", here, control, boot.node_name),
             boot.bound("idempotency-window-s", 60.0), seeds=seeds,
+            budget=lambda now: Pool(boot.bound("retry-budget-ratio", 0.2), boot.bound("retry-slack", 10.0),
+                                    boot.bound("retry-window-s", 10.0), now),
             founds=boot.initial_start and bool(boot.seed_nodes) and control == min(boot.seed_nodes),
             least_members=min(3, max(len(boot.seed_nodes), 1)))
         self.core.changed = self._changed
--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -212,8 +212,8 @@
         self._dispatch(api.ClassAdded(cls))
         return len(self._classes) - 1
 
-    def tell(self, event: api.Advised | api.Lent) -> None:
-        """What planners advise or lend; the module makes of it what it will."""
+    def tell(self, event: api.Advised | api.Lent | api.BudgetChanged) -> None:
+        """What planners advise or lend, or another part of a budget that all share."""
         self._dispatch(event)
 
     def list_changed(self, event: api.ListChanged, addresses: Mapping[str, Address]) -> None:
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -170,6 +170,11 @@
     def busy(self) -> int:
         return len(self._at_work)
 
+    def repeats(self) -> float:
+        """Of what is at work, the share that may have run before."""
+        repeats = sum(visit.run.further for visit in self._at_work)
+        return repeats / len(self._at_work) if repeats else 0.0
+
     def opened(self) -> int:
         """Connections to backends so far."""
         return self._pool.opened
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -73,8 +73,9 @@
         self.directory.changed = lambda record: self._list_soon()
         self.exchange = Exchange(loop, self.lines, self.directory, self._configured)
         descriptors = Descriptors(boot.limits.file_descriptors)
-        self.out = WayOut(boot, loop, self.lines, here, self._cores, life)
         self.door = Door(loop, descriptors, boot.bound("drain-s", 2.0))
+        self.out = WayOut(boot, loop, self.lines, here, self._cores, life, repeats=self.door.repeats,
+                          proxies=lambda: sum(one.role == ROLE for one in self.directory.records.values()))
         self.lives = Lives(self._backend_changed)
         self.door.failed, self.door.is_back = self.lives.down, self.lives.back
         self._reader = MeshReader()
@@ -199,4 +200,5 @@
         for front in (self.beats, self.readiness):
             front.stop_listening()
         self.exchange.stop()
+        self.out.shares.stop()
         self.lines.close()
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from cometdoor.budget.share import Share
+from cometdoor.budget.terms import OWN_SHARE
 from cometdoor.configuration.document import Route
 from cometdoor.core.clock import LoopClock, now_ms
 from cometdoor.core.evidence import Reading, Stage, answered
@@ -23,10 +25,6 @@
 
 WARM_UP_MS = 3_000.0  # of a backend that has just started, where it says so
 COLD_FROM = 0.5
-# Of further arrivals that all proxies together may cause, by ratio and slack: a part of the ratio is left for
-# the calls that repeated runs make, and of the slack each proxy has one, so that half a hundred may restart.
-RATIO_SHARE = 0.6
-FLOOR = 1.0
 # Sends of one try, those included that a door turned away: those cost a way there and back, and no promise.
 SENDS = 6
 HELD_BACK_SHARE = 0.25  # of its aim until one that was held back may come again
@@ -128,10 +126,13 @@
 class Way:
     """Carrier of its host: `send` hands an attempt to a door."""
 
-    def __init__(self, service: str, loop: asyncio.AbstractEventLoop, lines: Lines, *, caller_service: str,
-                 budget_ratio: float, seed: int, zone: int = 0, zones: int = 1) -> None:
+    def __init__(self, service: str, loop: asyncio.AbstractEventLoop, lines: Lines, share: Share, *,
+                 caller_service: str, budget_ratio: float, span_s: float, seed: int,
+                 zone: int = 0, zones: int = 1) -> None:
+        """`share`: of the budget of the service's further tries."""
         self.service = service
         self._lines = lines
+        self._share = share
         self._caller = caller_service.encode()
         self._classes: dict[ClassKey, int] = {}
         self._throttles: list[Throttle] = [Throttle(random.Random(seed))]  # by class
@@ -139,7 +140,8 @@
         first = ClassKey("idempotent", 1.0, 1.0, 1, 2)
         settings = api.Settings(
             classes=(class_of(first),), tier=1, tiers=2, max_attempts=SENDS,
-            attempt_budget=api.AttemptBudget(FLOOR, budget_ratio * RATIO_SHARE, counts_unrun=False),
+            attempt_budget=api.AttemptBudget(0.0, budget_ratio * OWN_SHARE, span_s * 1000.0,
+                                             counts_unrun=False),
             cold_from=COLD_FROM, warm_up_ms=WARM_UP_MS, zone=zone,
             cross_zone_price=float(zones > 1))
         self._classes[first] = 0
@@ -166,9 +168,14 @@
             caller.refused(throttle.pause_ms(soon, left_ms(request, now), now))
             return None
         turn = request.turn = Turn(caller, request, throttle)
+        self._share.request(now / 1000.0)
         self._host.take(turn, request)
         return turn
 
+    def may_try(self, floor: float) -> None:
+        """The part in the budget of further tries has changed."""
+        self._host.tell(api.BudgetChanged(floor))
+
     def caller_gone(self, turn: Turn) -> None:
         self._host.caller_gone(turn)
 
@@ -220,11 +227,14 @@
         throttle = self._throttles[request.class_index]
         turn: Turn = request.turn
         run.let_through = throttle.part
+        run.further = turn.may_have_run > 0
         run.group, run.group_size = throttle.group, throttle.group_size(now_ms())
 
         def replied(reply: Message | PeerError) -> None:
             reading, answer = read(reply)
             turn.ended(reading, answer)
+            if reading.outcome is not Outcome.OK:
+                self._share.wish(now_ms() / 1000.0)
             if answer is not None:
                 throttle.ended(answer.status < 500, now_ms())
             if reading.outcome is Outcome.ERROR and answer is not None and not (
@@ -236,6 +246,8 @@
         if isinstance(call, PeerError):
             return Outcome.CONNECT_FAILED
         turn.may_have_run += 1
+        if run.further:
+            self._share.further(now_ms() / 1000.0)
         return AtDoor(call, turn)
 
     def _headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/wayout.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from cometdoor.budget.shares import Shares
 from cometdoor.configuration.document import Route
 from cometdoor.configuration.routes import Routes, choose
 from cometdoor.core.boot import Boot
@@ -112,7 +113,10 @@
     """Handler of the front that callers on this machine use."""
 
     def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop, lines: Lines, here: str,
-                 cores: Callable[[], list[str]], life: str) -> None:
+                 cores: Callable[[], list[str]], life: str, *, proxies: Callable[[], int],
+                 repeats: Callable[[], float]) -> None:
+        """`proxies`: how many there are. `repeats`: of the runs at the backend here, the share that may have
+        run before."""
         self.routes: Routes | None = None
         self.operations: Operations[Ask] = Operations(life, boot.bound("idempotency-window-s", 60.0))
         self._boot = boot
@@ -122,6 +126,11 @@
         self._chance = random.Random(secrets.randbits(64))
         self._claims = ClaimClient(loop, lines, cores)
         self._ways: dict[str, Way] = {}
+        self._repeats = repeats
+        self.shares = Shares(
+            loop, lines, life, cores, proxies, lambda service, floor: self._way(service).may_try(floor),
+            ratio=boot.bound("retry-budget-ratio", 0.2), slack=boot.bound("retry-slack", 10.0),
+            span_s=boot.bound("retry-window-s", 10.0))
         self._listed: dict[str, list[Listed]] = {}
         self._asks: dict[ClientConnection, Ask] = {}
         self._expire()
@@ -138,6 +147,8 @@
         for service, way in self._ways.items():
             if counts := way.report():
                 log.info("served", service=service, **counts)
+        if floors := self.shares.report():
+            log.info("budgets", **floors)
         if keys := self.operations.report():
             log.info("keys", **keys)
 
@@ -155,8 +166,9 @@
         way = self._ways.get(service)
         if way is None:
             way = self._ways[service] = Way(
-                service, self._loop, self._lines, caller_service=self._boot.service,
-                budget_ratio=self._boot.bound("retry-budget-ratio", 0.2), seed=self._chance.getrandbits(32),
+                service, self._loop, self._lines, self.shares.of(service),
+                caller_service=self._boot.service, budget_ratio=self._boot.bound("retry-budget-ratio", 0.2),
+                span_s=self._boot.bound("retry-window-s", 10.0), seed=self._chance.getrandbits(32),
                 zone=self._boot.zone_place(self._boot.zone), zones=len(self._boot.zones))
             way.know(self._listed.get(service, []))
         return way
@@ -180,7 +192,10 @@
             self._take_keyed(connection, request, key)
             return
         ask = self._new_ask(connection, request)
-        ask.way = self._way(choose(route, self._chance))
+        ask.way = self._way(service := choose(route, self._chance))
+        if repeats := self._repeats():
+            # Whether the backend here made this call in a repeated run is not said; so many of them are.
+            self.shares.of(service).repeat(repeats, self._loop.time())
         ask.turn = ask.way.take(ask, request, route)
 
     def _new_ask(self, connection: ClientConnection, request: ClientRequest, key: str = "") -> Ask:
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -47,6 +47,7 @@
     let_through: float = 1.0  # the part of its kind that its proxy lets through
     group: int = 0  # number of those that came together with it at that proxy, of its kind; 0: alone
     group_size: float = 1.0  # how many of its kind come together there on the mean
+    further: bool = False  # another arrival of its request may have come before it
 
 
 class Ran(msgspec.Struct, tag="a", array_like=True):
@@ -297,6 +298,29 @@
     holders: list[tuple[str, str]]
 
 
+# --- budgets of further tries ---
+
+
+class Need(msgspec.Struct, array_like=True, frozen=True):
+    """One proxy's, at one service."""
+
+    service: str
+    requests: float  # in the window
+    wants: float  # tries in a window, beside its own part
+    offers: float  # of its own part, for as long as `budget.terms` says
+
+
+class AskShares(msgspec.Struct, tag="sh", array_like=True):
+    life: str
+    stamp: float  # of the leader's last word to it; -1: none yet
+    needs: list[Need]
+
+
+class SharesAre(msgspec.Struct, tag="sr", array_like=True):
+    stamp: float
+    granted: list[float]  # for each need in turn
+
+
 # --- one operation per key, between proxies ---
 
 
@@ -312,7 +336,8 @@
 
 Message = (Ping | Pong | Refusal | Run | Ran | NotRun | Broke | Cancel | News | Compare | Compared | Reach
            | Reached | AskConfiguration | ConfigurationIs | AskVote | Vote | Append | Appended | Install
-           | TakeOver | Join | Leave | AskLeader | LeaderIs | Claims | Claimed | AskOperation | OperationIs)
+           | TakeOver | Join | Leave | AskLeader | LeaderIs | Claims | Claimed | AskShares | SharesAre
+           | AskOperation | OperationIs)
 
 
 class Frame(msgspec.Struct, array_like=True):
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -236,6 +236,13 @@
     for_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetChanged:
+    """From now on `AttemptBudget.floor` is this, below 0 too: then so much less than the ratio gives."""
+
+    floor: float
+
+
 @dataclass(frozen=True, slots=True)
 class ClassAdded:
     """One more class of requests, at the place behind the last one."""
@@ -244,7 +251,7 @@
 
 
 Event = (ClassAdded | RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted
-         | Advised | Lent)
+         | Advised | Lent | BudgetChanged)
 
 
 # --- actions ---
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -73,6 +73,8 @@
                 self._admission.add_class(self._settings)
             case api.Advised():
                 self._choosing.advised(event, now)
+            case api.BudgetChanged():
+                self._budget.floor = event.floor
             case api.Lent():
                 member = self._choosing.members.get(event.server)
                 if member and member.entry.started_at == event.started_at:
--- a/jasperhall/tries.py
+++ b/jasperhall/tries.py
@@ -79,7 +79,7 @@
     """
 
     def __init__(self, budget: api.AttemptBudget) -> None:
-        self._budget = budget
+        self._budget, self.floor = budget, budget.floor
         self._taken: deque[float] = deque()  # when requests came, oldest first; refused ones too
         self._extra: deque[float] = deque()  # when further attempts left
 
@@ -89,7 +89,7 @@
 
     def allows_one(self, now: float) -> bool:
         self._expire(now)
-        return len(self._extra) + 1 <= self._budget.floor + self._budget.per_request * len(self._taken)
+        return len(self._extra) + 1 <= self.floor + self._budget.per_request * len(self._taken)
 
     def sent(self, now: float) -> None:
         self._extra.append(now)
--- a/lab/news.py
+++ b/lab/news.py
@@ -7,15 +7,14 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
-from typing import Any
 
 from cometdoor.news.directory import Directory
 from cometdoor.news.exchange import Exchange
 from cometdoor.wire.lines import SILENT_S, PeerError
 from cometdoor.wire.messages import Frame, Message, Ping, Pong, Record, encode
+from lab.timers import Timers
 
 WAY_S = 0.003  # one way
 LOSS = 0.01  # of what is passed on: a line may break
@@ -83,19 +82,18 @@
         self.configured_at[revision] = self._town.now
 
 
-class Town:
+class Town(Timers):
     """Of data planes `n0` to `n(size - 1)`, the first three of which are the seeds."""
 
     def __init__(self, size: int, seed: int) -> None:
-        self.now = 0.0
+        super().__init__()
         self.chance = random.Random(seed)
         self.bytes_sent = 0
         self.messages_sent = 0
         self.cut: set[str] = set()  # addresses that reach nobody
         self.cut_between: set[frozenset[str]] = set()
         self.sides: set[str] = set()  # these and the others don't reach one another
-        self._events: list[tuple[float, int, Timer, tuple[Any, ...]]] = []
-        self._count = 0
+        self._last = 0
         self._awaited: dict[int, tuple[str, Done]] = {}
         self._dead: set[str] = set()
         self.all: dict[str, Node] = {}
@@ -121,27 +119,6 @@
     def up(self) -> list[Directory]:
         return [one.directory for address, one in self.all.items() if address not in self._dead]
 
-    def run(self, seconds: float) -> None:
-        end = self.now + seconds
-        while self._events and self._events[0][0] <= end:
-            self.now, _, call, arguments = heapq.heappop(self._events)
-            call(*arguments)
-        self.now = end
-
-    # --- the loop, as far as news needs it ---
-
-    def time(self) -> float:
-        return self.now
-
-    def call_later(self, seconds: float, call: Callable[..., object], *arguments: Any) -> Timer:
-        timer = Timer(call)
-        self._count += 1
-        heapq.heappush(self._events, (self.now + seconds, self._count, timer, arguments))
-        return timer
-
-    def call_soon(self, call: Callable[..., object], *arguments: Any) -> Timer:
-        return self.call_later(0.0, call, *arguments)
-
     # --- the network ---
 
     def is_dead(self, address: str) -> bool:
@@ -165,9 +142,9 @@
             self.all[to].exchange.receive(message, line, number)  # type: ignore[arg-type]
 
     def await_reply(self, asker: str, done: Done) -> int:
-        self._count += 1
-        self._awaited[self._count] = asker, done
-        return self._count
+        self._last += 1
+        self._awaited[self._last] = asker, done
+        return self._last
 
     def is_awaited(self, number: int) -> bool:
         return number in self._awaited
@@ -179,15 +156,3 @@
         if not isinstance(message, PeerError):
             self.weigh("", message)
         awaited[1](message)
-
-
-class Timer:
-    def __init__(self, call: Callable[..., object]) -> None:
-        self._call: Callable[..., object] | None = call
-
-    def __call__(self, *arguments: Any) -> None:
-        if self._call is not None:
-            self._call(*arguments)
-
-    def cancel(self) -> None:
-        self._call = None
--- /dev/null
+++ b/lab/timers.py
@@ -0,0 +1,45 @@
+"""Timers in virtual time: an event loop, as far as the parts need it that hold no sockets of their own."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+
+class Timer:
+    def __init__(self, call: Callable[..., object]) -> None:
+        self._call: Callable[..., object] | None = call
+
+    def __call__(self, *arguments: Any) -> None:
+        if self._call is not None:
+            self._call(*arguments)
+
+    def cancel(self) -> None:
+        self._call = None
+
+
+class Timers:
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[tuple[float, int, Timer, tuple[Any, ...]]] = []
+        self._count = 0
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, seconds: float, call: Callable[..., object], *arguments: Any) -> Timer:
+        timer = Timer(call)
+        self._count += 1
+        heapq.heappush(self._events, (self.now + seconds, self._count, timer, arguments))
+        return timer
+
+    def call_soon(self, call: Callable[..., object], *arguments: Any) -> Timer:
+        return self.call_later(0.0, call, *arguments)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, call, arguments = heapq.heappop(self._events)
+            call(*arguments)
+        self.now = end
--- a/tests/jasperhall/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -368,6 +368,14 @@
     assert fail_all(with_budget(), 30) == 5
 
 
+@pytest.mark.parametrize(("floor", "extra"), [(0.0, 3), (7.0, 10), (-2.0, 1), (-50.0, 0)])
+def test_another_part_of_a_budget_that_is_shared_holds_from_then_on(floor: float, extra: int) -> None:
+    checker = with_budget()
+    checker.settings = replace(SETTINGS, attempt_budget=replace(BUDGET, floor=max(floor, 0.0)))
+    checker.feed(api.BudgetChanged(floor))
+    assert fail_all(checker, 30) == extra
+
+
 @pytest.mark.parametrize(("later_ms", "extra"), [(4999.0, 0), (5000.0, 0), (5001.0, 2)])
 def test_a_further_attempt_counts_until_the_window_has_passed_it(later_ms: float, extra: int) -> None:
     checker = with_budget()
