--- /dev/null
+++ b/benchmarks/hops.py
@@ -0,0 +1,94 @@
+"""What a request costs both hops, beside another version of this project.
+
+Four data planes and three core members as real processes on loopback (`standins/mesh.py`), requests at all
+of them in a closed loop; the processor time of the data planes, over the requests asked. With `--beside`
+the same is done with the checkout in that folder, by turns, and the ratio is told.
+
+    git worktree add ../before REVISION && python -m benchmarks.hops --beside ../before [--quick]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+CALLERS = 24
+TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
+HERE = Path(__file__).resolve().parent.parent
+
+
+def processor_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * TICK_S
+
+
+async def measure(seconds: float) -> dict[str, float]:
+    from standins.mesh import Mesh
+
+    with TemporaryDirectory() as name:
+        mesh = Mesh(Path(name))
+        try:
+            await mesh.start()
+            if await mesh.configure(1, 0) != 200 or not await mesh.wait_ready():
+                raise SystemExit("the mesh did not come up")
+            await asyncio.sleep(1.0)
+            pids = [mesh.processes[address].pid for address in mesh.planes]
+            until = time.monotonic() + seconds
+            before, count = sum(map(processor_s, pids)), mesh.ledger.asked
+
+            async def call(place: int) -> None:
+                number = 0
+                while time.monotonic() < until:
+                    number += 1
+                    kind = "keyed" if number % 4 == 0 else "idempotent"
+                    await mesh.request(mesh.planes[place % len(mesh.planes)], kind,
+                                       f"k-{place}-{number}" if kind == "keyed" else "")
+            await asyncio.gather(*(call(place) for place in range(CALLERS)))
+            spent = sum(map(processor_s, pids)) - before
+            asked = mesh.ledger.asked - count
+            return {"cpu_ms_per_request": 1000.0 * spent / asked, "asked": asked,
+                    "served_share": mesh.ledger.ends[200] / max(sum(mesh.ledger.ends.values()), 1)}
+        finally:
+            await mesh.stop()
+
+
+def run(folder: Path, seconds: float) -> dict[str, float]:
+    done = subprocess.run([sys.executable, __file__, "--measure", str(seconds)], cwd=folder, text=True,
+                          env=os.environ | {"PYTHONPATH": str(folder)}, stdout=subprocess.PIPE, check=True)
+    return dict(json.loads(done.stdout.splitlines()[-1]))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--beside", type=Path, help="a checkout of another version")
+    parser.add_argument("--measure", type=float, help=argparse.SUPPRESS)
+    chosen = parser.parse_args()
+    if chosen.measure:
+        print(json.dumps(asyncio.run(measure(chosen.measure))))
+        return
+    from benchmarks.report import median, report
+
+    seconds, rounds = (4.0, 2) if chosen.quick else (10.0, 5)
+    folders = [HERE, *([chosen.beside.resolve()] if chosen.beside else [])]
+    found: list[list[dict[str, float]]] = [[] for _ in folders]
+    for _ in range(rounds):
+        for place, folder in enumerate(folders):
+            found[place].append(run(folder, seconds))
+    costs = [median([one["cpu_ms_per_request"] for one in of]) for of in found]
+    figures = {"cpu_ms_per_request": costs[0], "served_share": min(one["served_share"] for one in found[0]),
+               "requests": sum(one["asked"] for one in found[0])}
+    if chosen.beside:
+        figures |= {"cpu_ms_per_request_beside": costs[1], "cpu_over_beside": costs[0] / costs[1]}
+    report(figures)
+
+
+if __name__ == "__main__":
+    main()
--- a/cometdoor/budget/share.py
+++ b/cometdoor/budget/share.py
@@ -100,7 +100,8 @@
         used = self._further.sum(now) + self._repeats.sum(now)
         if not requests and not used:
             return None
-        if self.is_needy(now, proxies):
+        # With a grant it is in need no more, and without it it would be.
+        if self.is_needy(now, proxies) or self.holds(now):
             # What it offered while it was calm is bound still, and counts as if it were used.
             wants = AHEAD * used + MORE + self._lent_now(now) - self.own(now)
             return Need(service, requests, max(wants, 0.0), 0.0)
--- a/stories/mesh/test_fleet.py
+++ b/stories/mesh/test_fleet.py
@@ -456,3 +456,22 @@
         _, later = town.run(look(str(entries[2]["index"])))
         assert later[:len(entries) - 3] == entries[3:]
         assert town.run(look("soon"))[0] == 404 and town.run(look("999999")) == (200, [])
+
+
+@test("a proxy in need is granted further tries by the core's leader, and calm ones have offered theirs")
+def _() -> None:
+    with fleet(seed=19) as town:
+        # Given a mesh that has been led for longer than any earlier grant could bind, with traffic
+        town.run(town.begin())
+        town.run(town.traffic(26.0, 80.0))
+        needy, calm = (town.plane(address) for address in town.planes[:2])
+        # When one proxy has tried again as often as it may
+        share = needy.out.shares.of("pitches")
+        before = needy.out.shares.report()["pitches"]
+        for _ in range(8):
+            share.further(town.loop.time())
+        town.run(town.traffic(3.0, 80.0))
+        # Then it may do more than before, and another one less than its own part
+        assert needy.out.shares.report().get("pitches", 1.0) > before + 5.0, needy.out.shares.report()
+        assert calm.out.shares.report()["pitches"] < 0.0, calm.out.shares.report()
+        assert not town.account(), town.account()
