--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 IN_VENV = PATH="$(VENV)/bin:$$PATH"
 
-.PHONY: demo mesh test
+.PHONY: checks demo mesh stories test tests
 demo: $(VENV)/.demo
 	$(VENV)/bin/python -m cometdoor demo
 
@@ -11,10 +11,17 @@
 	$(VENV)/bin/python -m cometdoor mesh demo
 
 test: $(VENV)/.dev
+	$(MAKE) -j 3 --output-sync=target --no-print-directory checks tests stories
+	$(IN_VENV) pytest tests/planning  # alone: on a busy machine its stand-ins read late, and tell of it
+
+checks: $(VENV)/.dev
 	$(IN_VENV) ruff check .
 	$(IN_VENV) mypy
+
+tests: $(VENV)/.dev
 	$(IN_VENV) pytest -n 3 --dist loadfile --ignore tests/planning
-	$(IN_VENV) pytest tests/planning  # alone: on a busy machine its stand-ins read late, and tell of it
+
+stories: $(VENV)/.dev
 	$(IN_VENV) python -m stories
 
 $(VENV)/.demo: requirements.txt requirements-demo.txt
