--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 checks: $(VENV)/.dev
 	$(IN_VENV) ruff check .
+	$(IN_VENV) ruff format --check .
 	$(IN_VENV) mypy
 
 tests: $(VENV)/.dev
--- a/benchmarks/hammer.py
+++ b/benchmarks/hammer.py
@@ -66,7 +66,8 @@
         loop = asyncio.get_running_loop()
         for _ in range(self._count):
             made = await loop.create_connection(
-                lambda: _Connection(self._requests, self._times, self._failed), *self._address)
+                lambda: _Connection(self._requests, self._times, self._failed), *self._address
+            )
             self._connections.append(made[1])
         return self
 
@@ -96,8 +97,9 @@
                 connection.transport.close()
 
 
-async def hammer(address: tuple[str, int], requests: Callable[[], bytes], connections: int,
-                 seconds: float) -> tuple[float, Sequence[float], int]:
+async def hammer(
+    address: tuple[str, int], requests: Callable[[], bytes], connections: int, seconds: float
+) -> tuple[float, Sequence[float], int]:
     """One round."""
     made = await Hammer(address, requests, connections).open()
     try:
--- a/cometdoor/budget/pool.py
+++ b/cometdoor/budget/pool.py
@@ -63,8 +63,11 @@
         part.offered, part.offered_until = need.offers, now + OFFER_S
         if now < self._opens_at or need.wants <= 0.0:
             return 0.0
-        free = max(self.supply(need.service, now) - sum(
-            other.counts(now) for one, other in parts.items() if one != life), 0.0)
+        free = max(
+            self.supply(need.service, now)
+            - sum(other.counts(now) for one, other in parts.items() if one != life),
+            0.0,
+        )
         held = part.counts(now)
         amount = min(need.wants, free, held + TAKEN * max(free - held, 0.0))
         part.grants.append((now + granted_for_s(self._span_s), amount))
--- a/cometdoor/budget/share.py
+++ b/cometdoor/budget/share.py
@@ -69,8 +69,7 @@
     # --- what it may do ---
 
     def floor(self, now: float, proxies: int) -> float:
-        """Beside its own part of the ratio, in any window. `proxies`: how many there are, as far as is known.
-        """
+        """Beside its own part of the ratio, in any window. `proxies`: how many there are, as far as known."""
         # Of a life that has just begun nothing is known: the one before it may have made its try.
         is_settled = now >= self._began_at + self._span_s
         own = 1.0 if is_settled and proxies <= SLACK_OWN * self._slack else 0.0
--- a/cometdoor/budget/shares.py
+++ b/cometdoor/budget/shares.py
@@ -14,10 +14,19 @@
 
 
 class Shares:
-    def __init__(self, loop: asyncio.AbstractEventLoop, lines: Lines, life: str,
-                 cores: Callable[[], list[str]], proxies: Callable[[], int],
-                 changed: Callable[[str, float], None], *,
-                 ratio: float, slack: float, span_s: float) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        lines: Lines,
+        life: str,
+        cores: Callable[[], list[str]],
+        proxies: Callable[[], int],
+        changed: Callable[[str, float], None],
+        *,
+        ratio: float,
+        slack: float,
+        span_s: float,
+    ) -> None:
         """`changed`: the floor of a service is another. `proxies`: how many there are, as far as is known."""
         self._loop, self._lines, self._life = loop, lines, life
         self._cores, self._proxies, self._changed = cores, proxies, changed
@@ -32,8 +41,7 @@
     def of(self, service: str) -> Share:
         share = self._shares.get(service)
         if share is None:
-            share = self._shares[service] = Share(self._ratio, self._slack, self._span_s,
-                                                          self._loop.time())
+            share = self._shares[service] = Share(self._ratio, self._slack, self._span_s, self._loop.time())
             self._told[service] = 0.0  # what a way begins with
         return share
 
@@ -64,8 +72,11 @@
 
     def _ask(self, now: float) -> None:
         proxies = self._proxies()
-        needs = [need for service, share in self._shares.items()
-                 if (need := share.need(service, now, proxies)) is not None]
+        needs = [
+            need
+            for service, share in self._shares.items()
+            if (need := share.need(service, now, proxies)) is not None
+        ]
         cores = self._cores()
         peer = self._leader or (cores[0] if cores else "")
         if not needs or not peer:
@@ -83,6 +94,7 @@
                     self._leader, self._stamp = (reply.leader if reply.leader != peer else ""), -1.0
                 case _:
                     self._leader, self._stamp = "", -1.0
+
         call = self._lines.call(peer, AskShares(self._life, self._stamp, needs), told)
         if isinstance(call, PeerError):
             self._leader, self._stamp = "", -1.0
--- a/cometdoor/cli.py
+++ b/cometdoor/cli.py
@@ -17,16 +17,19 @@
     """0: done; 1: it could not be done; 2: the file or the command line is wrong."""
     parser = argparse.ArgumentParser(prog="cometdoor", description="Several services behind one proxy.")
     commands = parser.add_subparsers(dest="command", required=True)
-    commands.add_parser("check", help="say everything that is wrong with an operators' file, of any kind"
-                        ).add_argument("file", type=Path)
+    commands.add_parser(
+        "check", help="say everything that is wrong with an operators' file, of any kind"
+    ).add_argument("file", type=Path)
     serving = commands.add_parser("serve", help="serve by an operators' file; SIGHUP has it read again")
     serving.add_argument("file", type=Path)
     serving.add_argument("--planning", type=Path, metavar="FORWARDERS", help="a file that names planners")
     planner = commands.add_parser(
-        "planner", help="advise forwarders; 'planner status FILE' shows what a planner knows")
+        "planner", help="advise forwarders; 'planner status FILE' shows what a planner knows"
+    )
     planner.add_argument("words", nargs="+", metavar="[status] FILE")
-    planner.add_argument("--names", type=Path, metavar="SERVICES",
-                         help="a services' file: its servers are shown by name")
+    planner.add_argument(
+        "--names", type=Path, metavar="SERVICES", help="a services' file: its servers are shown by name"
+    )
     demo = commands.add_parser("demo", help="two services on this machine, one of which freezes")
     demo.add_argument("--seconds", type=float, default=20.0)
     demo.add_argument("--plain", action="store_true", help="no live view, only the closing table")
@@ -63,12 +66,16 @@
 
     if is_planners:
         planners, keys = load_planners(path)
-        print(f"{path}: good; planner {planners.planner.number} of {planners.planner.planners}, "
-              f"{len(planners.fleet)} fleets, {len(keys.known)} keys")
+        print(
+            f"{path}: good; planner {planners.planner.number} of {planners.planner.planners}, "
+            f"{len(planners.fleet)} fleets, {len(keys.known)} keys"
+        )
     else:
         forwarders, keys = load_forwarders(path)
-        print(f"{path}: good; forwarder {forwarders.forwarder.number}, {len(forwarders.service)} services, "
-              f"{len(keys.known)} keys")
+        print(
+            f"{path}: good; forwarder {forwarders.forwarder.number}, {len(forwarders.service)} services, "
+            f"{len(keys.known)} keys"
+        )
     return 0
 
 
@@ -114,11 +121,16 @@
     if address is None:
         print(f"{path}: planner.status: missing; without it a planner shows no page", file=sys.stderr)
         return 2
-    servers = [server.name for service in load_settings(names).service
-               for server in service.servers or ()] if names is not None else []
+    servers = (
+        [server.name for service in load_settings(names).service for server in service.servers or ()]
+        if names is not None
+        else []
+    )
     try:
-        with socket.create_connection(read_address(address), timeout=5.0) as connection, \
-                connection.makefile("rb") as answer:
+        with (
+            socket.create_connection(read_address(address), timeout=5.0) as connection,
+            connection.makefile("rb") as answer,
+        ):
             status = msgspec.json.decode(answer.read(), type=Status)
     except (OSError, msgspec.DecodeError) as problem:
         print(f"cometdoor: no page of the planner at {address}: {problem}", file=sys.stderr)
@@ -130,8 +142,9 @@
 def run(work: Coroutine[Any, Any, None]) -> int:
     import uvloop
 
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
-                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
     try:
         uvloop.run(work)
     except OSError as problem:
@@ -144,7 +157,9 @@
     try:
         from standins import demo
     except ImportError as problem:
-        print("cometdoor: the demo runs from the repository, with requirements-demo.txt installed: "
-              f"{problem}", file=sys.stderr)
+        print(
+            f"cometdoor: the demo runs from the repository, with requirements-demo.txt installed: {problem}",
+            file=sys.stderr,
+        )
         return 1
     return demo.run(seconds, plain)
--- a/cometdoor/client/__init__.py
+++ b/cometdoor/client/__init__.py
@@ -15,5 +15,18 @@
 from cometdoor.client.tries import Kind
 from cometdoor.client.wire import Answer
 
-__all__ = ["Answer", "BackendSide", "CallError", "Client", "Conflict", "HasRun", "Invalid", "Kind",
-           "MayHaveRun", "NotRun", "Operator", "Rejected", "Unanswered"]
+__all__ = [
+    "Answer",
+    "BackendSide",
+    "CallError",
+    "Client",
+    "Conflict",
+    "HasRun",
+    "Invalid",
+    "Kind",
+    "MayHaveRun",
+    "NotRun",
+    "Operator",
+    "Rejected",
+    "Unanswered",
+]
--- a/cometdoor/client/backend.py
+++ b/cometdoor/client/backend.py
@@ -15,17 +15,32 @@
 class BackendSide:
     """`beat()` runs as a task of its own; `drain()` is awaited before the program ends."""
 
-    def __init__(self, control: str, *, service: str, address: str, zone: str, capacity: int,
-                 revision: str = "v1", heartbeat_s: float = 1.5, warmup_s: float = 0.0,
-                 instance: str | None = None) -> None:
+    def __init__(
+        self,
+        control: str,
+        *,
+        service: str,
+        address: str,
+        zone: str,
+        capacity: int,
+        revision: str = "v1",
+        heartbeat_s: float = 1.5,
+        warmup_s: float = 0.0,
+        instance: str | None = None,
+    ) -> None:
         """`control`: "host:port" of the proxy beside it; `address`: its own, where it serves."""
         if capacity < 1:
             raise ValueError(f"capacity: {capacity} is not at least 1")
         self.instance = instance or "i-" + secrets.token_hex(8)
         self.is_draining = False
         self._control = control
-        self._said = {"service": service, "address": address, "zone": zone, "revision": revision,
-                      "capacity": capacity}
+        self._said = {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "revision": revision,
+            "capacity": capacity,
+        }
         self._heartbeat_s = heartbeat_s
         self._warmup_s = warmup_s
         self._began: float | None = None
@@ -36,9 +51,12 @@
         now = asyncio.get_running_loop().time()
         self._began = now if self._began is None else self._began
         self._sequence += 1
-        beat = {**self._said, "lifecycle-state": "draining" if self.is_draining else "ready",
-                "warmup-left-s": max(self._warmup_s - (now - self._began), 0.0),
-                "call-sequence": self._sequence}
+        beat = {
+            **self._said,
+            "lifecycle-state": "draining" if self.is_draining else "ready",
+            "warmup-left-s": max(self._warmup_s - (now - self._began), 0.0),
+            "call-sequence": self._sequence,
+        }
         return await self._post("Instances.Heartbeat", json.dumps(beat).encode())
 
     async def beat(self) -> None:
@@ -64,8 +82,14 @@
 
     async def _post(self, call: str, body: bytes) -> bool:
         try:
-            answer = await ask_once(self._control, "POST", f"/{call}/{self.instance}",
-                                    {"Content-Type": "application/json"}, body, ACKNOWLEDGED_WITHIN_S)
+            answer = await ask_once(
+                self._control,
+                "POST",
+                f"/{call}/{self.instance}",
+                {"Content-Type": "application/json"},
+                body,
+                ACKNOWLEDGED_WITHIN_S,
+            )
         except Broken:
             return False
         return 200 <= answer.status < 300
--- a/cometdoor/client/blocking.py
+++ b/cometdoor/client/blocking.py
@@ -24,11 +24,24 @@
         self._thread = threading.Thread(target=self._loop.run_forever, name="cometdoor client", daemon=True)
         self._thread.start()
 
-    def call(self, method: str, host: str, path: str, *, deadline_s: float, kind: Kind = Kind.ONCE,
-             key: str | None = None, headers: Mapping[str, str] | None = None, body: bytes = b"") -> Answer:
+    def call(
+        self,
+        method: str,
+        host: str,
+        path: str,
+        *,
+        deadline_s: float,
+        kind: Kind = Kind.ONCE,
+        key: str | None = None,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Answer:
         """Raises what the other one's raises."""
-        return self._run(self._inner.call(method, host, path, deadline_s=deadline_s, kind=kind, key=key,
-                                          headers=headers, body=body))
+        return self._run(
+            self._inner.call(
+                method, host, path, deadline_s=deadline_s, kind=kind, key=key, headers=headers, body=body
+            )
+        )
 
     def close(self) -> None:
         if not self._loop.is_closed():
@@ -40,8 +53,9 @@
     def __enter__(self) -> Client:
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, problem: BaseException | None,
-                 trace: TracebackType | None) -> None:
+    def __exit__(
+        self, kind: type[BaseException] | None, problem: BaseException | None, trace: TracebackType | None
+    ) -> None:
         self.close()
 
     def _run(self, work: Coroutine[Any, Any, Result]) -> Result:
--- a/cometdoor/client/calls.py
+++ b/cometdoor/client/calls.py
@@ -13,15 +13,20 @@
 from cometdoor.client.wire import Answer, Broken, Connection, ending_of, request_bytes
 
 ERRORS: dict[Known, type[CallError]] = {
-    Known.NOT_RUN: NotRun, Known.REJECTED: Rejected, Known.MAY_HAVE_RUN: MayHaveRun, Known.RAN: HasRun}
+    Known.NOT_RUN: NotRun,
+    Known.REJECTED: Rejected,
+    Known.MAY_HAVE_RUN: MayHaveRun,
+    Known.RAN: HasRun,
+}
 KEPT = 8  # idle connections
 
 
 class Client:
     """Callers share one: its connections and its budget of further tries."""
 
-    def __init__(self, *addresses: str, most_tries: int = 3, budget: Budget | None = None,
-                 seed: int | None = None) -> None:
+    def __init__(
+        self, *addresses: str, most_tries: int = 3, budget: Budget | None = None, seed: int | None = None
+    ) -> None:
         """`addresses`: "host:port" of proxies; the first is asked, the others in turn after a failure."""
         if not addresses:
             raise ValueError("addresses: at least one is needed")
@@ -36,8 +41,9 @@
     async def __aenter__(self) -> Client:
         return self
 
-    async def __aexit__(self, kind: type[BaseException] | None, problem: BaseException | None,
-                        trace: TracebackType | None) -> None:
+    async def __aexit__(
+        self, kind: type[BaseException] | None, problem: BaseException | None, trace: TracebackType | None
+    ) -> None:
         self.close()
 
     def close(self) -> None:
@@ -45,9 +51,18 @@
         for connection in idle:
             connection.close()
 
-    async def call(self, method: str, host: str, path: str, *, deadline_s: float, kind: Kind = Kind.ONCE,
-                   key: str | None = None, headers: Mapping[str, str] | None = None,
-                   body: bytes = b"") -> Answer:
+    async def call(
+        self,
+        method: str,
+        host: str,
+        path: str,
+        *,
+        deadline_s: float,
+        kind: Kind = Kind.ONCE,
+        key: str | None = None,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Answer:
         """The 2xx answer of the backend. `deadline_s`: from now, over all tries.
 
         Raises NotRun, MayHaveRun or HasRun; of several tries the worst that is known counts, so that NotRun
@@ -64,12 +79,16 @@
         while True:
             peer = self._addresses[tries.made % len(self._addresses)]
             left_s = tries.left_s(loop.time())
-            fields = {**(headers or {}), "Cometdoor-Attempt-Id": f"{self._chance.getrandbits(64):016x}",
-                      "Cometdoor-Deadline-Ms": str(max(int(left_s * 1000), 1))}
+            fields = {
+                **(headers or {}),
+                "Cometdoor-Attempt-Id": f"{self._chance.getrandbits(64):016x}",
+                "Cometdoor-Deadline-Ms": str(max(int(left_s * 1000), 1)),
+            }
             if key is not None:
                 fields["Cometdoor-Idempotency-Key"] = key
             answer, ending, reason = await self._try(
-                peer, request_bytes(method, host, path, fields, body), left_s)
+                peer, request_bytes(method, host, path, fields, body), left_s
+            )
             if answer is not None and ending.known() is Known.SERVED:
                 return answer
             pause = tries.again_after(ending, loop.time())
--- a/cometdoor/client/operator.py
+++ b/cometdoor/client/operator.py
@@ -39,8 +39,9 @@
     async def replace(self, configuration: Mapping[str, Any], base: int, within_s: float = 10.0) -> None:
         """Taken when it returns, on a majority's disks. Raises Invalid, Conflict or Unanswered."""
         body = json.dumps(configuration).encode()
-        answer = await self._ask("POST", "/Configuration.Replace", {"Cometdoor-Base-Version": str(base)},
-                                 body, within_s)
+        answer = await self._ask(
+            "POST", "/Configuration.Replace", {"Cometdoor-Base-Version": str(base)}, body, within_s
+        )
         if answer.status == 412:
             raise Conflict(_reason(answer))
         if answer.status != 200:
@@ -74,8 +75,9 @@
                 if loop.time() >= until:
                     raise
 
-    async def _ask(self, method: str, path: str, headers: Mapping[str, str], body: bytes,
-                   within_s: float) -> Answer:
+    async def _ask(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes, within_s: float
+    ) -> Answer:
         """A clear answer of whoever leads."""
         loop = asyncio.get_running_loop()
         until = loop.time() + within_s
@@ -84,8 +86,9 @@
             address = self._addresses[place % len(self._addresses)]
             try:
                 for _ in range(REDIRECTS + 1):
-                    answer = await ask_once(address, method, path, headers, body,
-                                            min(PATIENCE_S, max(until - loop.time(), 0.05)))
+                    answer = await ask_once(
+                        address, method, path, headers, body, min(PATIENCE_S, max(until - loop.time(), 0.05))
+                    )
                     if answer.status != 307:
                         break
                     address = answer.headers.get("location", "").removeprefix("http://").partition("/")[0]
--- a/cometdoor/client/tries.py
+++ b/cometdoor/client/tries.py
@@ -77,8 +77,9 @@
 class Tries:
     """Of one call."""
 
-    def __init__(self, kind: Kind, deadline_at: float, most: int, budget: Budget,
-                 chance: random.Random) -> None:
+    def __init__(
+        self, kind: Kind, deadline_at: float, most: int, budget: Budget, chance: random.Random
+    ) -> None:
         self.kind = kind
         self.made = 0
         self.may_have_run = False  # by what any try ended with
--- a/cometdoor/client/wire.py
+++ b/cometdoor/client/wire.py
@@ -126,8 +126,9 @@
     return Ending(answer.status, retry_after_s=pause if pause is not None and pause >= 0 else None)
 
 
-async def ask_once(address: str, method: str, path: str, headers: Mapping[str, str], body: bytes,
-                   patience_s: float) -> Answer:
+async def ask_once(
+    address: str, method: str, path: str, headers: Mapping[str, str], body: bytes, patience_s: float
+) -> Answer:
     """One call on a connection of its own, to an interface of the mesh's. Raises Broken."""
     connection = Connection(address)
     sent = False
@@ -135,8 +136,9 @@
         async with asyncio.timeout(patience_s):
             await connection.open()
             sent = True
-            return await connection.exchange(request_bytes(
-                method, address, path, {"Connection": "close", **headers}, body))
+            return await connection.exchange(
+                request_bytes(method, address, path, {"Connection": "close", **headers}, body)
+            )
     except TimeoutError as problem:
         raise Broken(f"no answer within {patience_s} s", sent=sent) from problem
     finally:
--- a/cometdoor/configuration/delta.py
+++ b/cometdoor/configuration/delta.py
@@ -73,8 +73,9 @@
     except msgspec.MsgspecError as problem:
         raise BadDifference(str(problem)) from problem
     held = pieces(former)
-    body = b"".join(part if isinstance(part, bytes) else b"".join(held[part[0]:part[1]])
-                    for part in told.parts)
+    body = b"".join(
+        part if isinstance(part, bytes) else b"".join(held[part[0] : part[1]]) for part in told.parts
+    )
     if len(body) != told.size or zlib.crc32(body) != told.checksum:
         raise BadDifference("it is a difference to another body")
     return body
--- a/cometdoor/configuration/routes.py
+++ b/cometdoor/configuration/routes.py
@@ -31,7 +31,7 @@
                 return None
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
-            if (route := table.get(path[:end + 1])) is not None:
+            if (route := table.get(path[: end + 1])) is not None:
                 return route
         return None
 
--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -27,14 +27,22 @@
     """A change in words; of configurations and claims what tells one from another."""
     match change:
         case Configure():
-            return {"change": "configuration", "base": change.base, "revision": change.revision,
-                    "bytes": len(change.body)}
+            return {
+                "change": "configuration",
+                "base": change.base,
+                "revision": change.revision,
+                "bytes": len(change.body),
+            }
         case Members():
-            return {"change": "members",
-                    "members": [f"{one.id}@{one.address}" for one in change.members]}
+            return {"change": "members", "members": [f"{one.id}@{one.address}" for one in change.members]}
         case Claim():
-            return {"change": "claim", "key": change.key, "holder": change.holder, "claim": change.claim,
-                    "instead": change.instead}
+            return {
+                "change": "claim",
+                "key": change.key,
+                "holder": change.holder,
+                "claim": change.claim,
+                "instead": change.instead,
+            }
         case Passed():
             return {"change": "time", "ms": change.ms}
         case Noop():
@@ -70,25 +78,49 @@
 
     def describe_core(self) -> dict[str, object]:
         consensus = self._core.consensus
-        return {"id": consensus.me.id, "role": consensus.role.value, "term": consensus.term,
-                "leader": consensus.leader, "committed": consensus.committed, "last": consensus.last_index,
-                "revision": self._core.state.revision, "keys": len(self._core.state.keys),
-                "keys-closed": self._core.state.is_closed,
-                "members": [{"id": member.id, "node": member.node, "control-plane": member.control,
-                             "internal": member.address} for member in consensus.members]}
+        return {
+            "id": consensus.me.id,
+            "role": consensus.role.value,
+            "term": consensus.term,
+            "leader": consensus.leader,
+            "committed": consensus.committed,
+            "last": consensus.last_index,
+            "revision": self._core.state.revision,
+            "keys": len(self._core.state.keys),
+            "keys-closed": self._core.state.is_closed,
+            "members": [
+                {
+                    "id": member.id,
+                    "node": member.node,
+                    "control-plane": member.control,
+                    "internal": member.address,
+                }
+                for member in consensus.members
+            ],
+        }
 
     def describe_log(self, after: int) -> dict[str, object]:
         """The entries behind that index, as this member holds them."""
         consensus = self._core.consensus
-        entries = consensus.entries[max(after - consensus.base, 0):][:LOG_PAGE]
-        return {"snapshot-index": consensus.base, "committed": consensus.committed,
-                "last": consensus.last_index, "entries": [
-                    {"index": entry.index, "term": entry.term,
-                     "committed": entry.index <= consensus.committed, **describe(entry.change)}
-                    for entry in entries]}
-
-    def _led(self, connection: ClientConnection, request: ClientRequest, call: object,
-             until: float | None = None) -> None:
+        entries = consensus.entries[max(after - consensus.base, 0) :][:LOG_PAGE]
+        return {
+            "snapshot-index": consensus.base,
+            "committed": consensus.committed,
+            "last": consensus.last_index,
+            "entries": [
+                {
+                    "index": entry.index,
+                    "term": entry.term,
+                    "committed": entry.index <= consensus.committed,
+                    **describe(entry.change),
+                }
+                for entry in entries
+            ],
+        }
+
+    def _led(
+        self, connection: ClientConnection, request: ClientRequest, call: object, until: float | None = None
+    ) -> None:
         """Here if this one leads, at the leader if another does; waits a moment while nobody does."""
         core = self._core
         if connection.request is not request:
@@ -116,8 +148,9 @@
         try:
             document = parse(request.body)
         except BadSettings as faults:
-            log.info("configuration refused", step="check", faults=len(faults.problems),
-                     first=str(faults)[:200])
+            log.info(
+                "configuration refused", step="check", faults=len(faults.problems), first=str(faults)[:200]
+            )
             problem(400, str(faults), connection)
             return
 
@@ -133,6 +166,7 @@
                 problem(400, f"revision: {document.revision} is not above {verdict.revision}", connection)
             else:
                 problem(412, f"version {verdict.revision} is in force, not {base}", connection)
+
         self._core.propose(Configure(base, document.revision, request.body), ordered)
 
     def _describe(self, connection: ClientConnection, request: ClientRequest) -> None:
@@ -145,4 +179,5 @@
                 problem(404, "there is no configuration yet", connection)
             else:
                 connection.answer(200, JSON, self._core.state.body)
+
         self._core.read(confirmed)
--- a/cometdoor/control/consensus.py
+++ b/cometdoor/control/consensus.py
@@ -113,8 +113,9 @@
                 self.term, self.voted_for = write.term, write.voted_for
             case Snapshot():
                 self.snapshot = write
-                self.entries = [entry for entry in self.entries
-                                if entry.index > write.last_index and not write.alone]
+                self.entries = [
+                    entry for entry in self.entries if entry.index > write.last_index and not write.alone
+                ]
             case Stored() if write.entries:
                 first = write.entries[0].index
                 self.entries = [entry for entry in self.entries if entry.index < first]
@@ -306,8 +307,15 @@
             self.voted_for, self.leader = self.me.id, ""
             self._write(Promise(self.term, self.me.id))
         term = self.term + 1 if trial else self.term
-        ask = AskVote(term, self.me.id, self.last_index, self.term_at(self.last_index) or 0, trial,
-                      self.me.address, handed)
+        ask = AskVote(
+            term,
+            self.me.id,
+            self.last_index,
+            self.term_at(self.last_index) or 0,
+            trial,
+            self.me.address,
+            handed,
+        )
         for member in self._others():
             self._send(member.address, ask, after_writes=not trial)
         self._count_votes()
@@ -323,19 +331,26 @@
     def _on_ask_vote(self, ask: AskVote, address: str) -> None:
         last = self.last_index
         is_current = (ask.last_term, ask.last_index) >= (self.term_at(last) or 0, last)
-        has_leader = (self.role is Role.LEADER
-                      or self._now - self.heard_leader_at < ELECTION_LEAST_S) and not ask.handed
+        has_leader = (
+            self.role is Role.LEADER or self._now - self.heard_leader_at < ELECTION_LEAST_S
+        ) and not ask.handed
         if ask.trial:
-            granted = ask.term > self.term and is_current and not has_leader and not self.disk_is_stuck(
-                self._now)
+            granted = (
+                ask.term > self.term and is_current and not has_leader and not self.disk_is_stuck(self._now)
+            )
             self._send(address, Vote(ask.term if granted else self.term, self.me.id, granted, True))
             return
         if ask.term > self.term:
             if has_leader:
                 return  # it can't have been told by a majority that there is none
             self._step_down(ask.term)
-        granted = (ask.term == self.term and is_current and self.voted_for in ("", ask.candidate)
-                   and self.role is Role.FOLLOWER and bool(self._members))
+        granted = (
+            ask.term == self.term
+            and is_current
+            and self.voted_for in ("", ask.candidate)
+            and self.role is Role.FOLLOWER
+            and bool(self._members)
+        )
         if granted and not self.voted_for:
             self.voted_for = ask.candidate
             self._write(Promise(self.term, ask.candidate))
@@ -379,9 +394,13 @@
         if self.role is not Role.LEADER:
             return
         self._handed_at = self._now
-        fresh = [member for member in self._others() if member.id in self.peers
-                 and member.id not in self._leaving
-                 and self._now - self.peers[member.id].heard_at < 3 * HEARTBEAT_S]
+        fresh = [
+            member
+            for member in self._others()
+            if member.id in self.peers
+            and member.id not in self._leaving
+            and self._now - self.peers[member.id].heard_at < 3 * HEARTBEAT_S
+        ]
         if fresh:
             heir = max(fresh, key=lambda member: self.peers[member.id].match)
             self._send(heir.address, TakeOver(self.term, self.me.id))
@@ -394,8 +413,11 @@
         return self.role is Role.LEADER and self.committed >= self._own_noop
 
     def may_accept(self) -> bool:
-        return (self.leads and (self.is_established or len(self._members) >= self.least_members)
-                and self._now - self._handed_at > 2 * ELECTION_MOST_S)
+        return (
+            self.leads
+            and (self.is_established or len(self._members) >= self.least_members)
+            and self._now - self._handed_at > 2 * ELECTION_MOST_S
+        )
 
     def propose(self, change: Change) -> int:
         """Its index; it is ordered if the entry that is committed there has the present term."""
@@ -442,8 +464,18 @@
             state = self.snapshot
             assert state is not None
             peer.sent_at = self._now + 4 * RESEND_S  # it is large
-            self._send(member.address, Install(self.term, self.me.id, self.me.address, state.last_index,
-                                               state.last_term, msgspec.msgpack.encode(state), self.round))
+            self._send(
+                member.address,
+                Install(
+                    self.term,
+                    self.me.id,
+                    self.me.address,
+                    state.last_index,
+                    state.last_term,
+                    msgspec.msgpack.encode(state),
+                    self.round,
+                ),
+            )
             return
         previous = peer.next - 1
         previous_term = self.term_at(previous)
@@ -452,10 +484,21 @@
             previous, previous_term = self.base, self.term_at(self.base) or 0
         elif is_free and peer.next <= self.last_index:
             place = previous - self.base
-            entries = self.entries[place:place + BATCH]
+            entries = self.entries[place : place + BATCH]
             peer.sent_at = self._now
-        self._send(member.address, Append(self.term, self.me.id, self.me.address, previous, previous_term,
-                                          entries, self.committed, self.round))
+        self._send(
+            member.address,
+            Append(
+                self.term,
+                self.me.id,
+                self.me.address,
+                previous,
+                previous_term,
+                entries,
+                self.committed,
+                self.round,
+            ),
+        )
 
     def _on_append(self, append: Append, address: str) -> None:
         if append.term < self.term:
@@ -478,7 +521,7 @@
         if fresh:
             first = fresh[0].index
             fresh = [entry for entry in append.entries if entry.index >= first]
-            self.entries = [*self.entries[:first - self.base - 1], *fresh]
+            self.entries = [*self.entries[: first - self.base - 1], *fresh]
             self._on_disk = min(self._on_disk, first - 1)
             self._pending_disk = [(count, min(index, first - 1)) for count, index in self._pending_disk]
             self._write(Stored(fresh))
@@ -487,8 +530,9 @@
         self.committed = max(self.committed, min(append.committed, known))
         # A heartbeat without news speaks of nothing that is not on disk already.
         needs_disk = known > self._on_disk
-        self._send(address, Appended(self.term, self.me.id, True, known, append.round),
-                   after_writes=needs_disk)
+        self._send(
+            address, Appended(self.term, self.me.id, True, known, append.round), after_writes=needs_disk
+        )
 
     def _follow(self, term: int, leader: str) -> None:
         if term > self.term:
@@ -543,19 +587,24 @@
             self.snapshot = self.installed = snapshot
             self.committed = install.last_index
             self._pending_disk.clear()
-            self._write(msgspec.structs.replace(snapshot, alone=True),
-                        *([Stored(self.entries)] if self.entries else []))
+            self._write(
+                msgspec.structs.replace(snapshot, alone=True),
+                *([Stored(self.entries)] if self.entries else []),
+            )
             self._pending_disk.append((self._asked, self.last_index))
             self._members = self._newest_members()
-        self._send(address, Appended(self.term, self.me.id, True, max(install.last_index, 0), install.round),
-                   after_writes=True)
+        self._send(
+            address,
+            Appended(self.term, self.me.id, True, max(install.last_index, 0), install.round),
+            after_writes=True,
+        )
 
     def compact(self) -> list[Write]:
         """Forget what is applied; returns all that a fresh disk file must begin with, in order."""
         if self.applied > self.base:
             term = self.term_at(self.applied)
             assert term is not None
-            done, rest = self.entries[:self.applied - self.base], self.entries[self.applied - self.base:]
+            done, rest = self.entries[: self.applied - self.base], self.entries[self.applied - self.base :]
             members = self.snapshot.members if self.snapshot else ()
             for entry in done:
                 if isinstance(entry.change, Members):
@@ -575,8 +624,9 @@
 
     def _next_members(self) -> None:
         """One change at a time, each committed before the next (dissertation, 4.1)."""
-        if not self.leads or any(isinstance(entry.change, Members) for entry in
-                                 self.entries[max(self.committed - self.base, 0):]):
+        if not self.leads or any(
+            isinstance(entry.change, Members) for entry in self.entries[max(self.committed - self.base, 0) :]
+        ):
             return
         now = self._now
         self._joiners = {id: one for id, one in self._joiners.items() if now - one[1] < JOINER_S}
@@ -587,11 +637,11 @@
             goes = next((member.id for member in here if member.id in self._leaving), None)
         if goes is None:
             fresh = {joiner.address: joiner.id for joiner, _ in self._joiners.values()}
-            goes = next((member.id for member in here
-                         if fresh.get(member.address, member.id) != member.id), None)
+            goes = next(
+                (member.id for member in here if fresh.get(member.address, member.id) != member.id), None
+            )
         if goes is None and len(here) % 2 == 0:
-            silent = [member for member in self._others()
-                      if now - self.peers[member.id].heard_at > SILENT_S]
+            silent = [member for member in self._others() if now - self.peers[member.id].heard_at > SILENT_S]
             if silent:
                 goes = min(silent, key=lambda member: self.peers[member.id].heard_at).id
         if goes is not None and goes != self.me.id and len(here) > 1:
--- a/cometdoor/control/core.py
+++ b/cometdoor/control/core.py
@@ -56,9 +56,19 @@
 
 
 class Core:
-    def __init__(self, loop: asyncio.AbstractEventLoop, lines: Lines, folder: Path, me: Member,
-                 window_s: float, *, budget: Callable[[float], Pool], seeds: list[str], founds: bool,
-                 least_members: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        lines: Lines,
+        folder: Path,
+        me: Member,
+        window_s: float,
+        *,
+        budget: Callable[[float], Pool],
+        seeds: list[str],
+        founds: bool,
+        least_members: int,
+    ) -> None:
         """`budget`: a pool at the moment at which it is the leader's to give out. `seeds`: internal addresses
         of members; `founds`: it begins the core if its disk is empty."""
         self.state = State(window_s)
@@ -100,8 +110,14 @@
         # A file is written by one life only. Until it is begun, the one before it stands.
         self._first = self.consensus.compact()
         self._is_begun = False
-        log.info("core member", id=found.held.id, fresh=fresh, founds=founds and fresh,
-                 last=self.consensus.last_index, term=self.consensus.term)
+        log.info(
+            "core member",
+            id=found.held.id,
+            fresh=fresh,
+            founds=founds and fresh,
+            last=self.consensus.last_index,
+            term=self.consensus.term,
+        )
         if fresh and founds:
             self.consensus.bootstrap()
 
@@ -162,8 +178,13 @@
                 self._wake()
             case AskLeader():
                 leader = self.leader()
-                line.respond(number, LeaderIs(leader.address if leader else "",
-                                              [member.address for member in self.consensus.members]))
+                line.respond(
+                    number,
+                    LeaderIs(
+                        leader.address if leader else "",
+                        [member.address for member in self.consensus.members],
+                    ),
+                )
             case Claims():
                 self._claim(message.claims, line, number)
             case AskShares():
@@ -172,8 +193,10 @@
                     leader = self.leader()
                     line.respond(number, Refusal("another leads", leader.address if leader else ""))
                 else:
-                    line.respond(number, SharesAre(now, self._pool.ask(
-                        message.life, message.stamp, message.needs, now)))
+                    line.respond(
+                        number,
+                        SharesAre(now, self._pool.ask(message.life, message.stamp, message.needs, now)),
+                    )
             case _:
                 return False
         return True
@@ -194,6 +217,7 @@
                 holders[place] = verdict.holder, verdict.claim
             if not left:
                 line.respond(number, Claimed(holders))
+
         for place, claim in enumerate(claims):
             self.propose(claim, partial(ordered, place))
 
--- a/cometdoor/control/offline.py
+++ b/cometdoor/control/offline.py
@@ -25,8 +25,11 @@
 
     def later(self) -> list[Configure]:
         """Configurations behind what is known to be committed: in force or not, only a majority knows."""
-        return [entry.change for entry in self.held.entries
-                if entry.index > self.held.committed and isinstance(entry.change, Configure)]
+        return [
+            entry.change
+            for entry in self.held.entries
+            if entry.index > self.held.committed and isinstance(entry.change, Configure)
+        ]
 
 
 def read_holding(folder: Path, window_s: float = 60.0) -> Holding:
@@ -46,13 +49,20 @@
             state.apply(entry.change)
         if isinstance(entry.change, Members):
             members = _names(entry.change.members)
-    holding = Holding(held, state, tuple(members.split()), held.entries[-1].index if held.entries else base,
-                      str(max(files(folder), default=(0, folder))[1]))
+    holding = Holding(
+        held,
+        state,
+        tuple(members.split()),
+        held.entries[-1].index if held.entries else base,
+        str(max(files(folder), default=(0, folder))[1]),
+    )
     if newest and found.is_empty:
         holding.faults.append("no file holds a whole value")
     if found.is_damaged:
-        holding.faults.append(f"value {found.last + 1} is missing although a later one calls it synced: the "
-                              "disk lost what it had promised; who starts on it counts as a stranger")
+        holding.faults.append(
+            f"value {found.last + 1} is missing although a later one calls it synced: the "
+            "disk lost what it had promised; who starts on it counts as a stranger"
+        )
     elif found.ignored:
         holding.notes.append(f"{found.ignored} values behind value {found.last} were never synced")
     if newest and not held.id and not found.is_damaged:
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -38,26 +38,44 @@
         here = boot.internal(ROLE)
         seeds = boot.seeds_internal()
         self.core = Core(
-            loop, self.lines, Path(boot.data_directory), Member("", here, control, boot.node_name),
-            boot.bound("idempotency-window-s", 60.0), seeds=seeds,
-            budget=lambda now: Pool(boot.bound("retry-budget-ratio", 0.2), boot.bound("retry-slack", 10.0),
-                                    boot.bound("retry-window-s", 10.0), now),
+            loop,
+            self.lines,
+            Path(boot.data_directory),
+            Member("", here, control, boot.node_name),
+            boot.bound("idempotency-window-s", 60.0),
+            seeds=seeds,
+            budget=lambda now: Pool(
+                boot.bound("retry-budget-ratio", 0.2),
+                boot.bound("retry-slack", 10.0),
+                boot.bound("retry-window-s", 10.0),
+                now,
+            ),
             founds=boot.initial_start and bool(boot.seed_nodes) and control == min(boot.seed_nodes),
-            least_members=min(3, max(len(boot.seed_nodes), 1)))
+            least_members=min(3, max(len(boot.seed_nodes), 1)),
+        )
         self.core.changed = self._changed
         record = Record(boot.node_name, here, ROLE, boot.zone, secrets.token_hex(4), 1, control=control)
         self.directory = Directory(record, seeds, random.Random(secrets.randbits(64)), loop.time())
         self.directory.changed = self._heard
         self.exchange = Exchange(loop, self.lines, self.directory, lambda revision, body: None)
-        self.front = Frontend(loop, PathReader(MAX_CONFIGURATION), Descriptors(boot.limits.file_descriptors),
-                              OperatorCalls(loop, self.core), Bounds(body_bytes=MAX_CONFIGURATION))
+        self.front = Frontend(
+            loop,
+            PathReader(MAX_CONFIGURATION),
+            Descriptors(boot.limits.file_descriptors),
+            OperatorCalls(loop, self.core),
+            Bounds(body_bytes=MAX_CONFIGURATION),
+        )
 
     async def start(self) -> None:
         """Raises an ExceptionGroup of ListenError."""
         control = self.boot.listen_addresses.control_plane
         assert control is not None
-        await listen_all({"listen to the mesh": (self.lines.listen, self.boot.internal(ROLE)),
-                          "listen to operators": (self.front.listen, control)})
+        await listen_all(
+            {
+                "listen to the mesh": (self.lines.listen, self.boot.internal(ROLE)),
+                "listen to operators": (self.front.listen, control),
+            }
+        )
         self.core.start()
         self.exchange.start()
 
--- a/cometdoor/control/rebuild.py
+++ b/cometdoor/control/rebuild.py
@@ -70,7 +70,12 @@
     new = Member(secrets.token_hex(6), me.address, me.control, me.node)
     vault = Vault(target)
     vault.open()
-    vault.begin([Identity(new.id), Promise(max(holding.held.term for _, holding in read) + 1, ""),
-                 Snapshot(last, term, (new,), state.image(), alone=True)])
+    vault.begin(
+        [
+            Identity(new.id),
+            Promise(max(holding.held.term for _, holding in read) + 1, ""),
+            Snapshot(last, term, (new,), state.image(), alone=True),
+        ]
+    )
     vault.close()
     return Rebuilt(source, new.id, best.members, last, best.held.committed, state.revision, unsure, len(read))
--- a/cometdoor/control/state.py
+++ b/cometdoor/control/state.py
@@ -105,8 +105,16 @@
     # --- snapshots ---
 
     def image(self) -> bytes:
-        return msgspec.msgpack.encode(Image(self.revision, self.body, list(self._taken.items()), self.now_ms,
-                                            list(self.keys.items()), self.closed_until_ms))
+        return msgspec.msgpack.encode(
+            Image(
+                self.revision,
+                self.body,
+                list(self._taken.items()),
+                self.now_ms,
+                list(self.keys.items()),
+                self.closed_until_ms,
+            )
+        )
 
     def load(self, image: bytes) -> None:
         held = msgspec.msgpack.decode(image, type=Image)
--- a/cometdoor/control/vault.py
+++ b/cometdoor/control/vault.py
@@ -66,9 +66,9 @@
         magic, crc, length, number, synced = HEAD.unpack_from(data, at)
         if magic == MAGIC and at + HEAD.size + length <= len(data):
             end = at + HEAD.size + length
-            if zlib.crc32(data[at + 8:end]) == crc:
+            if zlib.crc32(data[at + 8 : end]) == crc:
                 try:
-                    yield Value(number, synced, _decoder.decode(data[at + HEAD.size:end]), at)
+                    yield Value(number, synced, _decoder.decode(data[at + HEAD.size : end]), at)
                     size = end - at
                 except msgspec.MsgspecError:
                     size = 0  # written by a version that knows more: as good as missing
--- a/cometdoor/core/checked.py
+++ b/cometdoor/core/checked.py
@@ -40,8 +40,12 @@
     return dataclasses.field(metadata={"alias": alias}, **more)
 
 
-def convert(content: object, kind: type[ContentT], file: str,
-            check_meaning: Callable[[ContentT], Iterable[tuple[str, str]]] = lambda whole: ()) -> ContentT:
+def convert(
+    content: object,
+    kind: type[ContentT],
+    file: str,
+    check_meaning: Callable[[ContentT], Iterable[tuple[str, str]]] = lambda whole: (),
+) -> ContentT:
     """Raises BadSettings with every fault that there is."""
     faults: Faults = []
     _walk(content, kind, "", faults)
@@ -99,5 +103,12 @@
 
 
 def _kind(value: object) -> str:
-    return {dict: "a table", list: "a list", str: "a text", bool: "a truth value", type(None): "nothing",
-            int: "a whole number", float: "a number"}.get(type(value), "that")
+    return {
+        dict: "a table",
+        list: "a list",
+        str: "a text",
+        bool: "a truth value",
+        type(None): "nothing",
+        int: "a whole number",
+        float: "a number",
+    }.get(type(value), "that")
--- a/cometdoor/core/evidence.py
+++ b/cometdoor/core/evidence.py
@@ -77,7 +77,9 @@
 # by the server in its own good time, or by a box between that forgot it. The others like it are doubtful.
 KEPT = FRESH | {
     (stage, end): Reading(FRESH[stage, end].outcome, 0.0, doubtful=True, way=True)
-    for stage in (Stage.OPEN, Stage.HALF, Stage.WRITTEN) for end in (End.BROKEN, End.CLOSED)}
+    for stage in (Stage.OPEN, Stage.HALF, Stage.WRITTEN)
+    for end in (End.BROKEN, End.CLOSED)
+}
 
 
 def read(stage: Stage, end: End, kept: bool = False) -> Reading:
--- a/cometdoor/core/host.py
+++ b/cometdoor/core/host.py
@@ -75,8 +75,14 @@
 class Carrier(Protocol[RequestT_contra, AnswerT_co]):
     """The way to the servers."""
 
-    def send(self, server: str, address: Address, request: RequestT_contra, until_ms: float,
-             done: Callable[[Reading, AnswerT_co | None], None]) -> OnWire | Outcome:
+    def send(
+        self,
+        server: str,
+        address: Address,
+        request: RequestT_contra,
+        until_ms: float,
+        done: Callable[[Reading, AnswerT_co | None], None],
+    ) -> OnWire | Outcome:
         """Begin an attempt that is worth nothing after `until_ms` on the host's clock.
 
         `done` is called once, perhaps before this returns, unless the attempt is aborted first. Where an
@@ -96,8 +102,9 @@
 
     def sent(self, server: str, attempt: tuple[str, int], aim_ms: float, now_ms: float) -> None: ...
 
-    def ended(self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float,
-              now_ms: float) -> None:
+    def ended(
+        self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float, now_ms: float
+    ) -> None:
         """Also of attempts that were not said to be sent."""
 
 
@@ -126,8 +133,9 @@
 class Attempt(Generic[RequestT, AnswerT]):
     __slots__ = ("ended", "index", "live", "on_wire", "sent_at", "server", "timer", "until")
 
-    def __init__(self, live: LiveRequest[RequestT, AnswerT], index: int, server: str, sent_at: float,
-                 until: float) -> None:
+    def __init__(
+        self, live: LiveRequest[RequestT, AnswerT], index: int, server: str, sent_at: float, until: float
+    ) -> None:
         self.live = live
         self.index = index
         self.server = server
@@ -139,10 +147,16 @@
 
 
 class Host(Generic[RequestT, AnswerT]):
-    def __init__(self, settings: HostSettings, clock: Clock,
-                 carrier: Carrier[RequestT, AnswerT], *, watch: Callable[[], None] = lambda: None,
-                 over: Callable[[RequestT], None] = lambda request: None,
-                 load_of: Callable[[AnswerT], Mapping[str, float]] = lambda answer: {}) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        clock: Clock,
+        carrier: Carrier[RequestT, AnswerT],
+        *,
+        watch: Callable[[], None] = lambda: None,
+        over: Callable[[RequestT], None] = lambda request: None,
+        load_of: Callable[[AnswerT], Mapping[str, float]] = lambda answer: {},
+    ) -> None:
         """`watch` carries out the module's wish to ask for the list; `over` hears of each request of which
         nothing is left, neither an answer owed nor an attempt out; `load_of` finds the load report in an
         answer, where servers give one."""
@@ -224,8 +238,11 @@
                     self._forget_server(name)
             for server in event.servers:
                 name = server.name
-                if (server.state is not State.READY or addresses.get(name) != self._addresses.get(name)
-                        or server.started_at != self._started_at.get(name)):
+                if (
+                    server.state is not State.READY
+                    or addresses.get(name) != self._addresses.get(name)
+                    or server.started_at != self._started_at.get(name)
+                ):
                     self._carrier.retire(name)
                 if server.state is State.GONE:
                     self._forget_server(name)
@@ -251,9 +268,16 @@
         self._requests[live.id] = self._by_caller[caller] = live
         self._waiting += 1
         live.timer = self._clock.at(until + margin * LAST_WORD, lambda: self._out_of_time(live))
-        self._dispatch(api.RequestArrived(
-            live.id, request.class_index, max(until - self._clock.now_ms(), 0.0), request.tenant,
-            request.cost_ms, request.is_retry))
+        self._dispatch(
+            api.RequestArrived(
+                live.id,
+                request.class_index,
+                max(until - self._clock.now_ms(), 0.0),
+                request.tenant,
+                request.cost_ms,
+                request.is_retry,
+            )
+        )
         if self.max_waiting is not None and self._waiting > self.max_waiting:
             self._refuse_unsent(live)
 
@@ -334,8 +358,9 @@
                     self._clean_up(live)
             case api.SetTimer():
                 token = action.token
-                self._clock.at(self._clock.now_ms() + action.after_ms,
-                               lambda: self._dispatch(api.TimerFired(token)))
+                self._clock.at(
+                    self._clock.now_ms() + action.after_ms, lambda: self._dispatch(api.TimerFired(token))
+                )
             case api.Close():
                 self._carrier.close_idle(action.server)
             case api.Watch():
@@ -370,8 +395,7 @@
         if not live.attempts and live.caller is not None:
             self._waiting -= 1
         live.attempts.append(attempt)
-        if (live.caller is None or now >= until
-                or len(live.attempts) > self._settings.module.max_attempts):
+        if live.caller is None or now >= until or len(live.attempts) > self._settings.module.max_attempts:
             self._end_attempt(attempt, Outcome.MOOT)
             return
         address = self._addresses.get(action.server)
@@ -381,8 +405,13 @@
         if self.observer is not None:
             self.observer.sent(action.server, (live.id, attempt.index), self._aim_ms(live.request), now)
         attempt.timer = self._clock.at(until, lambda: self._timed_out(attempt))
-        begun = self._carrier.send(action.server, address, live.request, until,
-                                   lambda reading, answer: self._attempt_done(attempt, reading, answer))
+        begun = self._carrier.send(
+            action.server,
+            address,
+            live.request,
+            until,
+            lambda reading, answer: self._attempt_done(attempt, reading, answer),
+        )
         if isinstance(begun, Outcome):
             self._end_attempt(attempt, begun)
         elif not attempt.ended:
@@ -396,16 +425,22 @@
         reading = read(stage, End.SILENT)
         self._end_attempt(attempt, reading.outcome, blame=reading.blame)
 
-    def _attempt_done(self, attempt: Attempt[RequestT, AnswerT], reading: Reading,
-                      answer: AnswerT | None) -> None:
+    def _attempt_done(
+        self, attempt: Attempt[RequestT, AnswerT], reading: Reading, answer: AnswerT | None
+    ) -> None:
         if reading.outcome is Outcome.OK and answer is not None and not attempt.ended:
             caller = self._release(attempt.live)
             if caller is not None:
                 caller.served(answer)
         self._end_attempt(attempt, reading.outcome, answer, reading.blame)
 
-    def _end_attempt(self, attempt: Attempt[RequestT, AnswerT], outcome: Outcome,
-                     answer: AnswerT | None = None, blame: float | None = None) -> None:
+    def _end_attempt(
+        self,
+        attempt: Attempt[RequestT, AnswerT],
+        outcome: Outcome,
+        answer: AnswerT | None = None,
+        blame: float | None = None,
+    ) -> None:
         """An attempt has exactly one outcome, also one that is called off or ends late."""
         if attempt.ended:
             return
@@ -418,12 +453,26 @@
             attempt.on_wire = None
         live = attempt.live
         if self.observer is not None:
-            self.observer.ended(attempt.server, (live.id, attempt.index), outcome,
-                                self._aim_ms(live.request), self._clock.now_ms())
+            self.observer.ended(
+                attempt.server,
+                (live.id, attempt.index),
+                outcome,
+                self._aim_ms(live.request),
+                self._clock.now_ms(),
+            )
         load = self._load_of(answer) if answer is not None else {}
-        self._dispatch(api.AttemptEnded(
-            live.id, attempt.index, attempt.server, outcome, live.caller is None,
-            self._clock.now_ms() - attempt.sent_at, load, blame))
+        self._dispatch(
+            api.AttemptEnded(
+                live.id,
+                attempt.index,
+                attempt.server,
+                outcome,
+                live.caller is None,
+                self._clock.now_ms() - attempt.sent_at,
+                load,
+                blame,
+            )
+        )
         self._clean_up(live)
 
     def _clean_up(self, live: LiveRequest[RequestT, AnswerT]) -> None:
--- a/cometdoor/core/schema.py
+++ b/cometdoor/core/schema.py
@@ -61,8 +61,12 @@
         raise BadSettings([Problem(file, "", f"no TOML: {problem}")]) from problem
 
 
-def convert(content: dict[str, Any], kind: type[StructT], file: str,
-            check_meaning: Callable[[StructT], Iterable[tuple[str, str]]]) -> StructT:
+def convert(
+    content: dict[str, Any],
+    kind: type[StructT],
+    file: str,
+    check_meaning: Callable[[StructT], Iterable[tuple[str, str]]],
+) -> StructT:
     """Raises BadSettings with every problem that the file has."""
     errors: Errors = []
     check_struct(content, kind, "", errors)
@@ -128,7 +132,8 @@
 
 def _name(value: object) -> str:
     return {dict: "a table", list: "a list", str: "a text", bool: "a truth value"}.get(
-        type(value), "a number")
+        type(value), "a number"
+    )
 
 
 def _wanted(kind: Any) -> str:
@@ -138,7 +143,8 @@
     if get_origin(kind) is list:
         return "a list"
     return {str: "a text", float: "a number", int: "a whole number", bool: "a truth value"}.get(
-        kind, "a table")
+        kind, "a table"
+    )
 
 
 def _plain(text: str) -> str:
--- a/cometdoor/core/shares.py
+++ b/cometdoor/core/shares.py
@@ -100,8 +100,9 @@
         return share.guaranteed + (rest if len(self._shares) < 2 else int(rest * ONE_MAY_HOLD))
 
     def take(self, share: Share) -> bool:
-        if not self._has_room(share) and not (self._within(share) and self._reclaim(share)
-                                              and self._has_room(share)):
+        if not self._has_room(share) and not (
+            self._within(share) and self._reclaim(share) and self._has_room(share)
+        ):
             return False
         self._claimed -= share.claim()
         share.held += 1
@@ -126,6 +127,9 @@
 
     def _reclaim(self, wanted_by: Share) -> bool:
         """From who is furthest over its guaranteed part."""
-        over = {share: share.held - share.guaranteed for share in self._shares
-                if share is not wanted_by and share.held > share.guaranteed}
+        over = {
+            share: share.held - share.guaranteed
+            for share in self._shares
+            if share is not wanted_by and share.held > share.guaranteed
+        }
         return any(share.reclaim() for share in sorted(over, key=lambda share: -over[share]))
--- a/cometdoor/daemons.py
+++ b/cometdoor/daemons.py
@@ -26,10 +26,14 @@
 
 def log_json() -> None:
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
     logging.basicConfig(stream=sys.stderr, level=logging.WARNING)
 
 
@@ -69,9 +73,13 @@
     changed = [name for name in vars(boot) if getattr(boot, name) != getattr(program.read_last, name)]
     program.read_last = boot
     program.reloaded(boot)
-    log.info("settings read again", step="reload", node=boot.node_name,
-             used=[name for name in changed if name == "seed_nodes"],
-             after_the_next_start=[name for name in changed if name != "seed_nodes"])
+    log.info(
+        "settings read again",
+        step="reload",
+        node=boot.node_name,
+        used=[name for name in changed if name == "seed_nodes"],
+        after_the_next_start=[name for name in changed if name != "seed_nodes"],
+    )
 
 
 def run(role: str) -> int:
--- a/cometdoor/dataplane/beats.py
+++ b/cometdoor/dataplane/beats.py
@@ -49,8 +49,9 @@
 def _check(beat: Beat) -> list[tuple[str, str]]:
     faults = []
     if beat.lifecycle_state not in STATES:
-        faults.append(("lifecycle-state",
-                       f"one of {', '.join(STATES)} is needed, not {beat.lifecycle_state!r}"))
+        faults.append(
+            ("lifecycle-state", f"one of {', '.join(STATES)} is needed, not {beat.lifecycle_state!r}")
+        )
     if beat.capacity < 1:
         faults.append(("capacity", f"{beat.capacity} is not at least 1"))
     try:
@@ -80,8 +81,15 @@
         state = beat.lifecycle_state
         if self.now is not None and self.now.instance == instance and self.now.state == "draining":
             state = "draining"  # nobody comes back from it
-        backend = Backend(instance, beat.service, beat.address, beat.revision, beat.capacity, state,
-                          round(beat.warmup_left_s, 1))
+        backend = Backend(
+            instance,
+            beat.service,
+            beat.address,
+            beat.revision,
+            beat.capacity,
+            state,
+            round(beat.warmup_left_s, 1),
+        )
         # How warm it was when it was first seen tells all that there is to know of that.
         if self.now is not None and self.now.instance == instance:
             backend = msgspec.structs.replace(backend, warm_left_s=self.now.warm_left_s)
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -65,8 +65,10 @@
         run = self.run
         lines = [b"%s %s HTTP/1.1\r\n" % (run.method, run.target)]
         lines += [b"%s: %s\r\n" % header for header in run.headers]
-        lines.append(b"Cometdoor-Deadline-Ms: %d\r\nCometdoor-Expected-Instance: %s\r\n" % (
-            max(int(self.until_ms - now_ms()), 1), run.instance.encode()))
+        lines.append(
+            b"Cometdoor-Deadline-Ms: %d\r\nCometdoor-Expected-Instance: %s\r\n"
+            % (max(int(self.until_ms - now_ms()), 1), run.instance.encode())
+        )
         if run.body or run.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             lines.append(b"Content-Length: %d\r\n" % len(run.body))
         lines.append(b"\r\n")
@@ -150,12 +152,19 @@
             return
 
         def told(reading: Reading, answer: Answer | None) -> None:
-            if (answer is not None and answer.status == 200 and self.backend is not None
-                    and field_of(answer, INSTANCE) == self.backend.instance.encode()):
+            if (
+                answer is not None
+                and answer.status == 200
+                and self.backend is not None
+                and field_of(answer, INSTANCE) == self.backend.instance.encode()
+            ):
                 log.info("backend is back", step="probe", peer=backend.instance)
                 self.is_back()
+
         payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (
-            self.health_path.encode(), backend.address.encode())
+            self.health_path.encode(),
+            backend.address.encode(),
+        )
         self._pool.send(backend.instance, self._address, Exchange(lambda: payload, told))
         self._probe_s = min(2 * self._probe_s, PROBE_MOST_S)
         self._ensure_probe()
@@ -164,8 +173,13 @@
         """What was done lately, as a log line."""
         opened, self._opened = self._pool.opened - self._opened, self._pool.opened
         if counts := self.places.report(now_ms()):
-            log.info("door", waiting=len(self.places.waiting), at_work=self.places.at_work,
-                     connections_opened=opened, **counts)
+            log.info(
+                "door",
+                waiting=len(self.places.waiting),
+                at_work=self.places.at_work,
+                connections_opened=opened,
+                **counts,
+            )
 
     def busy(self) -> int:
         return len(self._at_work)
@@ -190,8 +204,14 @@
             line.respond(number, NotRun(f"the backend is {backend.state}"))
             return
         now = now_ms()
-        job = self.places.job(Kind(run.priority, run.aim_ms, run.once), run.left_ms, now, run.let_through,
-                              (id(line), run.group) if run.group else None, run.group_size)
+        job = self.places.job(
+            Kind(run.priority, run.aim_ms, run.once),
+            run.left_ms,
+            now,
+            run.let_through,
+            (id(line), run.group) if run.group else None,
+            run.group_size,
+        )
         visit = Visit(self, run, lambda message: line.respond(number, message), job)
         line.serving[number] = lambda: self._called_off(visit)
         self._visits[job.number] = visit
@@ -205,8 +225,9 @@
         backend = self.backend
         assert backend is not None
         self._at_work[visit] = None
-        visit.exchange = Exchange(visit.payload, lambda reading, answer: self._done(visit, reading, answer),
-                                  accepts=visit.is_mine)
+        visit.exchange = Exchange(
+            visit.payload, lambda reading, answer: self._done(visit, reading, answer), accepts=visit.is_mine
+        )
         if not self._pool.send(backend.instance, self._address, visit.exchange):
             self._end_work(visit, whole=False)
             self._finish(visit, NotRun("no descriptor is free"))
@@ -214,8 +235,11 @@
     def _done(self, visit: Visit, reading: Reading, answer: Answer | None) -> None:
         outcome = reading.outcome
         self._end_work(visit, whole=outcome is Outcome.OK)
-        if answer is not None and outcome in (Outcome.OK, Outcome.ERROR) and (
-                answer.status >= 300 or outcome is Outcome.OK):
+        if (
+            answer is not None
+            and outcome in (Outcome.OK, Outcome.ERROR)
+            and (answer.status >= 300 or outcome is Outcome.OK)
+        ):
             self._finish(visit, Ran(answer.status, end_to_end(answer.headers), answer.body))
         elif reading.never_ran:
             if outcome is Outcome.CONNECT_FAILED:
@@ -257,8 +281,9 @@
 
     def _may_begin(self) -> bool:
         backend = self.backend
-        return backend is not None and (backend.state == "ready" or (
-            backend.state == "draining" and self._loop.time() < self._closes_at))
+        return backend is not None and (
+            backend.state == "ready" or (backend.state == "draining" and self._loop.time() < self._closes_at)
+        )
 
     # --- who waits ---
 
--- a/cometdoor/dataplane/places.py
+++ b/cometdoor/dataplane/places.py
@@ -72,11 +72,13 @@
         if place is None:
             place = self._places[kind] = len(self._work_ms)
             self._work_ms.append(Average())
-            added = api.RequestClass(aim_ms=kind.aim_ms, deadline_ms=kind.aim_ms,
-                                     worth=worth_of(kind.priority))
+            added = api.RequestClass(
+                aim_ms=kind.aim_ms, deadline_ms=kind.aim_ms, worth=worth_of(kind.priority)
+            )
             if self._settings is None or self._goal is None:
-                self._settings = api.Settings(classes=(added,), whole_weight=WHOLE_WEIGHT,
-                                              worst_class_weight=WORST_WEIGHT)
+                self._settings = api.Settings(
+                    classes=(added,), whole_weight=WHOLE_WEIGHT, worst_class_weight=WORST_WEIGHT
+                )
                 self._goal = Goal(self._settings)
             else:
                 self._settings = replace(self._settings, classes=(*self._settings.classes, added))
@@ -111,8 +113,15 @@
         self._work_ms = Average()
         self._last = 0
 
-    def job(self, kind: Kind, left_ms: float, now: float, let_through: float = 1.0,
-            group: Hashable = None, group_size: float = 1.0) -> Job:
+    def job(
+        self,
+        kind: Kind,
+        left_ms: float,
+        now: float,
+        let_through: float = 1.0,
+        group: Hashable = None,
+        group_size: float = 1.0,
+    ) -> Job:
         self._last += 1
         return Job(now + kind.aim_ms, self._last, kind, now + left_ms, now, let_through, group, group_size)
 
@@ -137,14 +146,17 @@
         out = []
         while (late := self._first_late(now)) is not None:
             # Of it and those before it, who earns least goes; among equals who came last.
-            least = min(self.waiting[:late + 1], key=lambda one: (self._kinds.value(one, now), -one.number))
+            least = min(self.waiting[: late + 1], key=lambda one: (self._kinds.value(one, now), -one.number))
             out += self._shed_group(least, now)
         return out
 
     def _shed_group(self, job: Job, now: float) -> list[Job]:
         """Those that came together serve one run, which needs all of them."""
-        out = [one for one in self.waiting
-               if one is job or (one.group is not None and one.group == job.group and one.kind == job.kind)]
+        out = [
+            one
+            for one in self.waiting
+            if one is job or (one.group is not None and one.group == job.group and one.kind == job.kind)
+        ]
         for one in out:
             self.waiting.remove(one)
             self._turned_away(one, "shed", now)
@@ -159,8 +171,10 @@
         usual = self.usual_ms(now)
         for ahead, job in enumerate(self.waiting):
             wait = self.wait_ms(ahead, now)
-            if (now - job.arrived_ms + wait > WAIT_SHARE * job.kind.aim_ms
-                    or now + wait + 0.5 * usual > job.until_ms):
+            if (
+                now - job.arrived_ms + wait > WAIT_SHARE * job.kind.aim_ms
+                or now + wait + 0.5 * usual > job.until_ms
+            ):
                 return ahead
         return None
 
@@ -187,8 +201,11 @@
 
     def overdue(self, now: float) -> list[Job]:
         """Who has waited for longer than it may; they are out."""
-        out = [job for job in self.waiting
-               if now - job.arrived_ms > WAIT_SHARE * job.kind.aim_ms or now >= job.until_ms]
+        out = [
+            job
+            for job in self.waiting
+            if now - job.arrived_ms > WAIT_SHARE * job.kind.aim_ms or now >= job.until_ms
+        ]
         if out:
             gone = {job.number for job in out}
             self.waiting = [job for job in self.waiting if job.number not in gone]
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -68,19 +68,29 @@
         here = boot.internal(ROLE)
         life = secrets.token_hex(4)
         record = Record(boot.node_name, here, ROLE, boot.zone, life, 1)
-        self.directory = Directory(record, boot.seeds_internal(), random.Random(secrets.randbits(64)),
-                                   loop.time())
+        self.directory = Directory(
+            record, boot.seeds_internal(), random.Random(secrets.randbits(64)), loop.time()
+        )
         self.directory.changed = lambda record: self._list_soon()
         self.exchange = Exchange(loop, self.lines, self.directory, self._configured)
         descriptors = Descriptors(boot.limits.file_descriptors)
         self.door = Door(loop, descriptors, boot.bound("drain-s", 2.0))
-        self.out = WayOut(boot, loop, self.lines, here, self._cores, life, repeats=self.door.repeats,
-                          proxies=lambda: sum(one.role == ROLE for one in self.directory.records.values()))
+        self.out = WayOut(
+            boot,
+            loop,
+            self.lines,
+            here,
+            self._cores,
+            life,
+            repeats=self.door.repeats,
+            proxies=lambda: sum(one.role == ROLE for one in self.directory.records.values()),
+        )
         self.lives = Lives(self._backend_changed)
         self.door.failed, self.door.is_back = self.lives.down, self.lives.back
         self._reader = MeshReader()
-        self.front = Frontend(loop, self._reader, descriptors, self.out,
-                              Bounds(16 << 10, 64 << 20, 3.2, 15.5))
+        self.front = Frontend(
+            loop, self._reader, descriptors, self.out, Bounds(16 << 10, 64 << 20, 3.2, 15.5)
+        )
         self.beats = Frontend(loop, PathReader(MAX_BEAT), descriptors, BackendCalls(self.lives))
         self.readiness = Frontend(loop, PathReader(MAX_BEAT), descriptors, ReadinessCalls(self))
 
@@ -88,11 +98,14 @@
         """Raises an ExceptionGroup of ListenError."""
         addresses = self.boot.listen_addresses
         assert addresses.outbound and addresses.readiness and addresses.control_plane
-        await listen_all({
-            "listen to the mesh": (self.lines.listen, self.boot.internal(ROLE)),
-            "listen to the backend": (self.beats.listen, addresses.control_plane),
-            "listen to callers": (self.front.listen, addresses.outbound),
-            "listen to the platform": (self.readiness.listen, addresses.readiness)})
+        await listen_all(
+            {
+                "listen to the mesh": (self.lines.listen, self.boot.internal(ROLE)),
+                "listen to the backend": (self.beats.listen, addresses.control_plane),
+                "listen to callers": (self.front.listen, addresses.outbound),
+                "listen to the platform": (self.readiness.listen, addresses.readiness),
+            }
+        )
         self.exchange.start()
         self._list()
         self._report()
@@ -126,8 +139,12 @@
         if own is not None:
             self.door.limit(own.health_path, own.max_connections)
         limits = document.limits
-        self.front.bounds = Bounds(limits.max_header_bytes, limits.max_body_bytes,
-                                   limits.header_timeout_s + 0.2, limits.idle_timeout_s + 0.5)
+        self.front.bounds = Bounds(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s + 0.2,
+            limits.idle_timeout_s + 0.5,
+        )
         self._reader.max_body = limits.max_body_bytes
         self.exchange.configured(revision, body)
         log.info("configuration in force", revision=revision)
@@ -163,8 +180,9 @@
         for record in alive:
             backend = record.backend
             if backend is not None and record.state == "up" and backend.state in ("ready", "draining"):
-                listed.setdefault(backend.service, []).append(Listed(
-                    backend, record.address, self.boot.zone_place(record.zone)))
+                listed.setdefault(backend.service, []).append(
+                    Listed(backend, record.address, self.boot.zone_place(record.zone))
+                )
         for backends in listed.values():
             backends.sort(key=lambda one: one.backend.instance)
         self.out.know(listed)
@@ -192,7 +210,8 @@
         await asyncio.sleep(0.1)
         self.front.stop_listening()
         while self._loop.time() < last_word_at and (
-                self.out.open_requests() or self.door.busy() or self.front.connections):
+            self.out.open_requests() or self.door.busy() or self.front.connections
+        ):
             self.front.close_idle()
             await asyncio.sleep(LOOK_EVERY_S)
         self.out.fail_all()
--- a/cometdoor/dataplane/tally.py
+++ b/cometdoor/dataplane/tally.py
@@ -27,8 +27,9 @@
             self._copies.add(attempt)
         out.add(index)
 
-    def ended(self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float,
-              now_ms: float) -> None:
+    def ended(
+        self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float, now_ms: float
+    ) -> None:
         request, index = attempt
         out = self._out.get(request)
         if out is None or index not in out:
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -45,9 +45,13 @@
 def class_of(key: ClassKey) -> api.RequestClass:
     repeatable = key.route_type in ("idempotent", "download")
     return api.RequestClass(
-        aim_ms=key.target_latency_s * 1000.0, deadline_ms=key.timeout_s * 1000.0,
-        effect=Effect.SAFE if repeatable else Effect.UNSAFE, worth=worth_of(key.priority),
-        late_worth=0.4, max_runs=max(key.max_attempts, 1))
+        aim_ms=key.target_latency_s * 1000.0,
+        deadline_ms=key.timeout_s * 1000.0,
+        effect=Effect.SAFE if repeatable else Effect.UNSAFE,
+        worth=worth_of(key.priority),
+        late_worth=0.4,
+        max_runs=max(key.max_attempts, 1),
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,9 +130,20 @@
 class Way:
     """Carrier of its host: `send` hands an attempt to a door."""
 
-    def __init__(self, service: str, loop: asyncio.AbstractEventLoop, lines: Lines, share: Share, *,
-                 caller_service: str, budget_ratio: float, span_s: float, seed: int,
-                 zone: int = 0, zones: int = 1) -> None:
+    def __init__(
+        self,
+        service: str,
+        loop: asyncio.AbstractEventLoop,
+        lines: Lines,
+        share: Share,
+        *,
+        caller_service: str,
+        budget_ratio: float,
+        span_s: float,
+        seed: int,
+        zone: int = 0,
+        zones: int = 1,
+    ) -> None:
         """`share`: of the budget of the service's further tries."""
         self.service = service
         self._lines = lines
@@ -139,11 +154,18 @@
         self._chance = random.Random(seed)
         first = ClassKey("idempotent", 1.0, 1.0, 1, 2)
         settings = api.Settings(
-            classes=(class_of(first),), tier=1, tiers=2, max_attempts=SENDS,
-            attempt_budget=api.AttemptBudget(0.0, budget_ratio * OWN_SHARE, span_s * 1000.0,
-                                             counts_unrun=False),
-            cold_from=COLD_FROM, warm_up_ms=WARM_UP_MS, zone=zone,
-            cross_zone_price=float(zones > 1))
+            classes=(class_of(first),),
+            tier=1,
+            tiers=2,
+            max_attempts=SENDS,
+            attempt_budget=api.AttemptBudget(
+                0.0, budget_ratio * OWN_SHARE, span_s * 1000.0, counts_unrun=False
+            ),
+            cold_from=COLD_FROM,
+            warm_up_ms=WARM_UP_MS,
+            zone=zone,
+            cross_zone_price=float(zones > 1),
+        )
         self._classes[first] = 0
         self._host: Host[ClientRequest, Ran] = Host(HostSettings(settings, seed, True), LoopClock(loop), self)
         self._tally = self._host.observer = Tally()
@@ -154,8 +176,9 @@
 
     def take(self, caller: Caller[Ran], request: ClientRequest, route: Route) -> Turn | None:
         """None: it was answered at once."""
-        key = ClassKey(route.route_type, route.timeout_s, route.target_latency_s, route.priority,
-                       route.max_attempts)
+        key = ClassKey(
+            route.route_type, route.timeout_s, route.target_latency_s, route.priority, route.max_attempts
+        )
         place = self._classes.get(key)
         if place is None:
             place = self._classes[key] = self._host.add_class(class_of(key))
@@ -190,8 +213,11 @@
         counts: dict[str, object] = dict(self._tally.take())
         if not counts:
             return counts
-        held_back = {f"{key.route_type}/{key.target_latency_s:g}s": round(self._throttles[place].part, 2)
-                     for key, place in self._classes.items() if self._throttles[place].part < 1.0}
+        held_back = {
+            f"{key.route_type}/{key.target_latency_s:g}s": round(self._throttles[place].part, 2)
+            for key, place in self._classes.items()
+            if self._throttles[place].part < 1.0
+        }
         return counts | {"backends": len(self._listed)} | ({"let_through": held_back} if held_back else {})
 
     def know(self, listed: Sequence[Listed]) -> None:
@@ -209,21 +235,44 @@
             host, _, port = one.door.rpartition(":")
             addresses[backend.instance] = (host, int(port))
             state = State.READY if backend.state == "ready" else State.DRAINING
-            servers.append(api.Server(backend.instance, 1.0, one.zone, state=state,
-                                      started_at=self._started_at[backend.instance]))
+            servers.append(
+                api.Server(
+                    backend.instance,
+                    1.0,
+                    one.zone,
+                    state=state,
+                    started_at=self._started_at[backend.instance],
+                )
+            )
         for name in self._started_at.keys() - addresses.keys():
             del self._started_at[name]
         self._host.list_changed(api.ListChanged(ListKind.FULL, tuple(servers)), addresses)
 
     # --- the host's calls ---
 
-    def send(self, server: str, address: Address, request: ClientRequest, until_ms: float,
-             done: Callable[[Reading, Ran | None], None]) -> OnWire | Outcome:
+    def send(
+        self,
+        server: str,
+        address: Address,
+        request: ClientRequest,
+        until_ms: float,
+        done: Callable[[Reading, Ran | None], None],
+    ) -> OnWire | Outcome:
         route: Route = request.route
         once = route.route_type not in ("idempotent", "download")
-        run = Run(request.trace, request.method, request.target, self._headers(request), request.body,
-                  max(until_ms - now_ms(), 1.0), route.target_latency_s * 1000.0, route.priority,
-                  self.service, server, once)
+        run = Run(
+            request.trace,
+            request.method,
+            request.target,
+            self._headers(request),
+            request.body,
+            max(until_ms - now_ms(), 1.0),
+            route.target_latency_s * 1000.0,
+            route.priority,
+            self.service,
+            server,
+            once,
+        )
         throttle = self._throttles[request.class_index]
         turn: Turn = request.turn
         run.let_through = throttle.part
@@ -239,12 +288,17 @@
                 self._share.wish(now_ms() / 1000.0)
             if answer is not None:
                 throttle.ended(answer.status < 500, now_ms())
-            if reading.outcome is Outcome.ERROR and answer is not None and not (
-                    throttle.is_worth_repeating(now_ms())):
+            if (
+                reading.outcome is Outcome.ERROR
+                and answer is not None
+                and not (throttle.is_worth_repeating(now_ms()))
+            ):
                 reading = answered(Outcome.OK)  # the backend's own failure is the answer
             done(reading, answer)
-        call = self._lines.call(f"{address[0]}:{address[1]}", run, replied,
-                                BULK if route.route_type == "download" else "")
+
+        call = self._lines.call(
+            f"{address[0]}:{address[1]}", run, replied, BULK if route.route_type == "download" else ""
+        )
         if isinstance(call, PeerError):
             return Outcome.CONNECT_FAILED
         turn.may_have_run += 1
--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/wayout.py
@@ -59,8 +59,13 @@
 
     __slots__ = ("_over", "connection", "key", "request", "timer", "turn", "way")
 
-    def __init__(self, connection: ClientConnection, request: ClientRequest, key: str,
-                 over: Callable[[ClientConnection], object]) -> None:
+    def __init__(
+        self,
+        connection: ClientConnection,
+        request: ClientRequest,
+        key: str,
+        over: Callable[[ClientConnection], object],
+    ) -> None:
         """`over`: nothing is owed to the connection any more."""
         self._over = over
         self.connection: ClientConnection | None = connection
@@ -112,9 +117,18 @@
 class WayOut:
     """Handler of the front that callers on this machine use."""
 
-    def __init__(self, boot: Boot, loop: asyncio.AbstractEventLoop, lines: Lines, here: str,
-                 cores: Callable[[], list[str]], life: str, *, proxies: Callable[[], int],
-                 repeats: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        boot: Boot,
+        loop: asyncio.AbstractEventLoop,
+        lines: Lines,
+        here: str,
+        cores: Callable[[], list[str]],
+        life: str,
+        *,
+        proxies: Callable[[], int],
+        repeats: Callable[[], float],
+    ) -> None:
         """`proxies`: how many there are. `repeats`: of the runs at the backend here, the share that may have
         run before."""
         self.routes: Routes | None = None
@@ -128,9 +142,16 @@
         self._ways: dict[str, Way] = {}
         self._repeats = repeats
         self.shares = Shares(
-            loop, lines, life, cores, proxies, lambda service, floor: self._way(service).may_try(floor),
-            ratio=boot.bound("retry-budget-ratio", 0.2), slack=boot.bound("retry-slack", 10.0),
-            span_s=boot.bound("retry-window-s", 10.0))
+            loop,
+            lines,
+            life,
+            cores,
+            proxies,
+            lambda service, floor: self._way(service).may_try(floor),
+            ratio=boot.bound("retry-budget-ratio", 0.2),
+            slack=boot.bound("retry-slack", 10.0),
+            span_s=boot.bound("retry-window-s", 10.0),
+        )
         self._listed: dict[str, list[Listed]] = {}
         self._asks: dict[ClientConnection, Ask] = {}
         self._expire()
@@ -166,10 +187,17 @@
         way = self._ways.get(service)
         if way is None:
             way = self._ways[service] = Way(
-                service, self._loop, self._lines, self.shares.of(service),
-                caller_service=self._boot.service, budget_ratio=self._boot.bound("retry-budget-ratio", 0.2),
-                span_s=self._boot.bound("retry-window-s", 10.0), seed=self._chance.getrandbits(32),
-                zone=self._boot.zone_place(self._boot.zone), zones=len(self._boot.zones))
+                service,
+                self._loop,
+                self._lines,
+                self.shares.of(service),
+                caller_service=self._boot.service,
+                budget_ratio=self._boot.bound("retry-budget-ratio", 0.2),
+                span_s=self._boot.bound("retry-window-s", 10.0),
+                seed=self._chance.getrandbits(32),
+                zone=self._boot.zone_place(self._boot.zone),
+                zones=len(self._boot.zones),
+            )
             way.know(self._listed.get(service, []))
         return way
 
@@ -221,8 +249,11 @@
             if ask.timer is not None:
                 ask.timer.cancel()
             self.carry_out(self.operations.gone(ask.key, ask))
-        elif ask.way is not None and ask.turn is not None and (
-                request.route.route_type in ("idempotent", "download")):
+        elif (
+            ask.way is not None
+            and ask.turn is not None
+            and (request.route.route_type in ("idempotent", "download"))
+        ):
             ask.way.caller_gone(ask.turn)
 
     # --- keyed operations ---
@@ -239,8 +270,9 @@
                 case DoAsk():
                     self._ask(action)
                 case operations.Answer():
-                    headers = [(name, value) for name, value in action.answer.headers
-                               if name.lower() != ATTEMPT]
+                    headers = [
+                        (name, value) for name, value in action.answer.headers if name.lower() != ATTEMPT
+                    ]
                     headers.append((b"Cometdoor-Attempt-Id", action.ask.request.trace))
                     action.ask.answer(action.answer.status, headers, action.answer.body)
                 case operations.Refuse():
@@ -254,12 +286,14 @@
         key = action.key
         self._claims.claim(
             Claim(key, action.claim, self._here, action.instead),
-            lambda holder, claim: self.carry_out(self.operations.claimed(key, holder, claim)))
+            lambda holder, claim: self.carry_out(self.operations.claimed(key, holder, claim)),
+        )
 
     def _ask(self, action: DoAsk) -> None:
         def told(reply: Message | PeerError) -> None:
             known = reply if isinstance(reply, OperationIs) else None
             self.carry_out(self.operations.told(action.key, action.claim, known))
+
         if action.holder == self._here:
             # Of a former life of this proxy: what came of it went with that.
             told(OperationIs("unknown"))
--- a/cometdoor/discovery/config.py
+++ b/cometdoor/discovery/config.py
@@ -81,5 +81,8 @@
 def need_restart(running: NodeConfig, new: NodeConfig) -> list[str]:
     """What a running proxy does not take over; seed and known list mean something at a start only."""
     taken_over = {"discovery", "seed", "known"}
-    return [field.name for field in fields(NodeConfig)
-            if field.name not in taken_over and getattr(running, field.name) != getattr(new, field.name)]
+    return [
+        field.name
+        for field in fields(NodeConfig)
+        if field.name not in taken_over and getattr(running, field.name) != getattr(new, field.name)
+    ]
--- a/cometdoor/discovery/node.py
+++ b/cometdoor/discovery/node.py
@@ -19,16 +19,30 @@
     def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop) -> None:
         self.descriptors = Descriptors(config.sockets)
         self.service = HttpService(
-            HostSettings(config.settings, config.seed, config.may_advise_pause), loop, self.descriptors,
-            caps=Caps(open=config.max_open), idle_close_ms=config.idle_close_ms,
-            connect_timeout_ms=config.connect_timeout_ms, watch=lambda: self.discovery.watch(),
-            reports=config.reports)
+            HostSettings(config.settings, config.seed, config.may_advise_pause),
+            loop,
+            self.descriptors,
+            caps=Caps(open=config.max_open),
+            idle_close_ms=config.idle_close_ms,
+            connect_timeout_ms=config.connect_timeout_ms,
+            watch=lambda: self.discovery.watch(),
+            reports=config.reports,
+        )
         reader = ListReader(config.zones, config.kinds)
         self.discovery = Discovery(
-            loop, config.discovery, reader, config.settings.must_ask,
-            int(config.known.get("revision") or 0), self.service.list_changed)
-        self.front = Frontend(loop, PlatformReader(config.settings, config.classes, config.tenants),
-                              self.descriptors, self.service)
+            loop,
+            config.discovery,
+            reader,
+            config.settings.must_ask,
+            int(config.known.get("revision") or 0),
+            self.service.list_changed,
+        )
+        self.front = Frontend(
+            loop,
+            PlatformReader(config.settings, config.classes, config.tenants),
+            self.descriptors,
+            self.service,
+        )
         servers, addresses = reader.read(config.known)
         self.service.list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
 
--- a/cometdoor/discovery/platform.py
+++ b/cometdoor/discovery/platform.py
@@ -144,7 +144,7 @@
             self.end("a line without end")
         while not self._ended and (end := self._line.find(b"\n")) >= 0:
             line = bytes(self._line[:end]).strip()
-            del self._line[:end + 1]
+            del self._line[: end + 1]
             if line:
                 self._read_line(line)
 
@@ -189,8 +189,15 @@
 
 
 class Discovery:
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: ListReader, must_ask: bool,
-                 revision: int, deliver: Callable[[ListChanged, dict[str, Address]], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        reader: ListReader,
+        must_ask: bool,
+        revision: int,
+        deliver: Callable[[ListChanged, dict[str, Address]], None],
+    ) -> None:
         self.loop = loop
         self.reader = reader
         self._address = address
@@ -210,7 +217,8 @@
             self._watch.end("replaced", tell=False)
         host, port = self._address
         self._watch = WatchConnection(
-            self, f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}")
+            self, f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}"
+        )
         self._watch.open(self._address)
 
     def move(self, address: Address) -> None:
--- a/cometdoor/discovery/program.py
+++ b/cometdoor/discovery/program.py
@@ -57,8 +57,9 @@
 
 def main() -> int:
     """0: it ended in order; 1: it could not serve; 2: its configuration is bad."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
-                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
     try:
         config = load_config()
     except BadConfig as problem:
--- a/cometdoor/http/caller.py
+++ b/cometdoor/http/caller.py
@@ -20,11 +20,22 @@
 MAX_AHEAD = 4  # requests read ahead on one connection, before reading from it pauses
 MAX_AT_ONCE = 16  # that come together in one read: who sends more is turned away
 LINGER_BYTES = 1 << 20  # and so much of it
-REASONS = {200: b"OK", 307: b"Temporary Redirect", 400: b"Bad Request", 404: b"Not Found",
-           405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
-           412: b"Precondition Failed", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-           500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable",
-           504: b"Gateway Timeout"}
+REASONS = {
+    200: b"OK",
+    307: b"Temporary Redirect",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    412: b"Precondition Failed",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
 
 
 class ClientConnection(asyncio.Protocol):
@@ -65,7 +76,7 @@
                 self.abort()
             return
         for place in range(0, len(data), PIECE):
-            self._read(data if len(data) <= PIECE else data[place:place + PIECE])
+            self._read(data if len(data) <= PIECE else data[place : place + PIECE])
             if self._deaf:
                 break
         self._next()
@@ -134,8 +145,14 @@
         self._in_head = False
         request = self._coming = ClientRequest(self._parser.get_method(), bytes(self._target), self._headers)
         self._front.reader.read(request)
-        if any(name.lower() == b"expect" and value.lower() == b"100-continue" for name, value in
-               self._headers) and self.request is None and not self._ahead:
+        if (
+            any(
+                name.lower() == b"expect" and value.lower() == b"100-continue"
+                for name, value in self._headers
+            )
+            and self.request is None
+            and not self._ahead
+        ):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -250,8 +267,9 @@
         self._in_request = False
         self._coming = None
         self._ahead.clear()
-        self._ahead.append(ClientRequest(b"", b"", [], keep_alive=False,
-                                         bad=(problem.status, str(problem).encode())))
+        self._ahead.append(
+            ClientRequest(b"", b"", [], keep_alive=False, bad=(problem.status, str(problem).encode()))
+        )
 
     def _end(self) -> None:
         """Guards against a reset that overtakes the answer: what the caller still sends is read first."""
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -12,12 +12,32 @@
 MAX_ANSWER = 1024 * 1024
 MAX_HEAD = 32 * 1024  # bytes of a message that are not body, as they came: chunk heads and trailers too
 # Headers that belong to a connection or that are written anew at each hop.
-PER_HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
-                     b"transfer-encoding", b"content-length", b"expect", b"x-expires-in"})
+PER_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"transfer-encoding",
+        b"content-length",
+        b"expect",
+        b"x-expires-in",
+    }
+)
 FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 # Of two that differ, this proxy and a backend might each believe another.
-ONCE = FRAMING | {b"host", b"x-trace-id", b"x-expires-in", b"x-qos", b"x-customer", b"x-size-hint",
-                  b"x-second-try", b"idempotency-key"}
+ONCE = FRAMING | {
+    b"host",
+    b"x-trace-id",
+    b"x-expires-in",
+    b"x-qos",
+    b"x-customer",
+    b"x-size-hint",
+    b"x-second-try",
+    b"idempotency-key",
+}
 NUMBER = re.compile(rb"\d{1,9}(\.\d{0,20})?")
 
 Headers = list[tuple[bytes, bytes]]
@@ -68,8 +88,12 @@
 
 
 def named_by_connection(headers: Headers) -> set[bytes]:
-    return {token.strip().lower() for name, value in headers if name.lower() == b"connection"
-            for token in value.split(b",")}
+    return {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
 
 
 def end_to_end(headers: Headers) -> Headers:
@@ -89,8 +113,9 @@
         raise BadRequest(413, "the body is too large")
 
 
-def read_fields(request: ClientRequest, once: frozenset[bytes] = ONCE,
-                max_body: int = MAX_BODY) -> dict[bytes, bytes]:
+def read_fields(
+    request: ClientRequest, once: frozenset[bytes] = ONCE, max_body: int = MAX_BODY
+) -> dict[bytes, bytes]:
     """All fields by lower-case name, once nothing in them can be read in two ways; raises BadRequest."""
     headers: dict[bytes, bytes] = {}
     for name, value in request.headers:
--- a/cometdoor/http/platform.py
+++ b/cometdoor/http/platform.py
@@ -12,8 +12,9 @@
 class PlatformReader:
     """`classes` and `tenants`: places in the settings, by name."""
 
-    def __init__(self, settings: api.Settings, classes: Mapping[str, int],
-                 tenants: Mapping[str, int]) -> None:
+    def __init__(
+        self, settings: api.Settings, classes: Mapping[str, int], tenants: Mapping[str, int]
+    ) -> None:
         self._classes = {name.encode(): place for name, place in classes.items()}
         self._of_class = settings.classes
         self._tenants = {name.encode(): place for name, place in tenants.items()}
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -32,11 +32,22 @@
 class HttpService:
     """Handler of a front end, and the carrier of its host."""
 
-    def __init__(self, settings: HostSettings, loop: asyncio.AbstractEventLoop, places: Places, *,
-                 caps: Caps, idle_close_ms: float, connect_timeout_ms: float,
-                 watch: Callable[[], None] = lambda: None, callers: Places | None = None,
-                 shortage: Outcome = Outcome.CONNECT_FAILED, judge: Callable[[Answer], Outcome] = outcome_of,
-                 emptied: Callable[[], None] | None = None, reports: bool = False) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        loop: asyncio.AbstractEventLoop,
+        places: Places,
+        *,
+        caps: Caps,
+        idle_close_ms: float,
+        connect_timeout_ms: float,
+        watch: Callable[[], None] = lambda: None,
+        callers: Places | None = None,
+        shortage: Outcome = Outcome.CONNECT_FAILED,
+        judge: Callable[[Answer], Outcome] = outcome_of,
+        emptied: Callable[[], None] | None = None,
+        reports: bool = False,
+    ) -> None:
         """`places`: for connections to servers; `callers`: for requests that keep a caller's connection busy;
         `shortage`: the outcome of an attempt for which no connection may be opened; `emptied`: called
         whenever nothing is open any more; `reports`: servers say in their answers how loaded they are."""
@@ -50,8 +61,13 @@
         self.unread_bytes = 0  # of answers, kept by the front end
         self.ready = False  # a server was listed once
         self._host: Host[ClientRequest, Answer] = Host(
-            settings, LoopClock(loop), self, watch=watch, over=self._over,
-            load_of=load_of if reports else lambda answer: {})
+            settings,
+            LoopClock(loop),
+            self,
+            watch=watch,
+            over=self._over,
+            load_of=load_of if reports else lambda answer: {},
+        )
         self.set_caps(caps)
 
     def set_caps(self, caps: Caps) -> None:
@@ -111,8 +127,9 @@
 
     def _is_full(self) -> bool:
         caps = self._caps
-        return ((caps.open is not None and self._host.open_requests() >= caps.open)
-                or (caps.held_bytes is not None and self.held_bytes() >= caps.held_bytes))
+        return (caps.open is not None and self._host.open_requests() >= caps.open) or (
+            caps.held_bytes is not None and self.held_bytes() >= caps.held_bytes
+        )
 
     def client_gone(self, connection: ClientConnection, request: ClientRequest) -> None:
         self._host.caller_gone(connection)
@@ -127,8 +144,14 @@
 
     # --- the host's calls ---
 
-    def send(self, server: str, address: Address, request: ClientRequest, until_ms: float,
-             done: Callable[[Reading, Answer | None], None]) -> OnWire | Outcome:
+    def send(
+        self,
+        server: str,
+        address: Address,
+        request: ClientRequest,
+        until_ms: float,
+        done: Callable[[Reading, Answer | None], None],
+    ) -> OnWire | Outcome:
         unsafe = self._classes[request.class_index].effect is not Effect.SAFE
         hold_s = LAST_BYTE_SHARE * max(until_ms - now_ms(), 0.0) / 1000.0 if unsafe else 0.0
         exchange = Exchange(lambda: payload(request, until_ms), done, hold_s)
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -108,8 +108,13 @@
 
     __slots__ = ("accepts", "connection", "done", "hold_s", "payload")
 
-    def __init__(self, payload: Callable[[], bytes], done: Done, hold_s: float = 0.0,
-                 accepts: Callable[[Answer], bool] | None = None) -> None:
+    def __init__(
+        self,
+        payload: Callable[[], bytes],
+        done: Done,
+        hold_s: float = 0.0,
+        accepts: Callable[[Answer], bool] | None = None,
+    ) -> None:
         """`hold_s`: for so long at most its last byte may be held back; 0: all is written at once.
         `accepts`: whether an answer is this one's, where answers say whose they are; None: any is."""
         self.accepts = accepts
@@ -130,10 +135,36 @@
 
 
 class Connection(asyncio.Protocol):
-    __slots__ = ("_answer", "_body", "_handshake_s", "_headers", "_in_answer", "_in_head", "_interim",
-                 "_kept_for_s", "_last_byte", "_opening", "_parser", "_paused", "_raw_size", "_reusable",
-                 "_size", "_surplus", "_too_long", "_transport", "_written_at", "_wrote", "address",
-                 "closed", "exchange", "idle_since", "is_retired", "pool", "server", "timer")
+    __slots__ = (
+        "_answer",
+        "_body",
+        "_handshake_s",
+        "_headers",
+        "_in_answer",
+        "_in_head",
+        "_interim",
+        "_kept_for_s",
+        "_last_byte",
+        "_opening",
+        "_parser",
+        "_paused",
+        "_raw_size",
+        "_reusable",
+        "_size",
+        "_surplus",
+        "_too_long",
+        "_transport",
+        "_written_at",
+        "_wrote",
+        "address",
+        "closed",
+        "exchange",
+        "idle_since",
+        "is_retired",
+        "pool",
+        "server",
+        "timer",
+    )
 
     def __init__(self, pool: Pool, server: str, address: Address, exchange: Exchange) -> None:
         self.pool = pool
@@ -207,8 +238,9 @@
         data = self.exchange.payload()
         self._written_at = self.pool.loop.time()
         if self.exchange.hold_s:
-            hold_s = min(max(HOLD_HANDSHAKES * self._handshake_s, HOLD_LEAST_S), HOLD_MOST_S,
-                         self.exchange.hold_s)
+            hold_s = min(
+                max(HOLD_HANDSHAKES * self._handshake_s, HOLD_LEAST_S), HOLD_MOST_S, self.exchange.hold_s
+            )
             self._last_byte = self.pool.loop.call_later(hold_s, self._write_last, data[-1:])
             data = data[:-1]
         else:
@@ -303,8 +335,11 @@
             raise BadAnswer("a second answer")
         if self._parser.get_status_code() in BODILESS:
             return
-        framing = [(name.lower(), value.strip().lower()) for name, value in self._headers
-                   if name.lower() in (b"content-length", b"transfer-encoding")]
+        framing = [
+            (name.lower(), value.strip().lower())
+            for name, value in self._headers
+            if name.lower() in (b"content-length", b"transfer-encoding")
+        ]
         if self._parser.get_status_code() < 200:
             self._interim += 1
             if framing or self._interim > MAX_INTERIM:
@@ -371,7 +406,8 @@
         if exchange is not None and self._kept_for_s and not self.is_retired:
             # Who is dead says so at once; what ends later has been at work.
             if reading.doubtful and self.pool.loop.time() - self._written_at <= max(
-                    HOLD_MOST_S, HOLD_HANDSHAKES * self._handshake_s):
+                HOLD_MOST_S, HOLD_HANDSHAKES * self._handshake_s
+            ):
                 self.pool.keepings.died(self.server, self._kept_for_s)
             elif reading.doubtful or answer is not None:
                 self.pool.keepings.outlived(self.server, self._kept_for_s)
@@ -379,8 +415,13 @@
         self._forget_last_byte()
         self._let_go()
         self._headers, self._body, self._answer = [], [], None
-        if (answer is not None and self._reusable and self._is_written() and not self.closed
-                and not self.is_retired):
+        if (
+            answer is not None
+            and self._reusable
+            and self._is_written()
+            and not self.closed
+            and not self.is_retired
+        ):
             self._wrote = False
             self.pool.keep(self)
         else:
@@ -426,9 +467,15 @@
 class Pool:
     """Idle connections by backend, the most recently used last."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, places: Places, idle_close_ms: float,
-                 connect_timeout_ms: float, outcome_of: Callable[[Answer], Outcome] = outcome_of,
-                 behind: Callable[[], int] = lambda: 0) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        places: Places,
+        idle_close_ms: float,
+        connect_timeout_ms: float,
+        outcome_of: Callable[[Answer], Outcome] = outcome_of,
+        behind: Callable[[], int] = lambda: 0,
+    ) -> None:
         """`behind`: bytes of answers that callers have not read yet."""
         self.loop = loop
         self.outcome_of = outcome_of
--- a/cometdoor/keys/claims.py
+++ b/cometdoor/keys/claims.py
@@ -39,8 +39,9 @@
         if not peer:
             self._again()
             return
-        call = client.lines.call(peer, Claims([claim for claim, _ in self._claims]),
-                                 lambda reply: self._answered(peer, reply))
+        call = client.lines.call(
+            peer, Claims([claim for claim, _ in self._claims]), lambda reply: self._answered(peer, reply)
+        )
         if isinstance(call, PeerError):
             client.mistrust(peer)
             self._again()
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -202,8 +202,9 @@
         else:
             del self._table[key]  # the next try asks anew
         at_work = reply is not None and reply.state == "running"
-        self._counts["at_work" if at_work else "holder_forgot" if reply is not None
-                     else "holder_not_reached"] += len(waiting)
+        self._counts[
+            "at_work" if at_work else "holder_forgot" if reply is not None else "holder_not_reached"
+        ] += len(waiting)
         return [AtWork(ask) if at_work else Unknown(ask) for ask in waiting]
 
     # --- the run's end ---
@@ -271,8 +272,12 @@
         asked_by, operation.asked_by = operation.asked_by, []
         if not asked_by:
             return
-        reply = OperationIs({Stage.DONE: "done", Stage.UNKNOWN: "unknown", Stage.RUNNING: "running"}.get(
-            operation.stage, "unrun"), operation.answer)
+        reply = OperationIs(
+            {Stage.DONE: "done", Stage.UNKNOWN: "unknown", Stage.RUNNING: "running"}.get(
+                operation.stage, "unrun"
+            ),
+            operation.answer,
+        )
         if reply.state == "unrun":
             # It is theirs from here on: what comes here next must claim it anew.
             self._table.pop(operation.key, None)
--- a/cometdoor/news/directory.py
+++ b/cometdoor/news/directory.py
@@ -136,8 +136,12 @@
 
     def _aged(self, records: Iterable[Record]) -> list[Record]:
         """As they are sent: with how long ago the silent ones became so."""
-        return [record if not record.silent else msgspec.structs.replace(
-            record, silent_s=self._now - self._silent_since[record.node]) for record in records]
+        return [
+            record
+            if not record.silent
+            else msgspec.structs.replace(record, silent_s=self._now - self._silent_since[record.node])
+            for record in records
+        ]
 
     # --- of my own ---
 
@@ -179,8 +183,9 @@
             self.asks.append((partner, self._compare(self._sample() if swaps else [])))
 
     def _compare(self, neighbours: list[str]) -> Compare:
-        return Compare(self.own.address, self.revision, len(self.records), self._total(),
-                       neighbours=neighbours)
+        return Compare(
+            self.own.address, self.revision, len(self.records), self._total(), neighbours=neighbours
+        )
 
     def _partner(self) -> str | None:
         """In turn one that is watched and one of the view, which now and then is left."""
@@ -214,8 +219,12 @@
             if self._take(record):
                 fresh.append(record)
             elif record.address == news.sender and self._has_former(record):
-                self.outbox.append((news.sender, News(
-                    self.own.address, self._aged([self.records[record.node]]), self.revision)))
+                self.outbox.append(
+                    (
+                        news.sender,
+                        News(self.own.address, self._aged([self.records[record.node]]), self.revision),
+                    )
+                )
         if fresh:
             self._pass_on(fresh, but=news.sender)
 
@@ -255,8 +264,11 @@
             wanted = [self.records[node] for node in answer.wanted if node in self.records]
             self.outbox.append((address, News(self.own.address, self._aged(wanted), self.revision)))
         if answer.sums:
-            buckets = [number for number, (mine, theirs) in enumerate(
-                zip(self._sums, answer.sums, strict=False)) if mine != theirs]
+            buckets = [
+                number
+                for number, (mine, theirs) in enumerate(zip(self._sums, answer.sums, strict=False))
+                if mine != theirs
+            ]
             stamps: dict[str, int] = {}
             for bucket in buckets:
                 stamps |= self._buckets[bucket]
@@ -290,8 +302,9 @@
     def _take(self, record: Record) -> bool:
         """Whether it says something new."""
         if record.node == self.own.node:
-            if record.version > self.own.version or (record.version == self.own.version and (
-                    record.silent or record.life != self.own.life)):
+            if record.version > self.own.version or (
+                record.version == self.own.version and (record.silent or record.life != self.own.life)
+            ):
                 self._deny(record.version)
             return False
         held = self.records.get(record.node)
@@ -322,4 +335,5 @@
 
     def _is_choice(self, address: str) -> bool:
         return address not in ("", self.own.address) and all(
-            self.records[node].address != address for node in self._silent_since)
+            self.records[node].address != address for node in self._silent_since
+        )
--- a/cometdoor/news/exchange.py
+++ b/cometdoor/news/exchange.py
@@ -30,8 +30,13 @@
 
 
 class Exchange:
-    def __init__(self, loop: asyncio.AbstractEventLoop, lines: Lines, directory: Directory,
-                 take: Callable[[int, bytes], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        lines: Lines,
+        directory: Directory,
+        take: Callable[[int, bytes], None],
+    ) -> None:
         """`take`: of a configuration newer than the one here, its revision and body."""
         self.directory = directory
         self._bodies: dict[int, bytes] = {}  # the newest ones, by revision, oldest first
@@ -64,13 +69,15 @@
             now = self._loop.time()
             if isinstance(ask, Reach):
                 self.directory.reached(
-                    ask.address, reply.answers if isinstance(reply, Reached) else None, now)
+                    ask.address, reply.answers if isinstance(reply, Reached) else None, now
+                )
             elif isinstance(reply, Compared):
                 self.directory.answered(address, reply, now)
                 self._compare_revision(address, reply.revision)
             elif isinstance(reply, PeerError):
                 self.directory.unreached(address, now)
             self.flush()
+
         call = self._lines.call(address, ask, told)
         if isinstance(call, PeerError):
             self._loop.call_soon(told, call)
@@ -97,6 +104,7 @@
     def _reach(self, address: str, line: Line, number: int) -> None:
         def told(reply: Message | PeerError) -> None:
             line.respond(number, Reached(isinstance(reply, Pong)))
+
         call = self._lines.call(address, Ping(), told)
         if isinstance(call, PeerError):
             told(call)
@@ -121,7 +129,8 @@
         if base not in self._packed:
             body = self._bodies[revision]
             self._packed[base] = ConfigurationIs(
-                revision, delta.difference(self._bodies[base], body) if base else delta.pack(body), base)
+                revision, delta.difference(self._bodies[base], body) if base else delta.pack(body), base
+            )
         return self._packed[base]
 
     def _compare_revision(self, peer: str, revision: int) -> None:
@@ -139,14 +148,18 @@
             if not isinstance(reply, ConfigurationIs) or reply.revision <= self.directory.revision:
                 return
             try:
-                body = (delta.patch(self._bodies.get(reply.base, b""), reply.body) if reply.base
-                        else delta.unpack(reply.body))
+                body = (
+                    delta.patch(self._bodies.get(reply.base, b""), reply.body)
+                    if reply.base
+                    else delta.unpack(reply.body)
+                )
             except delta.BadDifference as problem:
                 log.warning("configuration not read", step="fetch", peer=peer, error=str(problem))
                 if not whole:
                     self._fetch(peer, whole=True)
                 return
             self._take(reply.revision, body)
+
         ask = AskConfiguration(0 if whole else self.directory.revision)
         if isinstance(self._lines.call(peer, ask, done), PeerError):
             self._fetching_until = 0.0
--- a/cometdoor/planning/advice.py
+++ b/cometdoor/planning/advice.py
@@ -121,8 +121,11 @@
         known = self._heard.get(planner)
         if known is not None and known.written_ms > now_ms - age_ms:
             return False
-        self._heard[planner] = _Heard(now_ms - age_ms, advice.is_whole, {
-            opinion.server: opinion.keep / STEPS for opinion in advice.opinions})
+        self._heard[planner] = _Heard(
+            now_ms - age_ms,
+            advice.is_whole,
+            {opinion.server: opinion.keep / STEPS for opinion in advice.opinions},
+        )
         if advice.reach:
             self._reaches[planner] = now_ms - age_ms, advice.reach / TENTHS
         return True
@@ -137,8 +140,11 @@
         told = fresh or [reach for _, reach in self._reaches.values()]
         wanted = max(min(min(told, default=1.0), most), 1.0)
         # Back to what needs no advice is no flapping, wherever it starts from.
-        changes = (wanted > self._reach * REACH_STEP or wanted * REACH_STEP < self._reach
-                   or (wanted == 1.0 and not told))
+        changes = (
+            wanted > self._reach * REACH_STEP
+            or wanted * REACH_STEP < self._reach
+            or (wanted == 1.0 and not told)
+        )
         if changes and wanted != self._reach and now_ms - self._reach_ms >= REACH_HELD_MS:
             self._reach, self._reach_ms = wanted, now_ms
         return self._reach
@@ -162,18 +168,22 @@
         return dict(followed)
 
     def _wanted(self, servers: Collection[bytes], now_ms: float) -> dict[bytes, float]:
-        for planner in [planner for planner, heard in self._heard.items()
-                        if now_ms - heard.written_ms > IGNORE_MS]:
+        for planner in [
+            planner for planner, heard in self._heard.items() if now_ms - heard.written_ms > IGNORE_MS
+        ]:
             del self._heard[planner]
         wanted = {}
         named = {server for heard in self._heard.values() for server in heard.keep}
         for server in named.intersection(servers):
-            voices = [(self._trust(heard, now_ms), heard.keep.get(server, 1.0))
-                      for heard in self._heard.values() if heard.is_whole or server in heard.keep]
+            voices = [
+                (self._trust(heard, now_ms), heard.keep.get(server, 1.0))
+                for heard in self._heard.values()
+                if heard.is_whole or server in heard.keep
+            ]
             # Who may be dead by now has no say beside those that are not: neither for a server nor against
             # it.
             present = [keep for trust, keep in voices if trust == 1.0]
-            fading = [keep ** trust for trust, keep in voices if keep < 1.0]
+            fading = [keep**trust for trust, keep in voices if keep < 1.0]
             wanted[server] = max(present or fading, default=1.0)
         return {server: keep for server, keep in wanted.items() if keep < 1.0}
 
--- a/cometdoor/planning/forwarder.py
+++ b/cometdoor/planning/forwarder.py
@@ -63,8 +63,11 @@
 
     def listed(self, servers: Iterable[Server]) -> None:
         """All servers of the own list."""
-        self._ready = {server_id(server.name): (server, start_number(server, self._epoch_ms))
-                       for server in servers if server.state is State.READY}
+        self._ready = {
+            server_id(server.name): (server, start_number(server, self._epoch_ms))
+            for server in servers
+            if server.state is State.READY
+        }
         self._reporter.listed((server.name, number) for server, number in self._ready.values())
 
     def sent(self, server: str, attempt: tuple[str, int], aim_ms: float, now_ms: float) -> None:
@@ -74,8 +77,9 @@
         if known is not None and self._is_warm(known[0], now_ms):
             self._warm_sends += 1.0
 
-    def ended(self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float,
-              now_ms: float) -> None:
+    def ended(
+        self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float, now_ms: float
+    ) -> None:
         self._reporter.ended(server, attempt, outcome, aim_ms, now_ms)
 
     def _is_warm(self, server: Server, now_ms: float) -> bool:
@@ -87,8 +91,10 @@
         """A report to each planner: its number, and the datagram."""
         self._count_rate(now_ms)
         body = self._reporter.report(self._warm_rate, now_ms)
-        return [(planner, self._post.seal(Kind.REPORT, planner, body, now_ms))
-                for planner in range(self._planners)]
+        return [
+            (planner, self._post.seal(Kind.REPORT, planner, body, now_ms))
+            for planner in range(self._planners)
+        ]
 
     def _count_rate(self, now_ms: float) -> None:
         weight = sum(server.weight for server, _ in self._ready.values() if self._is_warm(server, now_ms))
--- a/cometdoor/planning/framing.py
+++ b/cometdoor/planning/framing.py
@@ -30,6 +30,6 @@
                 raise BadFrame(f"a note of {size} bytes")
             if len(self._rest) < HEAD + size:
                 return
-            note = bytes(self._rest[HEAD:HEAD + size])
-            del self._rest[:HEAD + size]
+            note = bytes(self._rest[HEAD : HEAD + size])
+            del self._rest[: HEAD + size]
             yield note
--- a/cometdoor/planning/lending.py
+++ b/cometdoor/planning/lending.py
@@ -56,8 +56,15 @@
     life it lends nothing: what it lent in a former life, which it does not remember, may still be out.
     """
 
-    def __init__(self, rules: ColdRules, planners: int, now_ms: float, *, loan_ms: float = LOAN_MS,
-                 fresh_ms: float = FRESH_MS) -> None:
+    def __init__(
+        self,
+        rules: ColdRules,
+        planners: int,
+        now_ms: float,
+        *,
+        loan_ms: float = LOAN_MS,
+        fresh_ms: float = FRESH_MS,
+    ) -> None:
         self._rules = rules
         self._share = LENT_SHARE / planners
         self._span_ms = fresh_ms + loan_ms + rules.fall_ms
--- a/cometdoor/planning/planner.py
+++ b/cometdoor/planning/planner.py
@@ -24,8 +24,9 @@
     """`rules`: None where servers don't warm up, and nothing is lent; `warm_up_ms`: how long they take;
     `planners`: how many are configured."""
 
-    def __init__(self, post: Post, rules: ColdRules | None, warm_up_ms: float, planners: int,
-                 now_ms: float) -> None:
+    def __init__(
+        self, post: Post, rules: ColdRules | None, warm_up_ms: float, planners: int, now_ms: float
+    ) -> None:
         self.bad = 0  # reports that were sealed well and could not be read
         self.picture = Picture()
         self.lender = Lender(rules, planners, now_ms) if rules else None
@@ -85,8 +86,9 @@
         self.picture.forget_old(now_ms)
         if self.lender is not None:
             self.lender.forget_old(now_ms)
-        self._sends = {number: sends for number, sends in self._sends.items()
-                       if now_ms - sends[0] < FORGET_EVERY_MS}
+        self._sends = {
+            number: sends for number, sends in self._sends.items() if now_ms - sends[0] < FORGET_EVERY_MS
+        }
 
     def _judge(self, now_ms: float) -> None:
         if now_ms - self._judged_ms >= JUDGE_MS:
--- a/cometdoor/planning/reports.py
+++ b/cometdoor/planning/reports.py
@@ -46,9 +46,14 @@
     OVERTAKEN = 4  # called off when most calls would have been answered: its copy was, as a rule
 
 
-KINDS = {Outcome.CONNECT_FAILED: Failure.NO_CONNECTION, Outcome.RESET: Failure.LOST,
-         Outcome.CUT: Failure.LOST,
-         Outcome.ERROR: Failure.LOST, Outcome.TIMEOUT: Failure.SILENT, Outcome.FULL: Failure.TURNED_AWAY}
+KINDS = {
+    Outcome.CONNECT_FAILED: Failure.NO_CONNECTION,
+    Outcome.RESET: Failure.LOST,
+    Outcome.CUT: Failure.LOST,
+    Outcome.ERROR: Failure.LOST,
+    Outcome.TIMEOUT: Failure.SILENT,
+    Outcome.FULL: Failure.TURNED_AWAY,
+}
 
 
 def server_id(name: str) -> bytes:
@@ -153,8 +158,9 @@
         if server in self._seen:
             self._held.setdefault(server, {})[attempt] = _Held(now_ms, aim_ms)
 
-    def ended(self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float,
-              now_ms: float) -> None:
+    def ended(
+        self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float, now_ms: float
+    ) -> None:
         held = self._held.get(server, {})
         out = held.pop(attempt, None)
         if not held:
@@ -183,8 +189,9 @@
         mean = self._mean_speed()
         waiting = sorted(self._seen.values(), key=lambda seen: seen.reported_at)
         surprise = {seen.name: self._surprise(seen, mean, now_ms) for seen in waiting}
-        surprising = sorted((seen for seen in waiting if surprise[seen.name] > 0.0),
-                            key=lambda seen: -surprise[seen.name])
+        surprising = sorted(
+            (seen for seen in waiting if surprise[seen.name] > 0.0), key=lambda seen: -surprise[seen.name]
+        )
         chosen: dict[str, _Seen] = {}
         report = Report(self._beat, sends, round(warm_rate * 1e6), len(self._seen), [])
         room = MAX_BODY - len(_ENCODER.encode(report)) - 2  # a list of over 15 has a longer head
@@ -196,8 +203,9 @@
             seen.reported_at, seen.told_start = now_ms, seen.started
         return _ENCODER.encode(report)
 
-    def _choose(self, order: Iterable[_Seen], chosen: dict[str, _Seen], report: Report, room: int,
-                now_ms: float) -> int:
+    def _choose(
+        self, order: Iterable[_Seen], chosen: dict[str, _Seen], report: Report, room: int, now_ms: float
+    ) -> int:
         """The room that is left."""
         for seen in order:
             if seen.name in chosen:
@@ -214,10 +222,15 @@
     def _entry(self, seen: _Seen, now_ms: float) -> Entry:
         connect, lost, silent, turned, overtaken = (min(count, MOST) for count in seen.failures)
         speed = round(FINENESS * seen.log_sum / seen.answered) if seen.answered else 0
-        return Entry(server_id(seen.name), seen.started, min(seen.answered, MOST),
-                     (connect, lost, silent, turned, overtaken), max(-MOST, min(speed, MOST)),
-                     int(min((now_ms - seen.answered_at) / 100.0, MOST)),
-                     min(int(max(self._late_ms(seen.name, now_ms), 0.0) / 100.0), MOST))
+        return Entry(
+            server_id(seen.name),
+            seen.started,
+            min(seen.answered, MOST),
+            (connect, lost, silent, turned, overtaken),
+            max(-MOST, min(speed, MOST)),
+            int(min((now_ms - seen.answered_at) / 100.0, MOST)),
+            min(int(max(self._late_ms(seen.name, now_ms), 0.0) / 100.0), MOST),
+        )
 
     def _late_ms(self, server: str, now_ms: float) -> float:
         """By how much the latest call that is out there is later than any usually is. Until anything was
@@ -236,8 +249,12 @@
         """0: as was to be expected."""
         late_s = self._late_ms(seen.name, now_ms) / 1000.0
         slow = abs(seen.log_sum - mean * seen.answered) / math.sqrt(seen.answered) if seen.answered else 0.0
-        return (2.0 * sum(seen.failures) + max(late_s, 0.0) + (slow if slow > 1.0 else 0.0)
-                + 4.0 * (seen.started != seen.told_start))
+        return (
+            2.0 * sum(seen.failures)
+            + max(late_s, 0.0)
+            + (slow if slow > 1.0 else 0.0)
+            + 4.0 * (seen.started != seen.told_start)
+        )
 
 
 def first_beat_ms(random: Random) -> float:
--- a/cometdoor/planning/serve.py
+++ b/cometdoor/planning/serve.py
@@ -38,11 +38,21 @@
 
     def __init__(self, entry: FleetEntry, file: PlannersFile, keys: Keys) -> None:
         self.entry = entry
-        self.post = Post(keys, file.planner.number, random.SystemRandom().getrandbits(32) or 1,
-                         entry.forwarders, frozenset({Kind.REPORT}))
+        self.post = Post(
+            keys,
+            file.planner.number,
+            random.SystemRandom().getrandbits(32) or 1,
+            entry.forwarders,
+            frozenset({Kind.REPORT}),
+        )
         cold = entry.cold
-        self.planner = Planner(self.post, cold.rules() if cold else None, cold.warm_up_ms if cold else 0.0,
-                               file.planner.planners, now_ms())
+        self.planner = Planner(
+            self.post,
+            cold.rules() if cold else None,
+            cold.warm_up_ms if cold else 0.0,
+            file.planner.planners,
+            now_ms(),
+        )
         self.address: Address = read_address(entry.listen, 0)
         self._server: asyncio.Server | None = None
         self._datagrams: asyncio.DatagramTransport | None = None
@@ -137,7 +147,8 @@
             await fleet.start()
         if self._file.planner.status is not None:
             self._status_server = await asyncio.start_server(
-                self._tell, *read_address(self._file.planner.status, 0))
+                self._tell, *read_address(self._file.planner.status, 0)
+            )
             self.status_address = self._status_server.sockets[0].getsockname()[:2]
 
     def stop(self) -> None:
@@ -151,8 +162,9 @@
         writer.close()
 
     def status(self) -> Status:
-        return Status(self._file.planner.number, self._file.planner.planners,
-                      [fleet.status() for fleet in self.fleets])
+        return Status(
+            self._file.planner.number, self._file.planner.planners, [fleet.status() for fleet in self.fleets]
+        )
 
     def read_keys(self) -> None:
         """Raises nothing: what can't be read changes nothing."""
@@ -181,9 +193,14 @@
     await process.start()
     if process.status_address is not None:
         log.info("status on %s:%d", *process.status_address)
-    log.info("planner %d of %d hears %s", file.planner.number, file.planner.planners,
-             ", ".join(f"{fleet.entry.service} on {fleet.address[0]}:{fleet.address[1]}"
-                       for fleet in process.fleets))
+    log.info(
+        "planner %d of %d hears %s",
+        file.planner.number,
+        file.planner.planners,
+        ", ".join(
+            f"{fleet.entry.service} on {fleet.address[0]}:{fleet.address[1]}" for fleet in process.fleets
+        ),
+    )
     await stopping.wait()
     process.stop()
     log.info("ends")
--- a/cometdoor/planning/settings.py
+++ b/cometdoor/planning/settings.py
@@ -169,8 +169,9 @@
     for place, fleet in enumerate(file.fleet):
         yield from _check_address(f"fleet.{place}.listen", fleet.listen, 0)
     yield from _check_unique([fleet.service for fleet in file.fleet], "fleet.{}.service")
-    yield from _check_unique([fleet.listen for fleet in file.fleet if not fleet.listen.endswith(":0")],
-                             "fleet.{}.listen")
+    yield from _check_unique(
+        [fleet.listen for fleet in file.fleet if not fleet.listen.endswith(":0")], "fleet.{}.listen"
+    )
 
 
 def _check_forwarders(file: ForwardersFile) -> Iterator[tuple[str, str]]:
--- a/cometdoor/planning/voice.py
+++ b/cometdoor/planning/voice.py
@@ -112,8 +112,15 @@
     A fault here has it fall silent, as planners that are dead, and touches no request.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, forwarder: Forwarder, planners: Sequence[Address],
-                 transport: str, random: Random, deliver: Callable[[api.Advised | api.Lent], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        forwarder: Forwarder,
+        planners: Sequence[Address],
+        transport: str,
+        random: Random,
+        deliver: Callable[[api.Advised | api.Lent], None],
+    ) -> None:
         kind = DatagramLine if transport == "udp" else KeptLine
         self.forwarder = forwarder
         self.is_faulty = False
@@ -170,8 +177,9 @@
             with self._guard():
                 self.forwarder.sent(server, attempt, aim_ms, now_ms)
 
-    def ended(self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float,
-              now_ms: float) -> None:
+    def ended(
+        self, server: str, attempt: tuple[str, int], outcome: Outcome, aim_ms: float, now_ms: float
+    ) -> None:
         if not self.is_faulty:
             with self._guard():
                 self.forwarder.ended(server, attempt, outcome, aim_ms, now_ms)
@@ -187,14 +195,24 @@
         self._random = SystemRandom()
         self._live: dict[Voice, None] = {}
 
-    def make(self, service: str, warm_up_ms: float, epoch_ms: float,
-             deliver: Callable[[api.Advised | api.Lent], None]) -> Voice | None:
+    def make(
+        self,
+        service: str,
+        warm_up_ms: float,
+        epoch_ms: float,
+        deliver: Callable[[api.Advised | api.Lent], None],
+    ) -> Voice | None:
         """None: nobody advises on that service."""
         for entry in self.file.service:
             if entry.name == service:
                 planners = entry.addresses()
-                post = Post(self._keys, self.file.forwarder.number, self._random.getrandbits(32) or 1,
-                            len(planners), frozenset({Kind.ADVICE, Kind.LOAN}))
+                post = Post(
+                    self._keys,
+                    self.file.forwarder.number,
+                    self._random.getrandbits(32) or 1,
+                    len(planners),
+                    frozenset({Kind.ADVICE, Kind.LOAN}),
+                )
                 forwarder = Forwarder(post, len(planners), warm_up_ms, epoch_ms)
                 voice = Voice(self._loop, forwarder, planners, entry.transport, self._random, deliver)
                 self._live[voice] = None
--- a/cometdoor/planning/wire.py
+++ b/cometdoor/planning/wire.py
@@ -154,8 +154,15 @@
     so how old a provable note can be at most.
     """
 
-    def __init__(self, keys: Keys, me: int, life: int, partners: int, kinds: frozenset[Kind],
-                 remember_ms: float = 10_000.0) -> None:
+    def __init__(
+        self,
+        keys: Keys,
+        me: int,
+        life: int,
+        partners: int,
+        kinds: frozenset[Kind],
+        remember_ms: float = 10_000.0,
+    ) -> None:
         if not 0 < life < 1 << 32:
             raise ValueError(f"life: {life} is not in 1 to 2**32 - 1")
         self.keys = keys
@@ -175,8 +182,9 @@
         partner.number += 1
         partner.sent.append((partner.number, now_ms))
         echo = partner.echo()
-        content = HEAD.pack(VERSION, self.keys.current, kind, self._me, self._life, partner.number,
-                            *echo) + body
+        content = (
+            HEAD.pack(VERSION, self.keys.current, kind, self._me, self._life, partner.number, *echo) + body
+        )
         return content + _seal(self.keys.known[self.keys.current], content, to)
 
     def open(self, datagram: bytes, now_ms: float) -> Note | None:
@@ -208,8 +216,14 @@
                 return self._drop(Dropped.REPEATED)
         else:
             partner.asks = life, number  # our answer lets it prove itself
-        return Note(Kind(kind), sender, life, number, content[HEAD.size:],
-                    None if sent_at is None else now_ms - sent_at)
+        return Note(
+            Kind(kind),
+            sender,
+            life,
+            number,
+            content[HEAD.size :],
+            None if sent_at is None else now_ms - sent_at,
+        )
 
     def _drop(self, why: Dropped) -> Note | None:
         self.dropped[why] += 1
