--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -19,9 +19,13 @@
 
 NEWEST = 20  # entries of the log that are shown unless others are asked for
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
-                  rich_markup_mode=None,
-                  help="A service mesh: a data plane beside each backend, a control plane on a few machines.")
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    help="A service mesh: a data plane beside each backend, a control plane on a few machines.",
+)
 
 
 @app.command()
@@ -36,8 +40,11 @@
     raise typer.Exit(daemons.run("controlplane"))
 
 
-state = typer.Typer(no_args_is_help=True, rich_markup_mode=None,
-                    help="A member's data directory, read without the member; nothing in it is changed.")
+state = typer.Typer(
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    help="A member's data directory, read without the member; nothing in it is changed.",
+)
 app.add_typer(state, name="state")
 Folder = Annotated[Path, typer.Argument(help="the member's data-directory")]
 AsJson = Annotated[bool, typer.Option("--json", help="one JSON object instead of lines")]
@@ -59,13 +66,27 @@
     holding = _read(folder)
     held = holding.held
     facts: dict[str, object] = {
-        "member": held.id, "term": held.term, "voted-for": held.voted_for, "committed": held.committed,
-        "last": holding.last_index, "members": list(holding.members), "revision": holding.state.revision,
-        "keys": len(holding.state.keys), "later-revisions": [one.revision for one in holding.later()],
-        "file": holding.file, "faults": holding.faults, "notes": holding.notes}
-    print(json.dumps(facts) if as_json else "\n".join(
-        f"{name:16} {', '.join(map(str, value)) if isinstance(value, list) else value}"
-        for name, value in facts.items()))
+        "member": held.id,
+        "term": held.term,
+        "voted-for": held.voted_for,
+        "committed": held.committed,
+        "last": holding.last_index,
+        "members": list(holding.members),
+        "revision": holding.state.revision,
+        "keys": len(holding.state.keys),
+        "later-revisions": [one.revision for one in holding.later()],
+        "file": holding.file,
+        "faults": holding.faults,
+        "notes": holding.notes,
+    }
+    print(
+        json.dumps(facts)
+        if as_json
+        else "\n".join(
+            f"{name:16} {', '.join(map(str, value)) if isinstance(value, list) else value}"
+            for name, value in facts.items()
+        )
+    )
 
 
 @state.command()
@@ -76,8 +97,10 @@
         print(text)
     if holding.faults:
         raise typer.Exit(1)
-    print(f"good: member {holding.held.id or '(none yet)'}, {holding.last_index} entries, "
-          f"{holding.held.committed} known to be committed")
+    print(
+        f"good: member {holding.held.id or '(none yet)'}, {holding.last_index} entries, "
+        f"{holding.held.committed} known to be committed"
+    )
 
 
 @state.command()
@@ -89,13 +112,17 @@
         raise typer.Exit(1)
     sys.stdout.write(holding.state.body.decode() + "\n")
     for one in holding.later():
-        print(f"cometdoor: revision {one.revision} lies behind it, in force or not: ask the other members",
-              file=sys.stderr)
+        print(
+            f"cometdoor: revision {one.revision} lies behind it, in force or not: ask the other members",
+            file=sys.stderr,
+        )
 
 
 @state.command()
-def rebuild(settings: Annotated[Path, typer.Argument(help="the new member's settings file")],
-            folders: Annotated[list[Path], typer.Argument(help="data directories that are left")]) -> None:
+def rebuild(
+    settings: Annotated[Path, typer.Argument(help="the new member's settings file")],
+    folders: Annotated[list[Path], typer.Argument(help="data directories that are left")],
+) -> None:
     """A core of one member out of what is left, where a majority of the disks is lost for good.
 
     It is written to the data-directory of the settings, which must be empty; others join it with empty ones.
@@ -117,13 +144,18 @@
     except (OSError, CannotRebuild) as problem:
         print(f"cometdoor: {problem}", file=sys.stderr)
         raise typer.Exit(1) from None
-    print(f"member {done.member} in {boot.data_directory}, from {done.source}, the furthest of {done.disks}\n"
-          f"configuration {done.revision or 'none'}; {done.last_index} entries, {done.committed} of them "
-          f"known to be committed\nthe core was {', '.join(done.members_before) or 'not known'}\n"
-          "what stood only on the other disks is lost; no key is taken until the window has passed")
+    print(
+        f"member {done.member} in {boot.data_directory}, from {done.source}, the furthest of {done.disks}\n"
+        f"configuration {done.revision or 'none'}; {done.last_index} entries, {done.committed} of them "
+        f"known to be committed\nthe core was {', '.join(done.members_before) or 'not known'}\n"
+        "what stood only on the other disks is lost; no key is taken until the window has passed"
+    )
     if done.unsure:
-        print(f"cometdoor: revision {', '.join(map(str, done.unsure))}: kept, though nobody may have been "
-              "told that it is in force: ask its operators", file=sys.stderr)
+        print(
+            f"cometdoor: revision {', '.join(map(str, done.unsure))}: kept, though nobody may have been "
+            "told that it is in force: ask its operators",
+            file=sys.stderr,
+        )
 
 
 @contextmanager
@@ -133,6 +165,7 @@
 
     def ask(path: str) -> dict[str, Any]:
         return dict(json.loads(asyncio.run(ask_once(address, "GET", path, {}, b"", 2.0)).body))
+
     try:
         yield ask
     except (Broken, ValueError, KeyError, TypeError) as problem:
@@ -141,37 +174,63 @@
 
 
 @app.command("log")
-def show_log(address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")],
-             after: Annotated[int, typer.Option(help="only entries behind that index")] = -1,
-             as_json: AsJson = False) -> None:
+def show_log(
+    address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")],
+    after: Annotated[int, typer.Option(help="only entries behind that index")] = -1,
+    as_json: AsJson = False,
+) -> None:
     """The newest entries of the core's log, as one member holds them: + is committed, ? not known to be."""
     with _told_by(address) as ask:
         found = ask(f"/Core.Log/{after if after >= 0 else 1 << 60}")
         if after < 0:
             found = ask(f"/Core.Log/{max(found['last'] - NEWEST, 0)}")
-        lines = [f"{one['index']:>8} {'+' if one['committed'] else '?'} term {one['term']:<4} " + " ".join(
-            f"{value}" if name == "change" else f"{name}={value}" for name, value in one.items()
-            if name not in ("index", "committed", "term") and value != "") for one in found["entries"]]
+        lines = [
+            f"{one['index']:>8} {'+' if one['committed'] else '?'} term {one['term']:<4} "
+            + " ".join(
+                f"{value}" if name == "change" else f"{name}={value}"
+                for name, value in one.items()
+                if name not in ("index", "committed", "term") and value != ""
+            )
+            for one in found["entries"]
+        ]
     if as_json:
         print(json.dumps(found))
     else:
-        print("\n".join([f"a snapshot holds all up to {found['snapshot-index']}; {found['committed']} of "
-                         f"{found['last']} are committed", *lines]))
+        print(
+            "\n".join(
+                [
+                    f"a snapshot holds all up to {found['snapshot-index']}; {found['committed']} of "
+                    f"{found['last']} are committed",
+                    *lines,
+                ]
+            )
+        )
 
 
 @app.command()
-def members(address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")],
-            as_json: AsJson = False) -> None:
+def members(
+    address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")], as_json: AsJson = False
+) -> None:
     """Who leads the core and who is in it, as one of them sees it."""
     with _told_by(address) as ask:
         core = ask("/Core.Describe")
-        lines = [f"{'*' if one['id'] == core['leader'] else ' '} {one['id']}  {one['control-plane']:21}  "
-                 f"{one['node']}" for one in core["members"]]
+        lines = [
+            f"{'*' if one['id'] == core['leader'] else ' '} {one['id']}  {one['control-plane']:21}  "
+            f"{one['node']}"
+            for one in core["members"]
+        ]
     if as_json:
         print(json.dumps(core))
     else:
-        print("\n".join([f"term {core['term']}, {core['committed']} of {core['last']} entries committed, "
-                         f"configuration {core['revision']}, {core['keys']} keys", *lines]))
+        print(
+            "\n".join(
+                [
+                    f"term {core['term']}, {core['committed']} of {core['last']} entries committed, "
+                    f"configuration {core['revision']}, {core['keys']} keys",
+                    *lines,
+                ]
+            )
+        )
 
 
 mesh = typer.Typer(no_args_is_help=True, rich_markup_mode=None, help="The whole mesh on this machine.")
--- a/cometdoor/services/membership.py
+++ b/cometdoor/services/membership.py
@@ -45,8 +45,10 @@
                 entries[server.name] = server, addresses[server.name]
         after = self._draining(service)
         self._note(service, before, after)
-        own = replace(event, servers=tuple(self._effective(server, addresses.get(server.name))
-                                           for server in event.servers))
+        own = replace(
+            event,
+            servers=tuple(self._effective(server, addresses.get(server.name)) for server in event.servers),
+        )
         return [Told(service, own, dict(addresses)), *self._others(service, before ^ after)]
 
     def forget(self, service: Key) -> list[Told[Key]]:
@@ -57,8 +59,11 @@
         return self._others(service, before)
 
     def _draining(self, service: Key) -> set[Address]:
-        return {address for server, address in self._lists.get(service, {}).values()
-                if server.state is State.DRAINING}
+        return {
+            address
+            for server, address in self._lists.get(service, {}).values()
+            if server.state is State.DRAINING
+        }
 
     def _note(self, service: Key, before: set[Address], after: set[Address]) -> None:
         for address in before - after:
@@ -80,10 +85,18 @@
         for other, entries in self._lists.items():
             if other == service:
                 continue
-            touched = [(server, address) for server, address in entries.values()
-                       if address in changed and server.state is State.READY]
+            touched = [
+                (server, address)
+                for server, address in entries.values()
+                if address in changed and server.state is State.READY
+            ]
             if touched:
                 servers = tuple(self._effective(server, address) for server, address in touched)
-                events.append(Told(other, ListChanged(ListKind.DELTA, servers),
-                                   {server.name: address for server, address in touched}))
+                events.append(
+                    Told(
+                        other,
+                        ListChanged(ListKind.DELTA, servers),
+                        {server.name: address for server, address in touched},
+                    )
+                )
         return events
--- a/cometdoor/services/plan.py
+++ b/cometdoor/services/plan.py
@@ -22,9 +22,16 @@
     need_restart: tuple[str, ...]  # keys that changed and that no running process takes over
 
     def text(self) -> str:
-        parts = [f"{word} {', '.join(names)}" for word, names in (
-            ("starts", self.start), ("ends", self.end), ("built anew", self.rebuild),
-            ("goes on", self.go_on)) if names]
+        parts = [
+            f"{word} {', '.join(names)}"
+            for word, names in (
+                ("starts", self.start),
+                ("ends", self.end),
+                ("built anew", self.rebuild),
+                ("goes on", self.go_on),
+            )
+            if names
+        ]
         return "; ".join(parts)
 
 
@@ -32,8 +39,7 @@
     before = {service.name: service for service in old.service}
     after = {service.name: service for service in new.service}
     both = [name for name in after if name in before]
-    anew = {name for name in both
-            if old.fleet != new.fleet or needs_new_instance(before[name], after[name])}
+    anew = {name for name in both if old.fleet != new.fleet or needs_new_instance(before[name], after[name])}
     return Plan(
         start=tuple(name for name in after if name not in before),
         end=tuple(name for name in before if name not in after),
@@ -48,8 +54,9 @@
         return True
     if any(getattr(old, key) != getattr(new, key) for key in _keys(old) - CARRIED):
         return True
-    return any(getattr(old.limits, key) != getattr(new.limits, key)
-               for key in _keys(old.limits) - CARRIED_LIMITS)
+    return any(
+        getattr(old.limits, key) != getattr(new.limits, key) for key in _keys(old.limits) - CARRIED_LIMITS
+    )
 
 
 def _keys(entry: msgspec.Struct) -> set[str]:
--- a/cometdoor/services/reader.py
+++ b/cometdoor/services/reader.py
@@ -62,8 +62,9 @@
             # RFC 9112, 3.2.2: the target's counts, and goes on as Host.
             read_host(host)
             host = authority
-            request.headers = [(name, authority if name.lower() == b"host" else value)
-                               for name, value in request.headers]
+            request.headers = [
+                (name, authority if name.lower() == b"host" else value) for name, value in request.headers
+            ]
             request.target = target
         stated = headers.get(b"x-qos")
         match = self._routes.find(host, path, stated.decode("latin-1") if stated else None)
@@ -71,8 +72,9 @@
         self._read_class(request, headers, service, match.cls)
         request.service = service
 
-    def _read_class(self, request: ClientRequest, headers: dict[bytes, bytes], service: ServiceT,
-                    name: str | None) -> None:
+    def _read_class(
+        self, request: ClientRequest, headers: dict[bytes, bytes], service: ServiceT, name: str | None
+    ) -> None:
         if name is None and len(service.classes) > 1:
             raise BadRequest(400, "X-Qos is missing: the service has several classes")
         place = 0 if name is None else service.classes.get(name.encode("latin-1"))
--- a/cometdoor/services/routes.py
+++ b/cometdoor/services/routes.py
@@ -247,8 +247,9 @@
             raise BadPattern(f"{text!r} is no path; it begins with / and has no blanks, ? or #")
         segments = as_written(path)
         if segments != as_some_read(path):
-            raise BadPattern(f"{text!r} can be read in two ways; "
-                             "no escaped slash, \\, ; or // can stand there")
+            raise BadPattern(
+                f"{text!r} can be read in two ways; no escaped slash, \\, ; or // can stand there"
+            )
         return segments
     except UnicodeEncodeError:
         raise BadPattern(f"{text!r} has characters that a path can only hold escaped") from None
--- a/cometdoor/services/running.py
+++ b/cometdoor/services/running.py
@@ -34,10 +34,18 @@
 
 
 def class_settings(service: ServiceEntry) -> tuple[api.RequestClass, ...]:
-    return tuple(api.RequestClass(
-        aim_ms=entry.aim_ms, deadline_ms=entry.deadline_ms, effect=Effect(entry.effect),
-        dedup_scope=Scope(entry.key_scope), key_ttl_ms=entry.key_ttl_ms, worth=entry.worth,
-        late_worth=entry.late_worth) for entry in service.classes.values())
+    return tuple(
+        api.RequestClass(
+            aim_ms=entry.aim_ms,
+            deadline_ms=entry.deadline_ms,
+            effect=Effect(entry.effect),
+            dedup_scope=Scope(entry.key_scope),
+            key_ttl_ms=entry.key_ttl_ms,
+            worth=entry.worth,
+            late_worth=entry.late_worth,
+        )
+        for entry in service.classes.values()
+    )
 
 
 class Numbers:
@@ -64,11 +72,20 @@
         zone = self._zones.of(entry.zone)
         cold, fleet = entry.cold, settings.fleet
         module = api.Settings(
-            classes=self.class_settings, balancers=fleet.proxies, position=fleet.place, zone=zone,
-            max_attempts=entry.limits.attempts)
+            classes=self.class_settings,
+            balancers=fleet.proxies,
+            position=fleet.place,
+            zone=zone,
+            max_attempts=entry.limits.attempts,
+        )
         if cold is not None:
-            module = replace(module, cold_from=cold.start, warm_up_ms=cold.warm_up_ms,
-                             overload_factor=cold.overload_factor, fall_ms=cold.fall_ms)
+            module = replace(
+                module,
+                cold_from=cold.start,
+                warm_up_ms=cold.warm_up_ms,
+                overload_factor=cold.overload_factor,
+                fall_ms=cold.fall_ms,
+            )
         guaranteed = owner.guaranteed_of(entry, settings)
         self.servers_share = owner.servers.join(guaranteed, lambda: self.http.close_oldest_idle())
         self.callers_share = owner.callers.join(guaranteed)
@@ -82,22 +99,37 @@
         ahead_ms = 0.0
         if entry.discovery is not None:
             reader = ListReader([entry.zone] if entry.zone else [], [])
-            self.discovery = Discovery(owner.loop, read_address(entry.discovery), reader, must_ask=False,
-                                       revision=0, deliver=self._told)
+            self.discovery = Discovery(
+                owner.loop,
+                read_address(entry.discovery),
+                reader,
+                must_ask=False,
+                revision=0,
+                deliver=self._told,
+            )
             ahead_ms = reader.unix_ahead_ms
-        self.voice = None if owner.voices is None else owner.voices.make(
-            self.name, cold.warm_up_ms if cold else 0.0, ahead_ms, self.http.tell)
+        self.voice = (
+            None
+            if owner.voices is None
+            else owner.voices.make(self.name, cold.warm_up_ms if cold else 0.0, ahead_ms, self.http.tell)
+        )
         if self.voice is not None:
             self.http.observe(self.voice)
 
     def _make(self, module: api.Settings) -> HttpService:
         entry = self.entry
         return HttpService(
-            HostSettings(module, random.getrandbits(63), entry.retry_after), self._owner.loop,
-            self.servers_share, caps=self._caps(), callers=self.callers_share,
-            idle_close_ms=entry.limits.idle_close_ms, connect_timeout_ms=entry.limits.connect_timeout_ms,
-            shortage=Outcome.MOOT, judge=outcome_of if entry.answers == "platform" else outcome_of_any,
-            emptied=self._emptied)
+            HostSettings(module, random.getrandbits(63), entry.retry_after),
+            self._owner.loop,
+            self.servers_share,
+            caps=self._caps(),
+            callers=self.callers_share,
+            idle_close_ms=entry.limits.idle_close_ms,
+            connect_timeout_ms=entry.limits.connect_timeout_ms,
+            shortage=Outcome.MOOT,
+            judge=outcome_of if entry.answers == "platform" else outcome_of_any,
+            emptied=self._emptied,
+        )
 
     def _caps(self) -> Caps:
         limits = self.entry.limits
@@ -132,8 +164,17 @@
             key = listed.name, address
             started[key] = (self._started or {}).get(key, 0.0 if first else now)
             state = State.DRAINING if listed.drain else State.READY
-            servers.append(Server(listed.name, listed.weight, self._zones.of(listed.zone), listed.cell,
-                                  self._kinds.of(listed.kind), state, started[key]))
+            servers.append(
+                Server(
+                    listed.name,
+                    listed.weight,
+                    self._zones.of(listed.zone),
+                    listed.cell,
+                    self._kinds.of(listed.kind),
+                    state,
+                    started[key],
+                )
+            )
             addresses[listed.name] = address
         self._started = started
         self._told(ListChanged(ListKind.FULL, tuple(servers)), addresses)
@@ -183,8 +224,9 @@
 
     ready = True  # one service's trouble must not take the process out of use for the others
 
-    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop,
-                 voices: Voices | None = None) -> None:
+    def __init__(
+        self, settings: Settings, loop: asyncio.AbstractEventLoop, voices: Voices | None = None
+    ) -> None:
         """`voices`: to the planners, where there are any."""
         self.loop = loop
         self.voices = voices
@@ -280,5 +322,11 @@
             service.http.fail_all()
 
     def longest_deadline_s(self) -> float:
-        return max(cls.deadline_ms for service in (*self.running.values(), *self.leaving)
-                   for cls in service.class_settings) / 1000.0
+        return (
+            max(
+                cls.deadline_ms
+                for service in (*self.running.values(), *self.leaving)
+                for cls in service.class_settings
+            )
+            / 1000.0
+        )
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -23,8 +23,9 @@
 class Reloader:
     """One change at a time: a signal that comes while the file is read has it read once more."""
 
-    def __init__(self, path: Path, services: Services, stopping: asyncio.Event,
-                 planning: Path | None = None) -> None:
+    def __init__(
+        self, path: Path, services: Services, stopping: asyncio.Event, planning: Path | None = None
+    ) -> None:
         """`planning`: the file of forwarders, of which the keys are read again."""
         self._path = path
         self._planning = planning
@@ -92,8 +93,12 @@
         log.info("applied in %.1f ms: %s", took_ms, steps.text())
 
 
-async def serve(path: Path, settings: Settings, planning: Path | None = None,
-                voices: Callable[[asyncio.AbstractEventLoop], Voices] | None = None) -> None:
+async def serve(
+    path: Path,
+    settings: Settings,
+    planning: Path | None = None,
+    voices: Callable[[asyncio.AbstractEventLoop], Voices] | None = None,
+) -> None:
     """`planning` and `voices`: the file of forwarders and what makes their voices of it, if there is one."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
@@ -104,8 +109,11 @@
     await services.start()
     settle_collector()
     addresses = [services.front.address(place) for place in range(len(settings.listener))]
-    log.info("serves %d services on %s", len(services.running),
-             ", ".join(f"{host}:{port}" for host, port in addresses))
+    log.info(
+        "serves %d services on %s",
+        len(services.running),
+        ", ".join(f"{host}:{port}" for host, port in addresses),
+    )
     await stopping.wait()
     await end_serving(services.front, services, services.longest_deadline_s())
     services.stop()
--- a/cometdoor/services/settings.py
+++ b/cometdoor/services/settings.py
@@ -104,10 +104,17 @@
         return [read_address(listener.address, least=0) for listener in self.listener]
 
     def routes(self) -> list[Route]:
-        return [Route(service.name, read_host_pattern(route.host), read_path_prefix(route.path), route.cls,
-                      f"service.{place}.routes.{number}")
-                for place, service in enumerate(self.service)
-                for number, route in enumerate(service.routes)]
+        return [
+            Route(
+                service.name,
+                read_host_pattern(route.host),
+                read_path_prefix(route.path),
+                route.cls,
+                f"service.{place}.routes.{number}",
+            )
+            for place, service in enumerate(self.service)
+            for number, route in enumerate(service.routes)
+        ]
 
 
 def load_settings(path: Path) -> Settings:
@@ -140,16 +147,21 @@
     names: dict[str, int] = {}
     for place, service in enumerate(settings.service):
         if service.name in names:
-            yield (f"service.{place}.name",
-                   f"{service.name} is the name of service.{names[service.name]} too; names are unique")
+            yield (
+                f"service.{place}.name",
+                f"{service.name} is the name of service.{names[service.name]} too; names are unique",
+            )
         names.setdefault(service.name, place)
         yield from _check_service(service, f"service.{place}")
     yield from _check_routes(settings)
     guaranteed = sum(service.limits.guaranteed_sockets or 0 for service in settings.service)
     room = server_places(settings.sockets)
     if guaranteed > room:
-        yield ("sockets", f"{settings.sockets} leave {room} for connections to servers; "
-                          f"the services' guaranteed_sockets sum up to {guaranteed}")
+        yield (
+            "sockets",
+            f"{settings.sockets} leave {room} for connections to servers; "
+            f"the services' guaranteed_sockets sum up to {guaranteed}",
+        )
 
 
 def server_places(sockets: int) -> int:
@@ -192,8 +204,10 @@
         yield f"{at}.routes", "at least one is needed; without one no request can reach the service"
     for place, route in enumerate(service.routes):
         if route.cls is not None and route.cls not in service.classes:
-            yield (f"{at}.routes.{place}.class",
-                   f"{route.cls} is no class of this service; it has {', '.join(service.classes) or 'none'}")
+            yield (
+                f"{at}.routes.{place}.class",
+                f"{route.cls} is no class of this service; it has {', '.join(service.classes) or 'none'}",
+            )
 
 
 def _check_routes(settings: Settings) -> Iterator[tuple[str, str]]:
@@ -210,8 +224,11 @@
     if not sound:
         return
     for earlier, later in same_right(settings.routes()):
-        yield (later.place, f"{later.text()} to {later.service} has the same right as {earlier.place}, "
-                            f"{earlier.text()} to {earlier.service}; one of the two must say more")
+        yield (
+            later.place,
+            f"{later.text()} to {later.service} has the same right as {earlier.place}, "
+            f"{earlier.text()} to {earlier.service}; one of the two must say more",
+        )
     try:
         up = read_path_prefix(settings.up)
     except BadPattern as problem:
--- a/cometdoor/wire/lines.py
+++ b/cometdoor/wire/lines.py
@@ -205,6 +205,7 @@
             line = Line(self, "")
             self._taken[line] = None
             return line
+
         self._server = await self.loop.create_server(taken, host, port, reuse_address=True, backlog=512)
         self._sweep()
 
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -334,10 +334,39 @@
     answer: Ran | None = None
 
 
-Message = (Ping | Pong | Refusal | Run | Ran | NotRun | Broke | Cancel | News | Compare | Compared | Reach
-           | Reached | AskConfiguration | ConfigurationIs | AskVote | Vote | Append | Appended | Install
-           | TakeOver | Join | Leave | AskLeader | LeaderIs | Claims | Claimed | AskShares | SharesAre
-           | AskOperation | OperationIs)
+Message = (
+    Ping
+    | Pong
+    | Refusal
+    | Run
+    | Ran
+    | NotRun
+    | Broke
+    | Cancel
+    | News
+    | Compare
+    | Compared
+    | Reach
+    | Reached
+    | AskConfiguration
+    | ConfigurationIs
+    | AskVote
+    | Vote
+    | Append
+    | Appended
+    | Install
+    | TakeOver
+    | Join
+    | Leave
+    | AskLeader
+    | LeaderIs
+    | Claims
+    | Claimed
+    | AskShares
+    | SharesAre
+    | AskOperation
+    | OperationIs
+)
 
 
 class Frame(msgspec.Struct, array_like=True):
@@ -372,13 +401,13 @@
         frames: list[Frame] = []
         at = 0
         while len(held) - at >= 4:
-            size = int.from_bytes(held[at:at + 4], "big")
+            size = int.from_bytes(held[at : at + 4], "big")
             if size > MAX_FRAME:
                 raise BadFrame(f"a frame of {size} bytes")
             if len(held) - at - 4 < size:
                 break
             try:
-                frames.append(_decoder.decode(memoryview(held)[at + 4:at + 4 + size].tobytes()))
+                frames.append(_decoder.decode(memoryview(held)[at + 4 : at + 4 + size].tobytes()))
             except msgspec.MsgspecError as problem:
                 raise BadFrame(str(problem)) from problem
             at += 4 + size
--- a/examples/booking.py
+++ b/examples/booking.py
@@ -1,6 +1,6 @@
 """A booking that is made once, whatever becomes of its answers.
 
-    python -m examples.booking 127.0.0.1:8147 pitches.example
+python -m examples.booking 127.0.0.1:8147 pitches.example
 """
 
 from __future__ import annotations
@@ -14,8 +14,16 @@
 
 async def book(client: Client, host: str, path: str, order: str, within_s: float = 4.0) -> Answer:
     """One order under one key. Raises NotRun, MayHaveRun or HasRun."""
-    return await client.call("POST", host, path, deadline_s=within_s, kind=Kind.KEYED, key=order,
-                             headers={"Content-Type": "application/json"}, body=b'{"pitch": 7}')
+    return await client.call(
+        "POST",
+        host,
+        path,
+        deadline_s=within_s,
+        kind=Kind.KEYED,
+        key=order,
+        headers={"Content-Type": "application/json"},
+        body=b'{"pitch": 7}',
+    )
 
 
 async def book_and_tell(client: Client, host: str, path: str, order: str) -> str:
--- a/examples/change.py
+++ b/examples/change.py
@@ -1,6 +1,6 @@
 """An operator's change that survives another operator's, made at the same moment.
 
-    python -m examples.change 10.0.0.1:8144,10.0.0.2:8144 r-search 2.5
+python -m examples.change 10.0.0.1:8144,10.0.0.2:8144 r-search 2.5
 """
 
 from __future__ import annotations
@@ -16,12 +16,17 @@
     """The version that has it. Raises Invalid, Unanswered, or KeyError where there is no such route."""
 
     def edit(configuration: dict[str, Any]) -> None:
-        found = [one for host in configuration.get("hosts", []) for one in host["host-routes"]
-                 if one["name"] == route]
+        found = [
+            one
+            for host in configuration.get("hosts", [])
+            for one in host["host-routes"]
+            if one["name"] == route
+        ]
         if not found:
             raise KeyError(route)
         for one in found:
             one["timeout-s"] = timeout_s
+
     return int((await operator.change(edit))["revision"])
 
 
--- a/examples/leaving.py
+++ b/examples/leaving.py
@@ -1,6 +1,6 @@
 """A backend that leaves in order when it gets SIGTERM.
 
-    python -m examples.leaving 127.0.0.1:8144 127.0.0.1:8145 pitches
+python -m examples.leaving 127.0.0.1:8144 127.0.0.1:8145 pitches
 """
 
 from __future__ import annotations
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -104,8 +104,9 @@
         if not 0 < self.cold_from <= 1:
             raise ValueError(f"cold_from: {self.cold_from} is not in (0, 1]")
         _positive(self, "ask_within_ms", "overload_factor", "fall_ms")
-        _not_negative(self, "warm_up_ms", "cross_zone_price", "over_share_worth", "whole_weight",
-                      "worst_class_weight")
+        _not_negative(
+            self, "warm_up_ms", "cross_zone_price", "over_share_worth", "whole_weight", "worst_class_weight"
+        )
 
 
 def _positive(owner: object, *names: str) -> None:
@@ -250,8 +251,18 @@
     cls: RequestClass
 
 
-Event = (ClassAdded | RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted
-         | Advised | Lent | BudgetChanged)
+Event = (
+    ClassAdded
+    | RequestArrived
+    | AttemptEnded
+    | TimerFired
+    | ListChanged
+    | ClientGone
+    | StreamStarted
+    | Advised
+    | Lent
+    | BudgetChanged
+)
 
 
 # --- actions ---
--- a/jasperhall/simhost.py
+++ b/jasperhall/simhost.py
@@ -35,8 +35,14 @@
     "recalled": api.Outcome.CANCELLED,
     "superseded": api.Outcome.MOOT,
 }
-LOADS = {"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
-         "tps": "qps", "err_ps": "eps"}
+LOADS = {
+    "concurrent": "inflight",
+    "depth": "queue",
+    "load_share": "util",
+    "mean_ms": "latency_ms",
+    "tps": "qps",
+    "err_ps": "eps",
+}
 COST_IS_VALID, IS_RETRY = 1, 2
 
 Values = list[Any]
@@ -72,8 +78,7 @@
 
 
 def read_settings(info: dict[str, Any]) -> api.Settings:
-    limits, rules, prices, goal = (
-        part(info, name, {}) for name in ("limits", "obligations", "fees", "goal"))
+    limits, rules, prices, goal = (part(info, name, {}) for name in ("limits", "obligations", "fees", "goal"))
     return api.Settings(
         classes=tuple(read_class(lane) for lane in info["lanes"]),
         tenants=tuple(api.Tenant(tenant["allowance_per_s"]) for tenant in part(info, "tenants", ())),
@@ -108,15 +113,24 @@
     request, class_index, cost_ms, _key, tenant, bits, left_ms = values[1:8]
     bits = bits or 0
     return api.RequestArrived(
-        request, int(class_index), float(left_ms), int(tenant or 0),
-        cost_ms if bits & COST_IS_VALID else None, bool(bits & IS_RETRY),
+        request,
+        int(class_index),
+        float(left_ms),
+        int(tenant or 0),
+        cost_ms if bits & COST_IS_VALID else None,
+        bool(bits & IS_RETRY),
     )
 
 
 def read_outcome(values: Values) -> api.Event:
     request, server, attempt, outcome, final, latency_ms, load = values[1:8]
     return api.AttemptEnded(
-        request, int(attempt), server, OUTCOMES[outcome], bool(final), float(latency_ms or 0.0),
+        request,
+        int(attempt),
+        server,
+        OUTCOMES[outcome],
+        bool(final),
+        float(latency_ms or 0.0),
         read_load(load),
     )
 
@@ -164,8 +178,14 @@
                     self._run_event(instance, values, now, orders)
                 if orders:
                     replies.append({"proxy_id": instance, "orders": orders})
-        except (orjson.JSONDecodeError, KeyError, IndexError, TypeError, ValueError,
-                AttributeError) as problem:
+        except (
+            orjson.JSONDecodeError,
+            KeyError,
+            IndexError,
+            TypeError,
+            ValueError,
+            AttributeError,
+        ) as problem:
             raise MalformedInput(f"{type(problem).__name__}: {problem}") from problem
         return orjson.dumps({"proxys": replies})
 
--- a/lab/budget.py
+++ b/lab/budget.py
@@ -52,9 +52,17 @@
         """A new life: nothing of the former is known."""
         self.life += 1
         self.budget = AttemptBudget(api.AttemptBudget(0.0, RATIO * OWN_SHARE, SPAN_S * 1000.0))
-        self.shares = Shares(self.town, self, f"{self.number}.{self.life}",  # type: ignore[arg-type]
-                             lambda: [LEADER], lambda: self.town.size, self._changed,
-                             ratio=RATIO, slack=SLACK, span_s=SPAN_S)
+        self.shares = Shares(
+            self.town,  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
+            f"{self.number}.{self.life}",
+            lambda: [LEADER],
+            lambda: self.town.size,
+            self._changed,
+            ratio=RATIO,
+            slack=SLACK,
+            span_s=SPAN_S,
+        )
         self.share = self.shares.of(SERVICE)
         self._requests_owed = self._tries_owed = 0.0
 
@@ -123,6 +131,7 @@
             if state["is_open"]:
                 state["is_open"] = False
                 done(reply)
+
         self.call_later(PATIENCE_S, finish, PeerError("answer", LEADER, "silent", True))
         chance, weather = self.chance, self.weather
         if chance.random() >= weather.lost:
@@ -136,11 +145,17 @@
         pool = self.pool
         if self._deposed is not None and self.now < self._deposed[1] and self.chance.random() < 0.5:
             pool = self._deposed[0]
-        reply: Message = Refusal("nobody leads") if pool is None else SharesAre(
-            self.now, pool.ask(message.life, message.stamp, message.needs, self.now))
+        reply: Message = (
+            Refusal("nobody leads")
+            if pool is None
+            else SharesAre(self.now, pool.ask(message.life, message.stamp, message.needs, self.now))
+        )
         if self.chance.random() >= self.weather.lost:
-            way_s = self.chance.uniform(0.0, self.weather.late_s) if (
-                self.chance.random() < self.weather.late) else 0.002
+            way_s = (
+                self.chance.uniform(0.0, self.weather.late_s)
+                if (self.chance.random() < self.weather.late)
+                else 0.002
+            )
             self.call_later(way_s, finish, reply)
 
     # --- then ---
@@ -174,6 +189,7 @@
         share = chance.choice([0.0, 0.1, 0.5, 1.0])
         for proxy in town.proxies:
             proxy.wants_per_s = 2000.0 / size if chance.random() < share else 0.0
+
     traffic(1.0)
     needs()
     while town.now < seconds:
--- a/lab/claims.py
+++ b/lab/claims.py
@@ -72,6 +72,7 @@
                 work()
             if member.waiting:
                 self._sync(member)
+
         self.call_later(SYNC_S * self.chance.uniform(1.0, 1.5), done)
 
     def ordered(self, began: float, zone: int, member: Member) -> None:
@@ -94,9 +95,17 @@
     def arrived() -> None:
         core.sync(first, one_more)
         for other in others:
-            core.send(first.place, other.place, lambda other=other: core.take(  # type: ignore[misc]
-                other, lambda: core.sync(other, lambda: core.send(
-                    other.place, first.place, lambda: core.take(first, one_more)))))
+            core.send(
+                first.place,
+                other.place,
+                lambda other=other: core.take(  # type: ignore[misc]
+                    other,
+                    lambda: core.sync(
+                        other, lambda: core.send(other.place, first.place, lambda: core.take(first, one_more))
+                    ),
+                ),
+            )
+
     core.send(zone, first.place, lambda: core.take(first, arrived))
 
 
@@ -133,13 +142,22 @@
             have += 1
             if have == need:
                 then(member)
+
         for member in up:
-            core.send(zone, member.place, lambda member=member: core.take(  # type: ignore[misc]
-                member, lambda: core.sync(member, lambda: core.send(
-                    member.place, zone, lambda: one_more(member)))))
+            core.send(
+                zone,
+                member.place,
+                lambda member=member: core.take(  # type: ignore[misc]
+                    member,
+                    lambda: core.sync(
+                        member, lambda: core.send(member.place, zone, lambda: one_more(member))
+                    ),
+                ),
+            )
 
     def taken(member: Member) -> None:
         core.taken_s.append(core.now - began)
+
     # All three must take it at once; with a repeat elsewhere at that moment, or one down: two rounds.
     if len(up) == MEMBERS and core.chance.random() >= 0.02:
         round_of(MEMBERS, taken)
@@ -165,9 +183,11 @@
     def play(loses: bool) -> Core:
         core = Core(seed)
         if loses:
+
             def lose() -> None:
                 core.members[0].is_up = False
                 core.lost_at = core.now
+
             core.call_later(1.0, lose)
         at, key, end = 0.0, 0, 2.0 if loses else seconds
         while (at := at + core.chance.expovariate(per_s)) < end:
@@ -178,13 +198,19 @@
         core.run(end + 5.0)
         core.taken_s.sort()
         return core
+
     calm, lossy = play(False), play(True)
     count = len(calm.taken_s)
 
     def at_share(times: list[float], share: float) -> float:
         return 1000.0 * times[min(int(len(times) * share), len(times) - 1)]
-    return Cost(at_share(calm.taken_s, 0.5), at_share(calm.taken_s, 0.99),
-                sum(member.syncs for member in calm.members) / count,
-                sum(member.messages for member in calm.members) / count,
-                max(member.messages for member in calm.members) * HANDS_S / seconds,
-                at_share(lossy.taken_s, 0.5), at_share(lossy.taken_s, 1.0))
+
+    return Cost(
+        at_share(calm.taken_s, 0.5),
+        at_share(calm.taken_s, 0.99),
+        sum(member.syncs for member in calm.members) / count,
+        sum(member.messages for member in calm.members) / count,
+        max(member.messages for member in calm.members) * HANDS_S / seconds,
+        at_share(lossy.taken_s, 0.5),
+        at_share(lossy.taken_s, 1.0),
+    )
--- a/lab/core.py
+++ b/lab/core.py
@@ -243,8 +243,11 @@
             if waited is not None and waited[0] == entry.term:
                 self._ordered(entry.index, waited[1], verdict)
         is_member = any(member.id == consensus.me.id for member in consensus.members)
-        if consensus.role is not Role.LEADER and self.now >= machine.join_at and (
-                not is_member or self.now - consensus.heard_leader_at > 1.5):
+        if (
+            consensus.role is not Role.LEADER
+            and self.now >= machine.join_at
+            and (not is_member or self.now - consensus.heard_leader_at > 1.5)
+        ):
             machine.join_at = self.now + JOIN_EVERY_S
             for other in self.machines:
                 if other is not machine:
@@ -348,8 +351,16 @@
     acknowledged = 0
     for seed in range(schedules):
         acknowledged += len(schedule(seed, 3 if seed % 2 else 5).acknowledged)
-    print(msgspec.json.encode({"schedules": schedules, "acknowledged": acknowledged,
-                               "acknowledged_lost": 0, "two_leaders_in_a_term": 0}).decode())
+    print(
+        msgspec.json.encode(
+            {
+                "schedules": schedules,
+                "acknowledged": acknowledged,
+                "acknowledged_lost": 0,
+                "two_leaders_in_a_term": 0,
+            }
+        ).decode()
+    )
     return 0
 
 
--- a/lab/defects.py
+++ b/lab/defects.py
@@ -17,6 +17,7 @@
 
     def send(self: Consensus, address: str, message: object, after_writes: bool = False) -> None:
         self.outbox.append((address, message))
+
     return mock.patch.object(Consensus, "_send", send)
 
 
@@ -28,9 +29,11 @@
         id = self.nodes[place].id
         wipe(self, place)
         self.nodes[place].id = id
-        members = next(write for write in World.of(len(self.nodes)).nodes[0].disk
-                       if isinstance(write, module.Stored))
+        members = next(
+            write for write in World.of(len(self.nodes)).nodes[0].disk if isinstance(write, module.Stored)
+        )
         self.nodes[place].disk = (module.Identity(id), members)
+
     return mock.patch.object(World, "_wipe", wipe_and_keep_the_id)
 
 
@@ -42,6 +45,7 @@
         if self.role is Role.LEADER:
             marks = sorted([self._on_disk, *(self.peers[member.id].match for member in self._others())])
             self.committed = max(self.committed, marks[len(marks) - self._majority()])
+
     with ExitStack() as stack:
         stack.enter_context(mock.patch.object(Consensus, "_advance", advance))
         stack.enter_context(mock.patch.object(module, "BATCH", 1))
@@ -57,6 +61,7 @@
             index = marks[len(marks) - self._majority()]
             if index > self.committed and self.term_at(index) == self.term:
                 self.committed = index
+
     return mock.patch.object(Consensus, "_advance", advance)
 
 
@@ -66,6 +71,7 @@
 
     def take_but_the_vote(self: Held, write: module.Write) -> None:
         take(self, Promise(write.term, "") if isinstance(write, Promise) else write)
+
     return mock.patch.object(Held, "take", take_but_the_vote)
 
 
@@ -76,6 +82,7 @@
     def grant(self: Consensus, message: Any, address: str) -> None:
         message.last_term, message.last_index = 1 << 30, 1 << 30
         ask(self, message, address)
+
     return mock.patch.object(Consensus, "_on_ask_vote", grant)
 
 
@@ -96,14 +103,30 @@
 # Where a defect shows only after events in one certain order, that order; walks find the others.
 COURSES: dict[str, list[Step]] = {
     "commits an older term's entry by count": [
-        _step("elect", 0, 1), *[_step("elect", 2, 1)] * 2, *[_step("elect", 0, 1)] * 2,
-        *[_step("send once", 0, 1)] * 2, _step("crash", 0), *[_step("elect", 2, 1)] * 2],
+        _step("elect", 0, 1),
+        *[_step("elect", 2, 1)] * 2,
+        *[_step("elect", 0, 1)] * 2,
+        *[_step("send once", 0, 1)] * 2,
+        _step("crash", 0),
+        *[_step("elect", 2, 1)] * 2,
+    ],
     "a leader counts itself before its disk": [
-        _step("elect", 0, 1, 2), _step("send", 0, 1, 2), _step("order", 0, hangs=0),
-        _step("send", 0, 1, hangs=0), _step("crash", 0), _step("start", 0), *[_step("elect", 0, 2)] * 2],
+        _step("elect", 0, 1, 2),
+        _step("send", 0, 1, 2),
+        _step("order", 0, hangs=0),
+        _step("send", 0, 1, hangs=0),
+        _step("crash", 0),
+        _step("start", 0),
+        *[_step("elect", 0, 2)] * 2,
+    ],
     "forgets its vote when it starts again": [
-        _step("trial", 0, 1), _step("trial", 2, 1), _step("stand", 0, 1), _step("crash", 1),
-        _step("start", 1), _step("stand", 2, 1)],
+        _step("trial", 0, 1),
+        _step("trial", 2, 1),
+        _step("stand", 0, 1),
+        _step("crash", 1),
+        _step("start", 1),
+        _step("stand", 2, 1),
+    ],
 }
 WALKS = 400  # the others are found within a fourth of them
 
--- a/lab/exhaustive.py
+++ b/lab/exhaustive.py
@@ -63,8 +63,11 @@
     hangs: int = -1  # whose disk; -1: nobody's
 
     def __str__(self) -> str:
-        return (f"{self.what} {self.who}" + (f" reaching {sorted(self.reached)}" if self.reached else "")
-                + (f", disk of {self.hangs} hangs" if self.hangs >= 0 else ""))
+        return (
+            f"{self.what} {self.who}"
+            + (f" reaching {sorted(self.reached)}" if self.reached else "")
+            + (f", disk of {self.hangs} hangs" if self.hangs >= 0 else "")
+        )
 
 
 @dataclass
@@ -109,9 +112,13 @@
 
     def clone(self) -> World:
         return replace(
-            self, left=copy(self.left), committed=dict(self.committed), leaders=dict(self.leaders),
+            self,
+            left=copy(self.left),
+            committed=dict(self.committed),
+            leaders=dict(self.leaders),
             committed_in=dict(self.committed_in),
-            nodes=[Node(node.id, node.disk, _clone(node.consensus), node.lives) for node in self.nodes])
+            nodes=[Node(node.id, node.disk, _clone(node.consensus), node.lives) for node in self.nodes],
+        )
 
     def _start(self, place: int) -> None:
         node = self.nodes[place]
@@ -164,8 +171,11 @@
         world = self.clone()
         world.steps = (*self.steps, step)
         world.now += APART_S
-        before = {place: node.consensus.entries for place, node in enumerate(self.nodes)
-                  if node.consensus is not None and node.consensus.role is Role.LEADER}
+        before = {
+            place: node.consensus.entries
+            for place, node in enumerate(self.nodes)
+            if node.consensus is not None and node.consensus.role is Role.LEADER
+        }
         world._do(step)
         world._check(before, self)
         return world
@@ -232,8 +242,12 @@
                     target = self.nodes[to].consensus
                     if step.what == "trial" and isinstance(message, AskVote) and not message.trial:
                         kept.append((address, message))
-                    elif (to in among and step.who in (place, to) and isinstance(message, kinds)
-                            and target is not None):
+                    elif (
+                        to in among
+                        and step.who in (place, to)
+                        and isinstance(message, kinds)
+                        and target is not None
+                    ):
                         target.receive(_through_wire(message), self.now)
                         moved = True
             if not moved:
@@ -256,16 +270,21 @@
     # --- then ---
 
     def _check(self, led: dict[int, list[Entry]], before: World) -> None:
-        logs = [(place, node.consensus) for place, node in enumerate(self.nodes)
-                if node.consensus is not None]
+        logs = [
+            (place, node.consensus) for place, node in enumerate(self.nodes) if node.consensus is not None
+        ]
         for place, consensus in logs:
             if consensus.role is Role.LEADER:
                 first = self.leaders.setdefault(consensus.term, consensus.me.id)
                 if first != consensus.me.id:
                     self._broken(f"term {consensus.term} has two leaders")
                 earlier = before.nodes[place].consensus
-                if (place in led and earlier is not None and earlier.term == consensus.term
-                        and consensus.entries[:len(led[place])] != led[place]):
+                if (
+                    place in led
+                    and earlier is not None
+                    and earlier.term == consensus.term
+                    and consensus.entries[: len(led[place])] != led[place]
+                ):
                     self._broken(f"leader {place} changed its own log")
         for place, consensus in logs:
             for index in range(consensus.base + 1, consensus.committed + 1):
@@ -279,13 +298,14 @@
             if consensus.role is Role.LEADER:
                 for index, (term, change) in self.committed.items():
                     if consensus.term > self.committed_in[index] and (
-                            consensus.term_at(index) != term or consensus.entry(index).change != change):
+                        consensus.term_at(index) != term or consensus.entry(index).change != change
+                    ):
                         self._broken(f"leader {place} lacks entry {index}, which was committed")
 
     def _check_match(self, place: int, one: Consensus, other: int, another: Consensus) -> None:
         for index in range(min(one.last_index, another.last_index), max(one.base, another.base), -1):
             if one.term_at(index) == another.term_at(index):
-                if one.entries[:index - one.base] != another.entries[:index - another.base]:
+                if one.entries[: index - one.base] != another.entries[: index - another.base]:
                     self._broken(f"logs of {place} and {other} differ below entry {index}")
                 return
 
@@ -294,17 +314,27 @@
 
     def key(self) -> bytes:
         """The same for states from which the same can come. Time is no part of it."""
-        parts: list[Any] = [(self.left.changes, self.left.crashes, self.left.wipes,
-                             sorted(self.committed_in.items()))]
+        parts: list[Any] = [
+            (self.left.changes, self.left.crashes, self.left.wipes, sorted(self.committed_in.items()))
+        ]
         for node in self.nodes:
             consensus = node.consensus
             parts.append((node.id, node.disk))
             if consensus is not None:
-                parts.append((
-                    consensus.term, consensus.voted_for, consensus.role.value, consensus.leader,
-                    consensus.committed, consensus.entries, consensus._writes, consensus._on_disk,
-                    len(consensus.outbox),
-                    sorted((id, peer.next, peer.match) for id, peer in consensus.peers.items())))
+                parts.append(
+                    (
+                        consensus.term,
+                        consensus.voted_for,
+                        consensus.role.value,
+                        consensus.leader,
+                        consensus.committed,
+                        consensus.entries,
+                        consensus._writes,
+                        consensus._on_disk,
+                        len(consensus.outbox),
+                        sorted((id, peer.next, peer.match) for id, peer in consensus.peers.items()),
+                    )
+                )
         return msgspec.msgpack.encode(parts)
 
 
@@ -315,16 +345,25 @@
     header, rest = parts[0], parts[1:]
     nodes: list[Any] = []
     for node in world.nodes:
-        nodes.append(rest[:1 if node.consensus is None else 2])
-        rest = rest[len(nodes[-1]):]
-    looks = [msgspec.msgpack.encode(_renamed(node, {str(place): "me"}, "?"))
-             for place, node in enumerate(nodes)]
+        nodes.append(rest[: 1 if node.consensus is None else 2])
+        rest = rest[len(nodes[-1]) :]
+    looks = [
+        msgspec.msgpack.encode(_renamed(node, {str(place): "me"}, "?")) for place, node in enumerate(nodes)
+    ]
     order = sorted(range(len(nodes)), key=looks.__getitem__)
     alike = [list(group) for _, group in groupby(order, key=looks.__getitem__)]
-    return min(msgspec.msgpack.encode([header, [
-        _renamed(nodes[place], {str(one): str(number) for number, one in enumerate(chosen)}, "?")
-        for place in chosen]])
-        for chosen in (list(chain(*each)) for each in product(*map(permutations, alike))))
+    return min(
+        msgspec.msgpack.encode(
+            [
+                header,
+                [
+                    _renamed(nodes[place], {str(one): str(number) for number, one in enumerate(chosen)}, "?")
+                    for place in chosen
+                ],
+            ]
+        )
+        for chosen in (list(chain(*each)) for each in product(*map(permutations, alike)))
+    )
 
 
 def _renamed(value: Any, names: dict[str, str], other: str) -> Any:
@@ -334,8 +373,9 @@
         return value[0] + names.get(value[1], other) + value[2:]
     if isinstance(value, list):
         drawn = [_renamed(one, names, other) for one in value]
-        if drawn and all(isinstance(one, list) and one and isinstance(one[0], str) and one[0][0] == "m"
-                         for one in drawn):
+        if drawn and all(
+            isinstance(one, list) and one and isinstance(one[0], str) and one[0][0] == "m" for one in drawn
+        ):
             drawn.sort(key=repr)
         return drawn
     return value
@@ -357,17 +397,26 @@
         return None
     # By hand: a third of all the time went into `copy`'s ways of finding out what it has.
     one = Consensus.__new__(Consensus)
-    vars(one).update((name, value.copy() if type(value) in (list, dict, set) else value)
-                     for name, value in vars(consensus).items())
-    one.peers = {id: Peer(peer.next, peer.match, peer.sent_at, peer.heard_at, peer.round)
-                 for id, peer in consensus.peers.items()}
+    vars(one).update(
+        (name, value.copy() if type(value) in (list, dict, set) else value)
+        for name, value in vars(consensus).items()
+    )
+    one.peers = {
+        id: Peer(peer.next, peer.match, peer.sent_at, peer.heard_at, peer.round)
+        for id, peer in consensus.peers.items()
+    }
     return one
 
 
-def explore(members: int, depth: int, limits: Limits | None = None, first: int | None = None,
-            most: int = 1 << 60, key_of: Callable[[World], bytes] = World.key) -> int:
-    """All states to a depth, each once; how many. `first`: only those behind that first step. Raises Broken.
-    """
+def explore(
+    members: int,
+    depth: int,
+    limits: Limits | None = None,
+    first: int | None = None,
+    most: int = 1 << 60,
+    key_of: Callable[[World], bytes] = World.key,
+) -> int:
+    """All states to a depth, each once; how many. `first`: those behind that first step. Raises Broken."""
     start = World.of(members, limits)
     level = [start] if first is None else [start.take(list(start.choices())[first])]
     seen = {key_of(world) for world in level}
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -43,13 +43,18 @@
         super().__init__(folder, core, planes)
         self.loop = loop
         self.programs: dict[str, DataPlane | ControlPlane] = {}
-        self.backends = {address: Backend(address, self.ledger, services[place % len(services)])
-                         for place, address in enumerate(self.planes)}
+        self.backends = {
+            address: Backend(address, self.ledger, services[place % len(services)])
+            for place, address in enumerate(self.planes)
+        }
         self._processes: dict[str, Process] = {}  # programs by address
         self._applications: dict[str, Process] = {}
         self.vaults: list[Vault] = []  # of all lives
-        loop.set_exception_handler(lambda loop, context: self.ledger.broken.append(
-            f"{context['message']}: {context.get('exception')!r}"))
+        loop.set_exception_handler(
+            lambda loop, context: self.ledger.broken.append(
+                f"{context['message']}: {context.get('exception')!r}"
+            )
+        )
 
     def run(self, work: Coroutine[Any, Any, Result]) -> Result:
         return self.loop.run_until_complete(work)
@@ -68,8 +73,9 @@
 
     async def launch(self, address: str) -> None:
         role, path = self.settings(address)
-        boot = replace(read_boot(path.read_bytes(), str(path), role),
-                       initial_start=address not in self._processes)  # true once in its life
+        boot = replace(
+            read_boot(path.read_bytes(), str(path), role), initial_start=address not in self._processes
+        )  # true once in its life
         process = self._processes[address] = Process(address, role)
 
         def begin() -> Coroutine[Any, Any, None]:
@@ -78,6 +84,7 @@
             if isinstance(program, ControlPlane):
                 self.vaults.append(program.core.vault)
             return program.start()
+
         self.loop.begin(process, begin)
 
     def plane(self, address: str) -> DataPlane:
@@ -87,9 +94,14 @@
 
     def leader(self) -> str:
         """The address of the core machine that leads."""
-        return next(address for address in self.core if self._processes[address].is_alive
-                    and (program := self.programs[address]) and isinstance(program, ControlPlane)
-                    and program.core.leads)
+        return next(
+            address
+            for address in self.core
+            if self._processes[address].is_alive
+            and (program := self.programs[address])
+            and isinstance(program, ControlPlane)
+            and program.core.leads
+        )
 
     def kill(self, address: str, silent: bool = False) -> None:
         """The program there, not its backend."""
@@ -105,6 +117,7 @@
         async def end() -> None:
             await program.end(GRACE_S)
             self.loop.call_soon(self.loop.kill, process)
+
         self.loop.begin(process, end)
 
     async def start_backend(self, address: str) -> None:
@@ -136,8 +149,9 @@
 
 
 @contextlib.contextmanager
-def fleet(seed: int = 1, core: int = 3, planes: int = 4,
-          services: list[str] | None = None) -> Iterator[Fleet]:
+def fleet(
+    seed: int = 1, core: int = 3, planes: int = 4, services: list[str] | None = None
+) -> Iterator[Fleet]:
     """`services`: of the data planes' backends, in turn."""
     loop = VirtualLoop()
     chance = random.Random(seed)
@@ -145,12 +159,14 @@
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="cometdoor-lab-"))
         for target, name, instead in (
-                (time, "monotonic", loop.time), (os, "fsync", lambda number: None),
-                (socket, "create_server", lambda address, **options: Listener(loop, address)),
-                (secrets, "randbits", chance.getrandbits),
-                (secrets, "token_hex", lambda count=16: f"{chance.getrandbits(8 * count):0{2 * count}x}"),
-                (cometdoor.http.caller, "is_readable", has_unread),
-                (cometdoor.http.upstream, "is_readable", has_unread)):
+            (time, "monotonic", loop.time),
+            (os, "fsync", lambda number: None),
+            (socket, "create_server", lambda address, **options: Listener(loop, address)),
+            (secrets, "randbits", chance.getrandbits),
+            (secrets, "token_hex", lambda count=16: f"{chance.getrandbits(8 * count):0{2 * count}x}"),
+            (cometdoor.http.caller, "is_readable", has_unread),
+            (cometdoor.http.upstream, "is_readable", has_unread),
+        ):
             stack.enter_context(mock.patch.object(target, name, instead))
         town = Fleet(loop, Path(folder), core, planes, services or [SERVICE])
         try:
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -53,8 +53,9 @@
 def is_linearizable(history: Sequence[Operation], first: int = 0) -> bool:
     """Whether the register may have gone through it, `first` being what it held before."""
     # A read that was not answered says nothing.
-    calls = sorted((one for one in history if not one.is_read or one.answer is not None),
-                   key=lambda one: one.began)
+    calls = sorted(
+        (one for one in history if not one.is_read or one.answer is not None), key=lambda one: one.began
+    )
     must = sum(one.answer is not None for one in calls)
     tried: set[tuple[int, int]] = set()  # those that have come, as bits, and what is held
     stack = [(0, first, 0)]
@@ -110,8 +111,11 @@
 
     def _begin(self, client: Client) -> None:
         # Who is cut off may still take itself for the leader; clients reach it all the same.
-        leading = [place for place, machine in enumerate(self.machines)
-                   if machine.consensus is not None and machine.consensus.role is Role.LEADER]
+        leading = [
+            place
+            for place, machine in enumerate(self.machines)
+            if machine.consensus is not None and machine.consensus.role is Role.LEADER
+        ]
         reads = self.chance.random() < 0.5
         if reads and not self._confirms_reads:
             leading = [place for place, machine in enumerate(self.machines) if machine.consensus is not None]
@@ -158,14 +162,18 @@
         if not isinstance(change, Configure):
             return
         client = self._by_change.get(change.revision)
-        if client is not None and client.operation is not None and (
-                client.operation.revision == change.revision):
+        if (
+            client is not None
+            and client.operation is not None
+            and (client.operation.revision == change.revision)
+        ):
             client.known = verdict.revision
             self._end(client, int(verdict.taken))
 
 
-def watched_schedule(seed: int, machines: int = 3, seconds: float = 10.0,
-                     confirms_reads: bool = True) -> Watched:
+def watched_schedule(
+    seed: int, machines: int = 3, seconds: float = 10.0, confirms_reads: bool = True
+) -> Watched:
     """Losses of one machine at a time, and of all. Raises Broken if clients saw more than one register."""
     core = Watched(seed, machines, confirms_reads)
     core.run_until_led()
--- a/lab/keys.py
+++ b/lab/keys.py
@@ -74,9 +74,14 @@
             match action:
                 case DoClaim():
                     claim = Claim(action.key, action.claim, self.address, action.instead)
-                    town.claim(claim, lambda holder, claimed, key=action.key, life=life:  # type: ignore[misc]
-                               self.carry_out(self.operations.claimed(key, holder, claimed), life)
-                               if life == self.life else None)
+                    town.claim(
+                        claim,
+                        lambda holder, claimed, key=action.key, life=life: (  # type: ignore[misc]
+                            self.carry_out(self.operations.claimed(key, holder, claimed), life)
+                            if life == self.life
+                            else None
+                        ),
+                    )
                 case DoRun():
                     town.run_at_backend(self, action.key, life)
                 case DoAsk():
@@ -127,8 +132,14 @@
             one = Try(key, self.now)
             self.tries.append(one)
             proxy.carry_out(proxy.operations.arrive(key, one, self.now), proxy.life)
-            self._later(1.8, lambda: proxy.carry_out(
-                proxy.operations.gone(key, one, refuse=True), proxy.life) if proxy.is_up else None)
+            self._later(
+                1.8,
+                lambda: (
+                    proxy.carry_out(proxy.operations.gone(key, one, refuse=True), proxy.life)
+                    if proxy.is_up
+                    else None
+                ),
+            )
 
     def told(self, one: Try, end: str, answer: bytes = b"") -> None:
         if one.end:
@@ -174,6 +185,7 @@
         def told(reply: OperationIs | None) -> None:
             if life == proxy.life and proxy.is_up:
                 proxy.carry_out(proxy.operations.told(action.key, action.claim, reply), life)
+
         holder = next(one for one in self.proxies if one.address == action.holder)
         if holder is proxy:
             self._later(0.0, lambda: told(OperationIs("unknown")))
@@ -196,9 +208,12 @@
                     once(None)
                 elif state["is_open"]:
                     self._later(LINE_S, watch)
+
             self._later(LINE_S, watch)
-            holder.operations.asked(action.key, action.claim,
-                                    lambda reply: self._later(WAY_S, lambda: once(reply)))
+            holder.operations.asked(
+                action.key, action.claim, lambda reply: self._later(WAY_S, lambda: once(reply))
+            )
+
         self._later(WAY_S, ask)
 
     def run_at_backend(self, proxy: Proxy, key: str, life: int) -> None:
@@ -215,6 +230,7 @@
                 proxy.carry_out(operations.failed(key), life)
             else:
                 proxy.carry_out(operations.never_ran(key), life)
+
         if not kind.startswith("turned"):
             # It is under way, whatever becomes of the proxy.
             self._later(WAY_S, lambda: self._begin_run(key))
@@ -254,8 +270,10 @@
             keys += 1
             key = f"k{keys}"
             for _ in range(chance.choice([1, 1, 2, 4])):
-                town._later(chance.choice([0.0, 0.0, 0.3, 3.0]) * chance.random(),
-                            lambda key=key: town.arrive(chance.choice(town.proxies), key))  # type: ignore[misc]
+                town._later(
+                    chance.choice([0.0, 0.0, 0.3, 3.0]) * chance.random(),
+                    lambda key=key: town.arrive(chance.choice(town.proxies), key),  # type: ignore[misc]
+                )
         if lost is None and chance.random() < 0.15:
             lost = town.someone()
             until = town.now + chance.uniform(0.2, 2.0)
--- a/lab/loop.py
+++ b/lab/loop.py
@@ -259,8 +259,9 @@
         self.now = 1000.0
         self.cuts: set[tuple[str, str]] = set()  # ordered pairs of machines between which nothing passes
         self._selector = _Nothing(self)
-        self._listeners: dict[tuple[str, int], tuple[Process, contextvars.Context,
-                                                     Callable[[Pipe], None]]] = {}
+        self._listeners: dict[
+            tuple[str, int], tuple[Process, contextvars.Context, Callable[[Pipe], None]]
+        ] = {}
         self.dark: set[str] = set()  # machines without power: they don't even refuse
         self.set_task_factory(self._new_task)  # type: ignore[arg-type]
 
@@ -275,16 +276,21 @@
     def _write_to_self(self) -> None:
         pass
 
-    def _new_task(self, loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any],
-                  **options: Any) -> asyncio.Task[Any]:
+    def _new_task(
+        self, loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any], **options: Any
+    ) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, **options)
         process = HERE.get()
         process.tasks = [one for one in process.tasks if not one.done()]
         process.tasks.append(task)
         return task
 
-    def run_in_executor(self, executor: Any, work: Callable[..., Any],  # type: ignore[override]
-                        *arguments: Any) -> asyncio.Future[Any]:
+    def run_in_executor(  # type: ignore[override]
+        self,
+        executor: Any,
+        work: Callable[..., Any],
+        *arguments: Any,
+    ) -> asyncio.Future[Any]:
         future: asyncio.Future[Any] = self.create_future()
         try:
             result = work(*arguments)
@@ -294,8 +300,12 @@
             self.call_later(SYNC_S, future.set_result, result)
         return future
 
-    def add_reader(self, listener: Any, call: Callable[..., Any],  # type: ignore[override]
-                   *arguments: Any) -> None:
+    def add_reader(  # type: ignore[override]
+        self,
+        listener: Any,
+        call: Callable[..., Any],
+        *arguments: Any,
+    ) -> None:
         context = contextvars.copy_context()
         listener.wake = lambda: self.call_soon(call, *arguments, context=context)
         listener.wake()
@@ -322,17 +332,27 @@
     def unlisten(self, address: tuple[str, int]) -> None:
         self._listeners.pop(address, None)
 
-    async def create_server(self, factory: Any, host: Any = None, port: Any = None,  # type: ignore[override]
-                            **options: Any) -> Server:
+    async def create_server(  # type: ignore[override]
+        self,
+        factory: Any,
+        host: Any = None,
+        port: Any = None,
+        **options: Any,
+    ) -> Server:
         self.listen((host, port), lambda pipe: pipe.join(factory()))
         return Server(self, (host, port))
 
-    async def create_connection(self, factory: Any, host: Any = None, port: Any = None,  # type: ignore[override]
-                                **options: Any) -> tuple[Pipe, Any]:
+    async def create_connection(  # type: ignore[override]
+        self,
+        factory: Any,
+        host: Any = None,
+        port: Any = None,
+        **options: Any,
+    ) -> tuple[Pipe, Any]:
         here = HERE.get()
         target = Process(host, "unknown")
         await asyncio.sleep(2 * self.delay(here, target))
-        while (self.is_cut(here.machine, host) or self.is_cut(host, here.machine) or host in self.dark):
+        while self.is_cut(here.machine, host) or self.is_cut(host, here.machine) or host in self.dark:
             await asyncio.sleep(0.05)  # whoever dials gives up by a time-out of its own
         found = self._listeners.get((host, port))
         if found is None:
@@ -345,8 +365,12 @@
         self.call_soon(take, theirs, context=context)
         return ours, protocol
 
-    async def connect_accepted_socket(self, factory: Any, raw: Any,  # type: ignore[override]
-                                      **options: Any) -> Any:
+    async def connect_accepted_socket(  # type: ignore[override]
+        self,
+        factory: Any,
+        raw: Any,
+        **options: Any,
+    ) -> Any:
         protocol = factory()
         raw.pipe.join(protocol)
         return raw.pipe, protocol
--- a/lab/news.py
+++ b/lab/news.py
@@ -70,8 +70,12 @@
         self.address = f"{node}:1"
         record = Record(node, self.address, "dataplane", "zone", life, 1)
         self.directory = Directory(record, ["n0:1", "n1:1", "n2:1"], random.Random(seed), town.now)
-        self.exchange = Exchange(town, Lines(town, self.address), self.directory,  # type: ignore[arg-type]
-                                 self._take)
+        self.exchange = Exchange(
+            town,  # type: ignore[arg-type]
+            Lines(town, self.address),  # type: ignore[arg-type]
+            self.directory,
+            self._take,
+        )
         self.configured_at: dict[int, float] = {}
         self._town = town
         self.directory.say(record)
@@ -125,9 +129,14 @@
         return address in self._dead or address not in self.all
 
     def reaches(self, one: str, other: str) -> bool:
-        return not (self.is_dead(one) or self.is_dead(other) or one in self.cut or other in self.cut
-                    or frozenset((one, other)) in self.cut_between
-                    or (one in self.sides) != (other in self.sides))
+        return not (
+            self.is_dead(one)
+            or self.is_dead(other)
+            or one in self.cut
+            or other in self.cut
+            or frozenset((one, other)) in self.cut_between
+            or (one in self.sides) != (other in self.sides)
+        )
 
     def weigh(self, sender: str, message: Message) -> None:
         self.messages_sent += 1
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -24,11 +24,11 @@
     "charge": {"effect": "unsafe", "aim_ms": 400, "deadline_ms": 1500, "worth": 10},
 }
 LOADS = {
-    "search": [
-        ClassLoad("search", "look", "safe", 250.0, "search.example.org", "/look/1", retries=0)],
+    "search": [ClassLoad("search", "look", "safe", 250.0, "search.example.org", "/look/1", retries=0)],
     "reserve": [
         ClassLoad("reserve", "book", "keyed", 120.0, "reserve.example.org", "/book/1", 1.5, retries=0),
-        ClassLoad("reserve", "charge", "unsafe", 60.0, "reserve.example.org", "/charge/1", 1.5, retries=0)],
+        ClassLoad("reserve", "charge", "unsafe", 60.0, "reserve.example.org", "/charge/1", 1.5, retries=0),
+    ],
 }
 FROZEN = "search"
 FROM, UNTIL = 0.35, 0.7  # of the time that the demo takes
@@ -40,19 +40,27 @@
     served = [one for one in tries if one.was_served]
     refused = sum(one.was_refused for one in tries)
     times = [one.seconds * 1000.0 for one in served]
-    return [name, f"{len(tries)}", f"{len(served)}", f"{refused}", f"{len(tries) - len(served) - refused}",
-            f"{percentile(times, 0.5):.1f}", f"{percentile(times, 0.99):.1f}",
-            "" if broken is None else "kept" if not broken else f"[red]{len(broken)} broken"]
+    return [
+        name,
+        f"{len(tries)}",
+        f"{len(served)}",
+        f"{refused}",
+        f"{len(tries) - len(served) - refused}",
+        f"{percentile(times, 0.5):.1f}",
+        f"{percentile(times, 0.99):.1f}",
+        "" if broken is None else "kept" if not broken else f"[red]{len(broken)} broken",
+    ]
 
 
 def table(title: str, rows: Sequence[list[str]], rules: bool) -> Table:
     made = Table(title=title, title_justify="left", box=box.SIMPLE)
-    for place, head in enumerate(("service", "asked", "served", "refused", "failed", "p50 ms", "p99 ms",
-                                  "rules")):
+    for place, head in enumerate(
+        ("service", "asked", "served", "refused", "failed", "p50 ms", "p99 ms", "rules")
+    ):
         if rules or head != "rules":
             made.add_column(head, justify="left" if place == 0 else "right", no_wrap=True)
     for cells in rows:
-        made.add_row(*cells[:None if rules else -1])
+        made.add_row(*cells[: None if rules else -1])
     return made
 
 
@@ -80,12 +88,17 @@
                 await self.servers.stop()
 
     async def _play(self, proxy: ProxyProcess, plain: bool) -> int:
-        loads = {name: Load(proxy.address, classes, place, name, self.ended.append)
-                 for place, (name, classes) in enumerate(LOADS.items())}
+        loads = {
+            name: Load(proxy.address, classes, place, name, self.ended.append)
+            for place, (name, classes) in enumerate(LOADS.items())
+        }
         script = asyncio.ensure_future(self._script())
         view = asyncio.ensure_future(self._show()) if not plain else None
-        books = dict(zip(loads, await asyncio.gather(*(load.run(self.seconds) for load in loads.values())),
-                         strict=True))
+        books = dict(
+            zip(
+                loads, await asyncio.gather(*(load.run(self.seconds) for load in loads.values())), strict=True
+            )
+        )
         await script
         if view is not None:
             await view
@@ -98,8 +111,14 @@
             rows.append(row(f"  {FROZEN} frozen", during, None))
             for breach in broken[:5]:
                 self.console.print(f"rule {breach.rule}: {breach.text}")
-        self.console.print(table(f"{self.seconds:g} s, the servers of {FROZEN} frozen from "
-                                 f"{FROM * self.seconds:.1f} to {UNTIL * self.seconds:.1f} s", rows, True))
+        self.console.print(
+            table(
+                f"{self.seconds:g} s, the servers of {FROZEN} frozen from "
+                f"{FROM * self.seconds:.1f} to {UNTIL * self.seconds:.1f} s",
+                rows,
+                True,
+            )
+        )
         return 0 if sound and all(one.end is not End.LOST for one in self.ended) else 1
 
     async def _script(self) -> None:
@@ -118,8 +137,15 @@
                 recent = [one for one in self.ended[-4000:] if one.ended_at >= since]
                 state = "frozen" if self.frozen_at < time.monotonic() < self.thawed_at else "well"
                 rows = [row(name, [one for one in recent if one.service == name], None) for name in LOADS]
-                live.update(table(f"{past:4.1f} of {self.seconds:g} s; the servers of {FROZEN} are {state}; "
-                                  f"the last {VIEW_S:g} s:", rows, False), refresh=True)
+                live.update(
+                    table(
+                        f"{past:4.1f} of {self.seconds:g} s; the servers of {FROZEN} are {state}; "
+                        f"the last {VIEW_S:g} s:",
+                        rows,
+                        False,
+                    ),
+                    refresh=True,
+                )
                 await asyncio.sleep(FRAME_S)
 
 
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -40,8 +40,17 @@
         return f"{self.address[0]}:{self.address[1]}"
 
     def set(self, name: str, address: str, phase: str = "in_service", **more: Any) -> None:
-        member = {"id": name, "host_port": address, "locality": "a", "flavor": "std", "cell": 0,
-                  "phase": phase, "size": 1.0, "up_since_ms": 0, **more}
+        member = {
+            "id": name,
+            "host_port": address,
+            "locality": "a",
+            "flavor": "std",
+            "cell": 0,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": 0,
+            **more,
+        }
         self.revision += 1
         if phase == "terminated":
             self._members.pop(name, None)
@@ -66,10 +75,13 @@
             head = await reader.readuntil(b"\r\n\r\n")
             query = head.split(b" ")[1].partition(b"?")[2]
             if b"stream=1" not in query:
-                text = json.dumps({"revision": self.revision, "complete": True,
-                                   "members": list(self._members.values())}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
-                             % (len(text), text))
+                text = json.dumps(
+                    {"revision": self.revision, "complete": True, "members": list(self._members.values())}
+                ).encode()
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+                    % (len(text), text)
+                )
                 await writer.drain()
                 writer.close()
                 return
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -90,10 +90,12 @@
         self.told_until_ms = 0.0  # what its list was told last arrives then
         self.advised = api.Advised()
         self.says_nonsense = False
-        self.forwarder = Forwarder(fleet.post(number), fleet.size.planners, settings.warm_up_ms,
-                                   EPOCH_MS - self.clock.ahead_ms)
+        self.forwarder = Forwarder(
+            fleet.post(number), fleet.size.planners, settings.warm_up_ms, EPOCH_MS - self.clock.ahead_ms
+        )
         self.host: Host[Asked, Reply] = Host(
-            HostSettings(settings, fleet.random.getrandbits(40)), self.clock, self)
+            HostSettings(settings, fleet.random.getrandbits(40)), self.clock, self
+        )
         if fleet.size.planners:
             self.host.observer = self.forwarder
 
@@ -101,20 +103,38 @@
 
     def hear(self, event: ListChanged) -> None:
         ahead = self.clock.ahead_ms
-        servers = tuple(Server(one.name, one.weight, one.zone, one.cell, one.kind, one.state,
-                               one.started_at + ahead if one.started_at else 0.0) for one in event.servers)
+        servers = tuple(
+            Server(
+                one.name,
+                one.weight,
+                one.zone,
+                one.cell,
+                one.kind,
+                one.state,
+                one.started_at + ahead if one.started_at else 0.0,
+            )
+            for one in event.servers
+        )
         for server in servers:
             if server.state is State.GONE:
                 self.listed.pop(server.name, None)
             else:
                 self.listed[server.name] = server
-        self.host.list_changed(ListChanged(event.kind, servers),
-                               {server.name: self.fleet.addresses[server.name] for server in servers})
+        self.host.list_changed(
+            ListChanged(event.kind, servers),
+            {server.name: self.fleet.addresses[server.name] for server in servers},
+        )
 
     # --- the host's calls ---
 
-    def send(self, server: str, address: Address, request: Asked, until_ms: float,
-             done: Callable[[Reading, Reply | None], None]) -> OnWire | Outcome:
+    def send(
+        self,
+        server: str,
+        address: Address,
+        request: Asked,
+        until_ms: float,
+        done: Callable[[Reading, Reply | None], None],
+    ) -> OnWire | Outcome:
         self.check(server, request)
         self.fleet.count(self, server)
         return self.fleet.network.send(address, request.one.request, request.one.key, done)
@@ -125,8 +145,13 @@
         fleet = self.fleet
         notes = self.forwarder.beat(self.clock.now_ms())
         if self.says_nonsense:
-            notes = [(planner, self.forwarder._post.seal(Kind.REPORT, planner, fleet.nonsense(),
-                                                         self.clock.now_ms())) for planner, _ in notes]
+            notes = [
+                (
+                    planner,
+                    self.forwarder._post.seal(Kind.REPORT, planner, fleet.nonsense(), self.clock.now_ms()),
+                )
+                for planner, _ in notes
+            ]
         for planner, datagram in notes:
             fleet.fly(self.number, planner, partial(fleet.at_planner, planner, datagram))
         self.take(self.forwarder.advised(self.clock.now_ms()))
@@ -153,7 +178,7 @@
         super()._judge(now_ms)
         if self._judged_ms != before:
             well = sorted(self.picture.servers() - self._verdicts.keys())
-            self._verdicts = dict.fromkeys(well[:len(well) * 2 // 5], Verdict(Health.FROZEN, 0.02, 9, 9))
+            self._verdicts = dict.fromkeys(well[: len(well) * 2 // 5], Verdict(Health.FROZEN, 0.02, 9, 9))
             self._advice = make_advice(self._verdicts)
 
 
@@ -173,8 +198,13 @@
         self.ends_ms = self.clock.now_ms() + 1000.0 * size.seconds
         per_server = size.forwarders * size.rate / size.servers
         self.work_s = SLOTS * size.busy / per_server  # the mean of one request
-        self.cold = Cold(start=0.3, warm_up_s=random.uniform(4.0, 8.0), rate=SLOTS / self.work_s,
-                         factor=3.0, window_s=random.uniform(1.0, 2.5))
+        self.cold = Cold(
+            start=0.3,
+            warm_up_s=random.uniform(4.0, 8.0),
+            rate=SLOTS / self.work_s,
+            factor=3.0,
+            window_s=random.uniform(1.0, 2.5),
+        )
         self.loans = 0
         self.alarms: set[str] = set()  # servers that somebody was advised against while nothing was wrong
         self.ill: set[str] = set()  # servers that were ever in trouble
@@ -195,9 +225,16 @@
 
     def _lay_servers(self) -> None:
         random, share = self.random, [0.0, 0.0, 0.02]
-        self.network = Network(self.clock, random, Faults(
-            no_connect_share=random.choice(share), cut_before_share=random.choice(share),
-            cut_after_share=random.choice(share), silent_share=random.choice(share)))
+        self.network = Network(
+            self.clock,
+            random,
+            Faults(
+                no_connect_share=random.choice(share),
+                cut_before_share=random.choice(share),
+                cut_after_share=random.choice(share),
+                silent_share=random.choice(share),
+            ),
+        )
         self.servers: dict[str, Server] = {}
         self.addresses: dict[str, Address] = {}
         self.models: dict[str, ModelHost] = {}
@@ -207,9 +244,16 @@
 
     def add_server(self, name: str, started_ms: float = 0.0) -> None:
         number = len(self.addresses)
-        model = ServerModel(name, self.ledger, seed=self.seed, cell=number % 2, keys=self._stores[number % 2],
-                            cold=self.cold, started_at=started_ms / 1000.0 if started_ms else -math.inf,
-                            behaviour=Behaviour(latency=exponential(self.work_s), slots=SLOTS, queue=32))
+        model = ServerModel(
+            name,
+            self.ledger,
+            seed=self.seed,
+            cell=number % 2,
+            keys=self._stores[number % 2],
+            cold=self.cold,
+            started_at=started_ms / 1000.0 if started_ms else -math.inf,
+            behaviour=Behaviour(latency=exponential(self.work_s), slots=SLOTS, queue=32),
+        )
         self.addresses[name] = "h", number
         self.models[name] = self.network.servers["h", number] = ModelHost(model, self.clock)
         self.servers[name] = Server(name, cell=number % 2, started_at=started_ms)
@@ -219,17 +263,28 @@
         aim_ms, deadline_ms = 6000.0 * self.work_s, 20_000.0 * self.work_s
         self.deadline_s = deadline_ms / 1000.0
         cls = partial(api.RequestClass, aim_ms=aim_ms, deadline_ms=deadline_ms)
-        classes = (cls(), cls(effect=Effect.KEYED, dedup_scope=Scope.CELL, key_ttl_ms=60_000.0, worth=10.0),
-                   cls(effect=Effect.UNSAFE, worth=5.0))
+        classes = (
+            cls(),
+            cls(effect=Effect.KEYED, dedup_scope=Scope.CELL, key_ttl_ms=60_000.0, worth=10.0),
+            cls(effect=Effect.UNSAFE, worth=5.0),
+        )
         ranks = random.sample(range(size.forwarders), size.forwarders)
         parts = [1.0 / (rank + 1) ** size.skew for rank in ranks]
         told = max(round(size.forwarders * self.setting.told_fleet), 1)
         self.nodes: list[Node] = []
         for number, part in enumerate(parts):
             settings = api.Settings(
-                classes=classes, balancers=told, position=number % told, max_attempts=3, tier=1, tiers=2,
-                cold_from=self.cold.start, warm_up_ms=self.cold.warm_up_s * 1000.0,
-                overload_factor=self.cold.factor, fall_ms=self.cold.window_s * 1000.0)
+                classes=classes,
+                balancers=told,
+                position=number % told,
+                max_attempts=3,
+                tier=1,
+                tiers=2,
+                cold_from=self.cold.start,
+                warm_up_ms=self.cold.warm_up_s * 1000.0,
+                overload_factor=self.cold.factor,
+                fall_ms=self.cold.window_s * 1000.0,
+            )
             rate = size.rate * size.forwarders * part / sum(parts)
             node = Node(self, number, settings, rate)
             self.nodes.append(node)
@@ -244,17 +299,31 @@
         return Keys({1: OLD_KEY}, 1)
 
     def post(self, number: int) -> Post:
-        return Post(self._keys(), number, self.random.getrandbits(31) + 1, max(self.size.planners, 1),
-                    frozenset({Kind.ADVICE, Kind.LOAN}))
+        return Post(
+            self._keys(),
+            number,
+            self.random.getrandbits(31) + 1,
+            max(self.size.planners, 1),
+            frozenset({Kind.ADVICE, Kind.LOAN}),
+        )
 
     def start_planner(self, number: int) -> None:
         """With an empty head."""
-        post = Post(self._keys(), number, self.random.getrandbits(31) + 1, self.size.forwarders,
-                    frozenset({Kind.REPORT}))
+        post = Post(
+            self._keys(),
+            number,
+            self.random.getrandbits(31) + 1,
+            self.size.forwarders,
+            frozenset({Kind.REPORT}),
+        )
         kind = Contrary if number in self.setting.contrary else Planner
         self.planners[number] = kind(
-            post, ColdRules(self.cold.start, self.cold.factor, self.cold.window_s * 1000.0),
-            self.cold.warm_up_s * 1000.0, self.size.planners, self.clock.now_ms())
+            post,
+            ColdRules(self.cold.start, self.cold.factor, self.cold.window_s * 1000.0),
+            self.cold.warm_up_s * 1000.0,
+            self.size.planners,
+            self.clock.now_ms(),
+        )
 
     def end_planner(self, number: int) -> None:
         self.planners.pop(number, None)
@@ -287,11 +356,27 @@
     def nonsense(self) -> bytes:
         random = self.random
         names = [*map(server_id, self.servers), random.randbytes(SERVER_ID)]
-        entries = [Entry(random.choice(names), random.randrange(65536), random.choice([0, 127]),
-                         (random.randrange(128), random.randrange(128), 127, 0, random.randrange(128)),
-                         random.randrange(-127, 128), 127, 127) for _ in range(6)]
-        return msgspec.msgpack.encode(Report(random.randrange(1 << 20), random.choice([0, 10 ** 6]),
-                                             random.choice([0, 1 << 40]), random.randrange(1 << 16), entries))
+        entries = [
+            Entry(
+                random.choice(names),
+                random.randrange(65536),
+                random.choice([0, 127]),
+                (random.randrange(128), random.randrange(128), 127, 0, random.randrange(128)),
+                random.randrange(-127, 128),
+                127,
+                127,
+            )
+            for _ in range(6)
+        ]
+        return msgspec.msgpack.encode(
+            Report(
+                random.randrange(1 << 20),
+                random.choice([0, 10**6]),
+                random.choice([0, 1 << 40]),
+                random.randrange(1 << 16),
+                entries,
+            )
+        )
 
     def told(self, advised: api.Advised) -> None:
         self.alarms |= {name for name in advised.keep if name not in self.ill}
@@ -304,8 +389,16 @@
         place = self.random.choices((0, 1, 2), (4, 3, 3))[0]
         number = next(self._ids)
         now = self.clock.now()
-        one = Try(number, "s", EFFECTS[place], EFFECTS[place], f"s-{number}",
-                  f"k{number}" if place == 1 else "", now, now + self.deadline_s)
+        one = Try(
+            number,
+            "s",
+            EFFECTS[place],
+            EFFECTS[place],
+            f"s-{number}",
+            f"k{number}" if place == 1 else "",
+            now,
+            now + self.deadline_s,
+        )
         self.book.tries.append(one)
         asked = Asked(self, one, place, node.clock.now_ms() / 1000.0, 1000.0 * self.deadline_s)
         self.clock.at(1000.0 * one.until + 0.01, partial(self._must_have_ended, one))
@@ -550,11 +643,19 @@
     """The fleet of a seed: its case, its size and load; small, so that thousands can be played."""
     random = Random(seed)
     names = [*CASES]
-    return Fleet(seed, Size(
-        forwarders=random.choice([6, 16, 30]), planners=random.choice([1, 2, 3]),
-        servers=random.choice([6, 9, 14]), rate=random.choice([3.0, 6.0]),
-        skew=random.choice([0.0, 0.7, 1.2]), busy=random.uniform(0.3, 0.75),
-        seconds=12.0), case or names[seed % len(names)])
+    return Fleet(
+        seed,
+        Size(
+            forwarders=random.choice([6, 16, 30]),
+            planners=random.choice([1, 2, 3]),
+            servers=random.choice([6, 9, 14]),
+            rate=random.choice([3.0, 6.0]),
+            skew=random.choice([0.0, 0.7, 1.2]),
+            busy=random.uniform(0.3, 0.75),
+            seconds=12.0,
+        ),
+        case or names[seed % len(names)],
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -576,8 +677,16 @@
         broken = tuple(f"rule {breach.rule}: {breach.text}" for breach in fleet.play()[:3])
     except Broken as problem:
         broken = (str(problem),)
-    return Result(fleet.seed, fleet.case, broken, fleet.cold_peak(), len(fleet.alarms), fleet.loans,
-                  len(fleet.book.tries), fleet.served_share())
+    return Result(
+        fleet.seed,
+        fleet.case,
+        broken,
+        fleet.cold_peak(),
+        len(fleet.alarms),
+        fleet.loans,
+        len(fleet.book.tries),
+        fleet.served_share(),
+    )
 
 
 def play(seed: int, case: str | None = None) -> Result:
@@ -597,5 +706,5 @@
 
 
 if __name__ == "__main__":
-    words = [*sys.argv[1:], *("1", "100", "")[len(sys.argv) - 1:]]
+    words = [*sys.argv[1:], *("1", "100", "")[len(sys.argv) - 1 :]]
     sys.exit(main(int(words[0]), int(words[1]), words[2] or None))
--- a/standins/load.py
+++ b/standins/load.py
@@ -90,8 +90,14 @@
 class Load:
     """`ended` hears of each try, when it has ended."""
 
-    def __init__(self, address: Address, classes: Sequence[ClassLoad], seed: int = 1, name: str = "c",
-                 ended: Callable[[Try], None] = lambda one: None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        classes: Sequence[ClassLoad],
+        seed: int = 1,
+        name: str = "c",
+        ended: Callable[[Try], None] = lambda one: None,
+    ) -> None:
         self.book = Book()
         self.address = address
         self.classes = classes
@@ -110,8 +116,11 @@
         """All tries have ended when it returns."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        next_at = [(began + self._random.expovariate(cls.rate), place)
-                   for place, cls in enumerate(self.classes) if cls.rate > 0]
+        next_at = [
+            (began + self._random.expovariate(cls.rate), place)
+            for place, cls in enumerate(self.classes)
+            if cls.rate > 0
+        ]
         heapq.heapify(next_at)
         while next_at and not self.stopped and next_at[0][0] < began + seconds:
             at, place = next_at[0]
@@ -160,9 +169,13 @@
 
     @staticmethod
     def _bytes(cls: ClassLoad, one: Try) -> bytes:
-        lines = [f"{'GET' if cls.effect == 'safe' else 'POST'} {cls.path} HTTP/1.1", f"Host: {cls.host}",
-                 f"X-Trace-Id: {one.request}", f"X-Qos: {cls.name}",
-                 f"X-Expires-In: {one.until - one.sent_at:.4f}"]
+        lines = [
+            f"{'GET' if cls.effect == 'safe' else 'POST'} {cls.path} HTTP/1.1",
+            f"Host: {cls.host}",
+            f"X-Trace-Id: {one.request}",
+            f"X-Qos: {cls.name}",
+            f"X-Expires-In: {one.until - one.sent_at:.4f}",
+        ]
         if one.key:
             lines.append(f"Idempotency-Key: {one.key}")
         body = b"" if cls.effect == "safe" else cls.body
@@ -176,7 +189,8 @@
         pause_s = max(one.retry_after_s, 0.02)
         if one.was_refused and retries and one.ended_at + pause_s < one.until and not self.stopped:
             asyncio.get_running_loop().call_later(
-                pause_s, self._again, cls, one.order, one.key, one.until, retries - 1)
+                pause_s, self._again, cls, one.order, one.key, one.until, retries - 1
+            )
         else:
             self._finished()
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -25,8 +25,15 @@
 Headers = dict[str, str]
 
 
-async def ask(address: str, port: int, method: str, path: str, headers: Headers, body: bytes = b"",
-              patience_s: float = 3.0) -> tuple[int, Headers, bytes]:
+async def ask(
+    address: str,
+    port: int,
+    method: str,
+    path: str,
+    headers: Headers,
+    body: bytes = b"",
+    patience_s: float = 3.0,
+) -> tuple[int, Headers, bytes]:
     """One call on a connection of its own. Raises OSError or TimeoutError."""
     async with asyncio.timeout(patience_s):
         reader, writer = await asyncio.open_connection(address, port)
@@ -106,12 +113,26 @@
     async def say(self) -> bool:
         """One beat; whether it was acknowledged."""
         self._sequence += 1
-        beat = {"service": self.service, "address": f"{self.address}:{APPLICATION}", "zone": "here",
-                "revision": "v1", "capacity": self.capacity, "lifecycle-state": self.state,
-                "warmup-left-s": 0, "call-sequence": self._sequence}
+        beat = {
+            "service": self.service,
+            "address": f"{self.address}:{APPLICATION}",
+            "zone": "here",
+            "revision": "v1",
+            "capacity": self.capacity,
+            "lifecycle-state": self.state,
+            "warmup-left-s": 0,
+            "call-sequence": self._sequence,
+        }
         try:
-            status, _, _ = await ask(self.address, CONTROL, "POST", f"/Instances.Heartbeat/{self.instance}",
-                                     {}, json.dumps(beat).encode(), 1.0)
+            status, _, _ = await ask(
+                self.address,
+                CONTROL,
+                "POST",
+                f"/Instances.Heartbeat/{self.instance}",
+                {},
+                json.dumps(beat).encode(),
+                1.0,
+            )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
         return status == 200
@@ -132,8 +153,11 @@
 
     async def _call(self, path: str, fields: Headers) -> bool:
         self._called += 1
-        headers = {"Host": HOST, "Cometdoor-Attempt-Id": f"{self.instance}-{self._called}",
-                   "Cometdoor-Deadline-Ms": fields.get("cometdoor-deadline-ms", "1000")}
+        headers = {
+            "Host": HOST,
+            "Cometdoor-Attempt-Id": f"{self.instance}-{self._called}",
+            "Cometdoor-Deadline-Ms": fields.get("cometdoor-deadline-ms", "1000"),
+        }
         self._ledger.asked_inside.add(headers["Cometdoor-Attempt-Id"])
         try:
             status, _, _ = await ask(self.address, OUT, "GET", path, headers)
@@ -148,8 +172,10 @@
                 _, fields, _ = await read_message(reader)
                 if fields[""].startswith("GET /health "):
                     self.probes += 1
-                    writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-                                 f"Cometdoor-Instance-Id: {self.instance}\r\n\r\n".encode())
+                    writer.write(
+                        f"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                        f"Cometdoor-Instance-Id: {self.instance}\r\n\r\n".encode()
+                    )
                     continue
                 if fields.get("cometdoor-expected-instance") != self.instance:
                     self._ledger.wrong_instance += 1
@@ -165,14 +191,19 @@
                     self.loses -= 1
                     return
                 if not all(made):
-                    writer.write(f"HTTP/1.1 500 X\r\nContent-Length: 0\r\n"
-                                 f"Cometdoor-Attempt-Id: {attempt}\r\n\r\n".encode())
+                    writer.write(
+                        f"HTTP/1.1 500 X\r\nContent-Length: 0\r\n"
+                        f"Cometdoor-Attempt-Id: {attempt}\r\n\r\n".encode()
+                    )
                     continue
                 seal, body = secrets.token_hex(6), attempt.encode()
                 self._ledger.seals[seal] = attempt
-                writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
-                             f"Cometdoor-Attempt-Id: {attempt}\r\n"
-                             f"Cometdoor-Response-Seal: {seal}\r\n\r\n".encode() + body)
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+                    f"Cometdoor-Attempt-Id: {attempt}\r\n"
+                    f"Cometdoor-Response-Seal: {seal}\r\n\r\n".encode()
+                    + body
+                )
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -180,26 +211,52 @@
             writer.close()
 
 
-def route(prefix: str, kind: str = "idempotent", service: str = SERVICE,
-          more: dict[str, object] | None = None) -> dict[str, object]:
-    return {"name": f"r-{prefix}", "path-prefix": f"/{prefix}/", "route-type": kind, "timeout-s": 2,
-            "target-latency-s": 0.5, "priority": 1, "service": service, "max-attempts": 2} | (more or {})
+def route(
+    prefix: str, kind: str = "idempotent", service: str = SERVICE, more: dict[str, object] | None = None
+) -> dict[str, object]:
+    return {
+        "name": f"r-{prefix}",
+        "path-prefix": f"/{prefix}/",
+        "route-type": kind,
+        "timeout-s": 2,
+        "target-latency-s": 0.5,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+    } | (more or {})
 
 
 def configuration(revision: int, routes: list[dict[str, object]] | None = None) -> bytes:
     routes = routes or [route("idempotent"), route("keyed", "keyed")]
     services = sorted({str(one["service"]) for one in routes})
-    return json.dumps({"revision": revision, "services": [{"name": name} for name in services], "limits": {},
-                       "hosts": [{"hostname": HOST, "host-routes": routes}]}).encode()
+    return json.dumps(
+        {
+            "revision": revision,
+            "services": [{"name": name} for name in services],
+            "limits": {},
+            "hosts": [{"hostname": HOST, "host-routes": routes}],
+        }
+    ).encode()
 
 
 def settings(folder: Path, role: str, address: str, seeds: list[str], service: str = SERVICE) -> Path:
     core = role == "controlplane"
-    listen = {"control-plane": CONTROL} if core else {
-        "control-plane": CONTROL, "readiness": READY, "outbound": OUT}
-    lines = [f'node-name = "{address}"', f'role = "{role}"', f'ip-address = "{address}"', 'zone = "here"',
-             f"internal-ports = [{INTERNAL},{INTERNAL + 15}]", f"seed-nodes = {json.dumps(seeds)}",
-             "initial-start = true", f'service = "{service}"', 'bounds = ["grace-s=6","drain-s=2"]']
+    listen = (
+        {"control-plane": CONTROL}
+        if core
+        else {"control-plane": CONTROL, "readiness": READY, "outbound": OUT}
+    )
+    lines = [
+        f'node-name = "{address}"',
+        f'role = "{role}"',
+        f'ip-address = "{address}"',
+        'zone = "here"',
+        f"internal-ports = [{INTERNAL},{INTERNAL + 15}]",
+        f"seed-nodes = {json.dumps(seeds)}",
+        "initial-start = true",
+        f'service = "{service}"',
+        'bounds = ["grace-s=6","drain-s=2"]',
+    ]
     if core:
         lines.append(f'data-directory = "{folder / address}"')
     lines += ["[listen-addresses]", *(f'{name} = "{address}:{port}"' for name, port in listen.items())]
@@ -234,8 +291,15 @@
         role, path = self.settings(address)
         with (self.folder / f"{address}.log").open("wb") as log:
             self.processes[address] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "cometdoor", role, cwd=ROOT, stdout=log, stderr=log,
-                env=os.environ | {"COMETDOOR_NODE_FILE": str(path)})
+                sys.executable,
+                "-m",
+                "cometdoor",
+                role,
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"COMETDOOR_NODE_FILE": str(path)},
+            )
 
     async def start_backend(self, address: str) -> None:
         await self.backends[address].start()
@@ -249,15 +313,23 @@
         for backend in self.backends.values():
             backend.kill()
 
-    async def configure(self, revision: int, base: int, within_s: float = 10.0,
-                        routes: list[dict[str, object]] | None = None) -> int:
+    async def configure(
+        self, revision: int, base: int, within_s: float = 10.0, routes: list[dict[str, object]] | None = None
+    ) -> int:
         """The status that the operator got in the end, following redirections and asking again as it may."""
         until = time.monotonic() + within_s
         address, tried = self.core[0], 0
         while time.monotonic() < until:
             try:
-                status, fields, _ = await ask(address, CONTROL, "POST", "/Configuration.Replace", {
-                    "Cometdoor-Base-Version": str(base)}, configuration(revision, routes), 1.5)
+                status, fields, _ = await ask(
+                    address,
+                    CONTROL,
+                    "POST",
+                    "/Configuration.Replace",
+                    {"Cometdoor-Base-Version": str(base)},
+                    configuration(revision, routes),
+                    1.5,
+                )
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 status, fields = 0, {}
             if status == 307:
@@ -305,8 +377,9 @@
         if key:
             headers["Cometdoor-Idempotency-Key"] = key
         try:
-            status, fields, body = await ask(address, OUT, "GET" if kind == "idempotent" else "POST",
-                                             f"/{kind}/1", headers)
+            status, fields, body = await ask(
+                address, OUT, "GET" if kind == "idempotent" else "POST", f"/{kind}/1", headers
+            )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return 0, 0.0
         if status == 200:
@@ -316,9 +389,13 @@
                 ledger.broken.append(f"MIXED: {attempt} got the answer of {ran}")
         return status, float(fields.get("retry-after", "0.1"))
 
-    async def traffic(self, seconds: float, per_s: float,
-                      then: dict[float, Callable[[], object]] | None = None,
-                      at: list[str] | None = None) -> None:
+    async def traffic(
+        self,
+        seconds: float,
+        per_s: float,
+        then: dict[float, Callable[[], object]] | None = None,
+        at: list[str] | None = None,
+    ) -> None:
         """`then`: what is done so many seconds in. `at`: where clients are; None: at all data planes."""
         began = time.monotonic()
         due = dict(then or {})
@@ -343,13 +420,17 @@
         """What broke."""
         ledger = self.ledger
         twice = [key for key, runs in ledger.runs_of_key.items() if runs > 1]
-        return [*ledger.broken, *(f"TWICE: {key}" for key in twice),
-                *([f"{ledger.wrong_instance} requests at another instance"] if ledger.wrong_instance else [])]
+        return [
+            *ledger.broken,
+            *(f"TWICE: {key}" for key in twice),
+            *([f"{ledger.wrong_instance} requests at another instance"] if ledger.wrong_instance else []),
+        ]
 
 
 async def demo(seconds: float) -> int:
     def note(text: str) -> None:
         print(f"{time.monotonic() - began:6.1f} s  {text}", flush=True)
+
     began = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="cometdoor-") as name:
         mesh = Mesh(Path(name))
@@ -367,6 +448,7 @@
             def kill_backend() -> None:
                 note(f"backend at {mesh.planes[1]} is killed")
                 mesh.backends[mesh.planes[1]].kill()
+
             await mesh.traffic(left, 60.0, {left * 0.3: kill_core, left * 0.6: kill_backend})
             note(f"configuration 3 is sent on top of 1: {await mesh.configure(3, 1)}")
             note(f"another on top of 1, too late: {await mesh.configure(4, 1)}")
@@ -374,11 +456,16 @@
             await mesh.stop()
         ledger, broken = mesh.ledger, mesh.account()
         served = ledger.ends[200]
-        print(f"\n{ledger.asked} requests: {served} served; other ends: "
-              f"{ {status: count for status, count in sorted(ledger.ends.items()) if status != 200} }")
+        print(
+            f"\n{ledger.asked} requests: {served} served; other ends: "
+            f"{ {status: count for status, count in sorted(ledger.ends.items()) if status != 200} }"
+        )
         runs, keys = sum(ledger.runs.values()), len(ledger.runs_of_key)
-        print("BROKEN: " + "; ".join(broken[:5]) if broken else
-              f"{runs} runs at the backends; {keys} keys, none run twice")
+        print(
+            "BROKEN: " + "; ".join(broken[:5])
+            if broken
+            else f"{runs} runs at the backends; {keys} keys, none run twice"
+        )
         return 1 if broken or served < 0.9 * ledger.asked else 0
 
 
--- a/standins/model.py
+++ b/standins/model.py
@@ -101,9 +101,18 @@
 
 
 class ServerModel:
-    def __init__(self, name: str, ledger: Ledger, *, behaviour: Behaviour | None = None, seed: int = 1,
-                 cell: int = 0, keys: KeyStore | None = None, cold: Cold | None = None,
-                 started_at: float = -math.inf) -> None:
+    def __init__(
+        self,
+        name: str,
+        ledger: Ledger,
+        *,
+        behaviour: Behaviour | None = None,
+        seed: int = 1,
+        cell: int = 0,
+        keys: KeyStore | None = None,
+        cold: Cold | None = None,
+        started_at: float = -math.inf,
+    ) -> None:
         self.name = name
         self.cell = cell
         self.behaviour = behaviour or Behaviour()
@@ -158,8 +167,11 @@
         if self._falls_over(now) or self._chance(behaviour.reset_before_share):
             self._end(call, now, "reset before it ran")
             return call, Reply(0)
-        if (behaviour.draining or self._chance(behaviour.turn_away_share)
-                or len(self._waiting) >= behaviour.queue):
+        if (
+            behaviour.draining
+            or self._chance(behaviour.turn_away_share)
+            or len(self._waiting) >= behaviour.queue
+        ):
             self._end(call, now, "turned away")
             return call, Reply(503, never_ran=True)
         self._waiting.append(call)
--- a/standins/process.py
+++ b/standins/process.py
@@ -36,15 +36,27 @@
         self.ledger = Ledger()
         self.servers: list[StandIn] = []
 
-    async def start(self, service: str, count: int, ms: float, body: int, spread: bool, slots: int,
-                    cold: dict[str, float] | None) -> dict[str, str]:
+    async def start(
+        self,
+        service: str,
+        count: int,
+        ms: float,
+        body: int,
+        spread: bool,
+        slots: int,
+        cold: dict[str, float] | None,
+    ) -> dict[str, str]:
         """`cold`: the figures of `model.Cold`, where servers warm up."""
         keys = KeyStore()
         latency = exponential(ms / 1000.0) if spread else fixed(ms / 1000.0)
         for number in range(count):
-            model = ServerModel(f"{service}-{number}", self.ledger, keys=keys,
-                                cold=Cold(**cold) if cold else None,
-                                behaviour=Behaviour(latency=latency, body=b"x" * body, slots=slots))
+            model = ServerModel(
+                f"{service}-{number}",
+                self.ledger,
+                keys=keys,
+                cold=Cold(**cold) if cold else None,
+                behaviour=Behaviour(latency=latency, body=b"x" * body, slots=slots),
+            )
             self.servers.append(await StandIn(model).start())
         return {server.model.name: server.host_port() for server in self.servers}
 
@@ -65,9 +77,15 @@
         name = order["service"]
         if order["do"] == "start":
             group = self._groups[name] = Group()
-            addresses = await group.start(name, order.get("count", 3), order.get("ms", 2.0),
-                                          order.get("body", 64), order.get("spread", True),
-                                          order.get("slots", 64), order.get("cold"))
+            addresses = await group.start(
+                name,
+                order.get("count", 3),
+                order.get("ms", 2.0),
+                order.get("body", 64),
+                order.get("spread", True),
+                order.get("slots", 64),
+                order.get("cold"),
+            )
             return {"addresses": addresses}
         group = self._groups[name]
         chosen = group.servers if order.get("number") is None else [group.servers[order["number"]]]
@@ -101,7 +119,8 @@
     watching = asyncio.ensure_future(groups.watch_lateness())
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
-        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     while line := await reader.readline():
         answer = await groups.carry_out(orjson.loads(line))
         sys.stdout.buffer.write(orjson.dumps(answer) + b"\n")
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -33,8 +33,15 @@
 
     async def start(self, core: int | None = None) -> Servers:
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "standins.process", *([] if core is None else [str(core)]), cwd=ROOT,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=LINE)
+            sys.executable,
+            "-m",
+            "standins.process",
+            *([] if core is None else [str(core)]),
+            cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=LINE,
+        )
         return self
 
     async def order(self, do: str, service: str, **more: Any) -> dict[str, Any]:
@@ -78,8 +85,15 @@
 
     async def start(self, core: int | None = None) -> Self:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cometdoor", self.WORD, str(self.file), *self.more, cwd=ROOT,
-            stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "cometdoor",
+            self.WORD,
+            str(self.file),
+            *self.more,
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
         if core is not None:
             os.sched_setaffinity(self.process.pid, {core})
         assert self.process.stderr is not None
@@ -129,8 +143,14 @@
     WORD, READY = "planner", " hears "
 
 
-def operators_file(services: dict[str, dict[str, str]], classes: dict[str, dict[str, Any]], *,
-                   listen: str = "127.0.0.1:0", sockets: int = 1024, limits: str = "") -> str:
+def operators_file(
+    services: dict[str, dict[str, str]],
+    classes: dict[str, dict[str, Any]],
+    *,
+    listen: str = "127.0.0.1:0",
+    sockets: int = 1024,
+    limits: str = "",
+) -> str:
     """A file for services whose servers are given by name and address; each has host NAME.example.org."""
     lines = [f"sockets = {sockets}", "[[listener]]", f'address = "{listen}"']
     for service, servers in services.items():
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -17,12 +17,17 @@
     text: str
 
 
-def check(book: Book, ledger: Ledger, drained_at: Mapping[str, float] | None = None,
-          slack_s: float = SLACK_S) -> list[Breach]:
+def check(
+    book: Book, ledger: Ledger, drained_at: Mapping[str, float] | None = None, slack_s: float = SLACK_S
+) -> list[Breach]:
     """`drained_at`: when the proxy was told of each server that it must not send to any more; `slack_s`: how
     long what was sent before an answer may be under way after it."""
-    return [*no_request_lost(book, ledger, slack_s), *no_effect_twice(book, ledger),
-            *drains_kept(ledger, drained_at or {}), *no_server_pushed_over(ledger)]
+    return [
+        *no_request_lost(book, ledger, slack_s),
+        *no_effect_twice(book, ledger),
+        *drains_kept(ledger, drained_at or {}),
+        *no_server_pushed_over(ledger),
+    ]
 
 
 def no_request_lost(book: Book, ledger: Ledger, slack_s: float = SLACK_S) -> list[Breach]:
@@ -64,10 +69,15 @@
 
 
 def drains_kept(ledger: Ledger, drained_at: Mapping[str, float]) -> list[Breach]:
-    return [Breach(3, f"{entry.server} got {entry.request} "
-                      f"{entry.first_byte_at - drained_at[entry.server]:.3f} s after it was to get nothing")
-            for entry in ledger.entries
-            if entry.first_byte_at > drained_at.get(entry.server, float("inf")) + DRAIN_S + SLACK_S]
+    return [
+        Breach(
+            3,
+            f"{entry.server} got {entry.request} "
+            f"{entry.first_byte_at - drained_at[entry.server]:.3f} s after it was to get nothing",
+        )
+        for entry in ledger.entries
+        if entry.first_byte_at > drained_at.get(entry.server, float("inf")) + DRAIN_S + SLACK_S
+    ]
 
 
 def no_server_pushed_over(ledger: Ledger) -> list[Breach]:
--- a/standins/server.py
+++ b/standins/server.py
@@ -29,7 +29,8 @@
     async def start(self) -> StandIn:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), *self.address, reuse_address=True, backlog=1024)
+            lambda: _Connection(self), *self.address, reuse_address=True, backlog=1024
+        )
         self.address = self._server.sockets[0].getsockname()[:2]
         if self._holder is not None:
             self._holder.close()
@@ -144,8 +145,10 @@
             self.abort()
             return
         mark = b"X-Never-Ran: 1\r\n" if reply.never_ran else b""
-        self._transport.write(b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
-            reply.status, REASONS[reply.status], mark, len(reply.body), reply.body))
+        self._transport.write(
+            b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s"
+            % (reply.status, REASONS[reply.status], mark, len(reply.body), reply.body)
+        )
 
     def abort(self) -> None:
         if self._transport is not None:
--- a/standins/sick.py
+++ b/standins/sick.py
@@ -47,14 +47,21 @@
         self.path: dict[Address, float] = {}  # its own way there breaks for this share of calls
         settings = api.Settings(classes=CLASSES, balancers=ward.size.proxies, position=number)
         self.host: Host[Asked, Reply] = Host(
-            HostSettings(settings, ward.random.getrandbits(40)), ward.clock, self)
+            HostSettings(settings, ward.random.getrandbits(40)), ward.clock, self
+        )
 
     def hear(self, servers: tuple[Server, ...], addresses: dict[str, Address]) -> None:
         self.listed = {server.name: server for server in servers}
         self.host.list_changed(ListChanged(ListKind.FULL, servers), addresses)
 
-    def send(self, server: str, address: Address, request: Asked, until_ms: float,
-             done: Callable[[Reading, Reply | None], None]) -> OnWire | Outcome:
+    def send(
+        self,
+        server: str,
+        address: Address,
+        request: Asked,
+        until_ms: float,
+        done: Callable[[Reading, Reply | None], None],
+    ) -> OnWire | Outcome:
         self.check(server, request)
         self.ward.sends.append((self.ward.clock.now(), self.number, server))
         sent = self.ward.network.send(address, request.one.request, request.one.key, done)
@@ -96,8 +103,13 @@
         name, address = f"s{number}", address or ("h", number)
         cell = number // 2 % len(self.stores)
         model = self.models[name] = ServerModel(
-            name, self.ledger, seed=self.seed, cell=cell, keys=self.stores[cell],
-            behaviour=Behaviour(latency=exponential(WORK_S)))
+            name,
+            self.ledger,
+            seed=self.seed,
+            cell=cell,
+            keys=self.stores[cell],
+            behaviour=Behaviour(latency=exponential(WORK_S)),
+        )
         self.network.servers[address] = ModelHost(model, self.clock)
         self.network.down.discard(address)
         self.entries[name] = Server(name, cell=cell), address
@@ -141,8 +153,16 @@
         self.clock.after(1000.0 * self.random.expovariate(self.size.rate), self._ask)
         place, number = self.random.choice((0, 0, 1, 2)), len(self.book.tries) + 1
         left_s = CLASSES[place].deadline_ms / 1000.0
-        one = Try(number, "p", EFFECTS[place], EFFECTS[place], f"p-{number}",
-                  f"k{number}" if place == 1 else "", now, now + left_s)
+        one = Try(
+            number,
+            "p",
+            EFFECTS[place],
+            EFFECTS[place],
+            f"p-{number}",
+            f"k{number}" if place == 1 else "",
+            now,
+            now + left_s,
+        )
         self.book.tries.append(one)
         asked = Asked(self, one, place, now, left_s * 1000.0)
         self.open.append(asked)
@@ -203,6 +223,7 @@
     def change() -> None:
         for number in range(ward.size.servers):
             ward.change(number, **behaviour)
+
     ward.at_fault(change)
 
 
@@ -247,11 +268,13 @@
         for number in range(count // 2):
             ward.add_server(count + number, ("h", number) if number % 2 else None)
         ward.tell(10_000.0)
+
     ward.at_fault(replace)
 
 
 def _lists(ward: Ward) -> None:
     """Lists that come doubled, half, and go backwards."""
+
     def half() -> None:
         whole = dict(ward.entries)
         for name in list(whole)[::2]:
@@ -261,6 +284,7 @@
         ward.entries = whole
         ward.tell(500.0)
         ward.tell(700.0)
+
     for turn in range(4):
         ward.at_fault(half, float(turn))
 
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -29,8 +29,14 @@
 
 CLASSES = (
     api.RequestClass(aim_ms=200.0, deadline_ms=600.0),
-    api.RequestClass(aim_ms=200.0, deadline_ms=600.0, effect=Effect.KEYED, dedup_scope=Scope.CELL,
-                     key_ttl_ms=60_000.0, worth=10.0),
+    api.RequestClass(
+        aim_ms=200.0,
+        deadline_ms=600.0,
+        effect=Effect.KEYED,
+        dedup_scope=Scope.CELL,
+        key_ttl_ms=60_000.0,
+        worth=10.0,
+    ),
     api.RequestClass(aim_ms=200.0, deadline_ms=600.0, effect=Effect.UNSAFE, worth=10.0),
 )
 EFFECTS = ("safe", "keyed", "unsafe")
@@ -103,7 +109,8 @@
         self.entries: dict[str, tuple[Server, Address]] = {}
         settings = api.Settings(classes=CLASSES, max_attempts=4)
         self.host: Host[Asked, Reply] = Host(
-            HostSettings(settings, world.random.getrandbits(40)), world.clock, self)
+            HostSettings(settings, world.random.getrandbits(40)), world.clock, self
+        )
 
     def told(self, event: ListChanged, addresses: dict[str, Address]) -> None:
         for told in self.world.membership.told(self.name, event, addresses):
@@ -114,8 +121,14 @@
 
     # --- the host's calls ---
 
-    def send(self, server: str, address: Address, request: Asked, until_ms: float,
-             done: Callable[[Reading, Reply | None], None]) -> OnWire | Outcome:
+    def send(
+        self,
+        server: str,
+        address: Address,
+        request: Asked,
+        until_ms: float,
+        done: Callable[[Reading, Reply | None], None],
+    ) -> OnWire | Outcome:
         if request.one.end is not End.OPEN:
             raise Broken(f"{request.one.request} is sent after its final answer")
         if server not in self.entries or self.world.drains(address):
@@ -141,35 +154,59 @@
     def __post_init__(self) -> None:
         random = self.random = Random(self.seed)
         share = [0.0, 0.0, 0.02, 0.1]
-        self.network = Network(self.clock, random, Faults(
-            no_connect_share=random.choice(share), cut_before_share=random.choice(share),
-            cut_after_share=random.choice(share), silent_share=random.choice(share)))
+        self.network = Network(
+            self.clock,
+            random,
+            Faults(
+                no_connect_share=random.choice(share),
+                cut_before_share=random.choice(share),
+                cut_after_share=random.choice(share),
+                silent_share=random.choice(share),
+            ),
+        )
         stores = [KeyStore(), KeyStore()]
         for number in range(random.randint(1, 6)):
-            model = ServerModel(f"s{number}", self.ledger, seed=self.seed, cell=number % 2,
-                                keys=stores[number % 2], behaviour=Behaviour(
-                latency=exponential(random.choice([0.005, 0.05, 0.2])), slots=random.choice([1, 4]),
-                queue=random.choice([0, 8]), error_share=random.choice(share),
-                reset_before_share=random.choice(share), reset_after_share=random.choice(share)))
+            model = ServerModel(
+                f"s{number}",
+                self.ledger,
+                seed=self.seed,
+                cell=number % 2,
+                keys=stores[number % 2],
+                behaviour=Behaviour(
+                    latency=exponential(random.choice([0.005, 0.05, 0.2])),
+                    slots=random.choice([1, 4]),
+                    queue=random.choice([0, 8]),
+                    error_share=random.choice(share),
+                    reset_before_share=random.choice(share),
+                    reset_after_share=random.choice(share),
+                ),
+            )
             self.network.servers["h", number] = ModelHost(model, self.clock)
         for name in ("a", "b"):
             service = self.services[name] = Service(self, name)
             if random.random() < 0.3:
                 service.host.max_waiting = random.randint(0, 3)
             listed = [server for server in self.network.servers if random.random() < 0.8]
-            service.entries = {f"s{address[1]}": (Server(f"s{address[1]}", cell=address[1] % 2), address)
-                               for address in listed}
+            service.entries = {
+                f"s{address[1]}": (Server(f"s{address[1]}", cell=address[1] % 2), address)
+                for address in listed
+            }
         for service in self.services.values():
             self._list(service)
 
     def drains(self, address: Address) -> bool:
         """Whether any list says so: the truth, whatever the hosts were told."""
-        return any(at == address and server.state is State.DRAINING
-                   for service in self.services.values() for server, at in service.entries.values())
+        return any(
+            at == address and server.state is State.DRAINING
+            for service in self.services.values()
+            for server, at in service.entries.values()
+        )
 
     def _list(self, service: Service) -> None:
-        service.told(ListChanged(ListKind.FULL, tuple(server for server, _ in service.entries.values())),
-                     {name: address for name, (_, address) in service.entries.items()})
+        service.told(
+            ListChanged(ListKind.FULL, tuple(server for server, _ in service.entries.values())),
+            {name: address for name, (_, address) in service.entries.items()},
+        )
 
     # --- what happens ---
 
@@ -194,8 +231,16 @@
         number = len(self.book.tries) + 1
         now = self.clock.now()
         left_s = self.random.choice([0.05, 0.3, 0.6])
-        one = Try(number, service.name, EFFECTS[place], EFFECTS[place], f"{service.name}-{number}",
-                  f"k{number}" if place == 1 else "", now, now + left_s)
+        one = Try(
+            number,
+            service.name,
+            EFFECTS[place],
+            EFFECTS[place],
+            f"{service.name}-{number}",
+            f"k{number}" if place == 1 else "",
+            now,
+            now + left_s,
+        )
         self.book.tries.append(one)
         asked = Asked(self, one, place, now, left_s * 1000.0)
         self.open.append((service, asked))
@@ -245,8 +290,10 @@
         for service, asked in self.open:
             if asked.one.end is End.OPEN:
                 if now > asked.one.until:
-                    raise Broken(f"{asked.one.request} has no final answer {now - asked.one.until:.4f} s "
-                                 "after its client gave up")
+                    raise Broken(
+                        f"{asked.one.request} has no final answer {now - asked.one.until:.4f} s "
+                        "after its client gave up"
+                    )
                 still.append((service, asked))
         self.open = still
 
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -171,8 +171,9 @@
     def after_delay(self, call: Callable[[], None]) -> None:
         self.clock.after(self.delay_ms(), call)
 
-    def send(self, address: Address, request: str, key: str,
-             done: Callable[[Reading, Reply | None], None]) -> Sent:
+    def send(
+        self, address: Address, request: str, key: str, done: Callable[[Reading, Reply | None], None]
+    ) -> Sent:
         sent = Sent(self, done)
         faults, chance = self.faults, self.random.random
         if address in self.down or chance() < faults.no_connect_share or chance() < faults.cut_before_share:
--- a/stories/__main__.py
+++ b/stories/__main__.py
@@ -4,8 +4,12 @@
 import subprocess
 import sys
 
-done = subprocess.run([sys.executable, "-m", "ward", "--path", "stories", *sys.argv[1:]],
-                      stdout=subprocess.PIPE, text=True, check=False)
+done = subprocess.run(
+    [sys.executable, "-m", "ward", "--path", "stories", *sys.argv[1:]],
+    stdout=subprocess.PIPE,
+    text=True,
+    check=False,
+)
 print(done.stdout, end="")
 # The outcomes as ward's own progress lines name them; none of a story that could not even be collected.
 outcomes = re.findall(r"^\s*(PASS|FAIL)\b", done.stdout, re.MULTILINE)
--- a/stories/budget/test_budget.py
+++ b/stories/budget/test_budget.py
@@ -119,5 +119,6 @@
 
     def planted(self: Share, ratio: float, slack: float, span_s: float, now: float) -> None:
         sound(self, ratio, slack, span_s, now - span_s)
+
     with mock.patch.object(Share, "__init__", planted):
         assert restarts() > 1.0
--- a/stories/client/test_client.py
+++ b/stories/client/test_client.py
@@ -22,10 +22,21 @@
 from lab.fleet import Fleet, fleet
 from standins.mesh import CONTROL, HOST, OUT
 
-STATUSES = {200: Known.SERVED, 204: Known.SERVED, 400: Known.REJECTED, 404: Known.REJECTED,
-            408: Known.NOT_RUN, 409: Known.MAY_HAVE_RUN, 413: Known.REJECTED, 421: Known.NOT_RUN,
-            429: Known.NOT_RUN, 500: Known.RAN, 502: Known.MAY_HAVE_RUN, 503: Known.NOT_RUN,
-            504: Known.MAY_HAVE_RUN}
+STATUSES = {
+    200: Known.SERVED,
+    204: Known.SERVED,
+    400: Known.REJECTED,
+    404: Known.REJECTED,
+    408: Known.NOT_RUN,
+    409: Known.MAY_HAVE_RUN,
+    413: Known.REJECTED,
+    421: Known.NOT_RUN,
+    429: Known.NOT_RUN,
+    500: Known.RAN,
+    502: Known.MAY_HAVE_RUN,
+    503: Known.NOT_RUN,
+    504: Known.MAY_HAVE_RUN,
+}
 
 
 @test("each status is taken for what it promises, and a try of which nothing was sent has not run")
@@ -40,8 +51,14 @@
     kind = Kind(name)
     tries = Tries(kind, 10.0, 3, Budget(0.0, 1), random.Random(1))
     pause = tries.again_after(Ending(status, retry_after_s=2.0), 1.0)
-    may = {(Kind.REPEATABLE, 502), (Kind.REPEATABLE, 503), (Kind.REPEATABLE, 500), (Kind.KEYED, 502),
-           (Kind.KEYED, 503), (Kind.ONCE, 503)}
+    may = {
+        (Kind.REPEATABLE, 502),
+        (Kind.REPEATABLE, 503),
+        (Kind.REPEATABLE, 500),
+        (Kind.KEYED, 502),
+        (Kind.KEYED, 503),
+        (Kind.ONCE, 503),
+    }
     assert pause == (2.0 if (kind, status) in may else None)
     assert pause is None or tries.again_after(Ending(503), 3.0) is None  # the budget had one
 
@@ -124,13 +141,19 @@
 def _(seed: int = each(36, 37)) -> None:
     with fleet(seed=seed) as town:
         town.run(town.begin())
-        operators = [Operator([f"{address}:{CONTROL}" for address in town.core], random.Random(place))
-                     for place in range(2)]
+        operators = [
+            Operator([f"{address}:{CONTROL}" for address in town.core], random.Random(place))
+            for place in range(2)
+        ]
 
         async def both() -> list[int]:
-            return list(await asyncio.gather(
-                change.set_timeout(operators[0], "r-idempotent", 1.5),
-                change.set_timeout(operators[1], "r-keyed", 2.5)))
+            return list(
+                await asyncio.gather(
+                    change.set_timeout(operators[0], "r-idempotent", 1.5),
+                    change.set_timeout(operators[1], "r-keyed", 2.5),
+                )
+            )
+
         assert sorted(town.run(both())) == [2, 3]
         now = town.run(operators[0].describe())
         assert [one["timeout-s"] for one in now["hosts"][0]["host-routes"]] == [1.5, 2.5]
@@ -155,13 +178,21 @@
         town.run(town.begin())
         address = town.planes[0]
         town.kill_backend(address)
-        side = BackendSide(f"{address}:{CONTROL}", service="pitches", address=f"{address}:18145", zone="here",
-                           capacity=6, heartbeat_s=0.5, instance="i-example")
+        side = BackendSide(
+            f"{address}:{CONTROL}",
+            service="pitches",
+            address=f"{address}:18145",
+            zone="here",
+            capacity=6,
+            heartbeat_s=0.5,
+            instance="i-example",
+        )
         stopping = asyncio.Event()
         heard: list[bool] = []
 
         async def live() -> None:
             heard.append(await leaving.serve_until(side, stopping, drain_s=2.0))
+
         task = town.loop.create_task(live())
         town.wait(1.0)
         door = town.plane(address).door
--- a/stories/configuration/test_document.py
+++ b/stories/configuration/test_document.py
@@ -14,21 +14,39 @@
 
 def content() -> dict[str, Any]:
     def route(prefix: str, **more: Any) -> dict[str, Any]:
-        return {"name": "r" + prefix, "path-prefix": prefix, "route-type": "idempotent", "timeout-s": 1.5,
-                "target-latency-s": 0.25, "priority": 2, "service": "one", "max-attempts": 2} | more
+        return {
+            "name": "r" + prefix,
+            "path-prefix": prefix,
+            "route-type": "idempotent",
+            "timeout-s": 1.5,
+            "target-latency-s": 0.25,
+            "priority": 2,
+            "service": "one",
+            "max-attempts": 2,
+        } | more
+
     split = [{"service": "one", "weight": 90}, {"service": "two", "weight": 10}]
-    return {"revision": 7, "services": [{"name": "one"}, {"name": "two"}],
-            "limits": {"max-header-bytes": 16384},
-            "hosts": [{"hostname": "a.example", "host-routes": [
-                route("/x/"), route("/x/y/", **{"traffic-split": split}), route("/z/")]}]}
+    return {
+        "revision": 7,
+        "services": [{"name": "one"}, {"name": "two"}],
+        "limits": {"max-header-bytes": 16384},
+        "hosts": [
+            {
+                "hostname": "a.example",
+                "host-routes": [route("/x/"), route("/x/y/", **{"traffic-split": split}), route("/z/")],
+            }
+        ],
+    }
 
 
 FAULTS: dict[str, Any] = {
     "hosts.0.host-routes.0.service": lambda c: c["hosts"][0]["host-routes"][0].update(service="nobody"),
     "hosts.0.host-routes.2.path-prefix": lambda c: c["hosts"][0]["host-routes"][2].update(
-        {"path-prefix": "/x/"}),
+        {"path-prefix": "/x/"}
+    ),
     "hosts.0.host-routes.1.traffic-split": lambda c: [
-        part.update(weight=0) for part in c["hosts"][0]["host-routes"][1]["traffic-split"]],
+        part.update(weight=0) for part in c["hosts"][0]["host-routes"][1]["traffic-split"]
+    ],
     "hosts.0.host-routes.0.timeout-s": lambda c: c["hosts"][0]["host-routes"][0].update({"timeout-s": 0}),
     "hosts.0.hostname": lambda c: c["hosts"][0].update(hostname=""),
     "revision": lambda c: c.update(revision="7"),
@@ -49,8 +67,11 @@
 
 
 @test("one that can't be read whole, or says a thing twice, is refused")
-def _(body: bytes = each(json.dumps(content()).encode()[:-20], b"", b"\xff", b"[1]",
-                         b'{"revision":1,"revision":2}')) -> None:
+def _(
+    body: bytes = each(
+        json.dumps(content()).encode()[:-20], b"", b"\xff", b"[1]", b'{"revision":1,"revision":2}'
+    ),
+) -> None:
     with raises(BadSettings):
         parse(body)
 
@@ -73,6 +94,7 @@
     def found(host: str, path: str) -> str | None:
         route = routes.find(host, path)
         return route.path_prefix if route is not None else None
+
     assert found("a.example", "/x/y/1") == "/x/y/" and found("A.example:8080", "/x/y") == "/x/"
     assert found("a.example", "/x") is None and found("b.example", "/x/") is None
 
--- a/stories/control/test_consensus.py
+++ b/stories/control/test_consensus.py
@@ -200,6 +200,7 @@
 
     def hasty(self: Consensus, address: str, message: object, after_writes: bool = False) -> None:
         real(self, address, message, False)
+
     with mock.patch.object(Consensus, "_send", hasty), raises(Broken) as broken:
         for seed in range(60):
             core = Core(seed, 3)
@@ -243,8 +244,9 @@
             core.wipe(follower)
             core.kill(leader)
             core.heal()
-            with mock.patch.object(type(core.machines[follower].disk), "held",
-                                   lambda disk, id=id: Held(id=id)):
+            with mock.patch.object(
+                type(core.machines[follower].disk), "held", lambda disk, id=id: Held(id=id)
+            ):
                 core.start(follower)
             wiped = core.machines[follower].consensus
             ahead = core.machines[other].consensus
--- a/stories/control/test_histories.py
+++ b/stories/control/test_histories.py
@@ -15,16 +15,22 @@
 
 
 SOUND = {
-    "one after the other": [replace(0, 1, 0, 5, 1), read(2, 3, 5), replace(4, 5, 0, 7, 0),
-                            replace(6, 7, 5, 9, 1)],
+    "one after the other": [
+        replace(0, 1, 0, 5, 1),
+        read(2, 3, 5),
+        replace(4, 5, 0, 7, 0),
+        replace(6, 7, 5, 9, 1),
+    ],
     "a read beside it": [replace(0, 5, 0, 5, 1), read(1, 2, 0), read(3, 4, 5)],
     "two race": [replace(0, 5, 0, 5, 0), replace(1, 4, 0, 6, 1), read(6, 7, 6)],
-    "an unknown one in force later": [Operation(0, 0, 5), read(2, 3, 0), read(4, 5, 5)]}
+    "an unknown one in force later": [Operation(0, 0, 5), read(2, 3, 0), read(4, 5, 5)],
+}
 UNSOUND = {
     "an older one is read": [replace(0, 1, 0, 5, 1), read(2, 3, 5), read(4, 5, 0)],
     "two on one base": [replace(0, 5, 0, 5, 1), replace(1, 4, 0, 6, 1)],
     "taken and never seen": [replace(0, 1, 0, 5, 1), read(2, 3, 0)],
-    "refused, and read": [replace(0, 1, 0, 5, 0), read(2, 3, 5)]}
+    "refused, and read": [replace(0, 1, 0, 5, 0), read(2, 3, 5)],
+}
 
 
 @test("a history that one register may have gone through is found to be one: {name}")
--- a/stories/control/test_offline.py
+++ b/stories/control/test_offline.py
@@ -29,8 +29,9 @@
 
 
 def command(*words: str) -> tuple[int, str, str]:
-    done = subprocess.run([sys.executable, "-m", "cometdoor", *words], capture_output=True, text=True,
-                          check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "cometdoor", *words], capture_output=True, text=True, check=False
+    )
     return done.returncode, done.stdout, done.stderr
 
 
@@ -75,8 +76,10 @@
 
 def settings_of(folder: Path, directory: Path) -> Path:
     path = folder / "boot.toml"
-    path.write_text('node-name = "n"\nip-address = "127.0.0.1"\nzone = "z"\ninternal-ports = [7380, 7395]\n'
-                    f'data-directory = "{directory}"\n[listen-addresses]\ncontrol-plane = "127.0.0.1:8144"\n')
+    path.write_text(
+        'node-name = "n"\nip-address = "127.0.0.1"\nzone = "z"\ninternal-ports = [7380, 7395]\n'
+        f'data-directory = "{directory}"\n[listen-addresses]\ncontrol-plane = "127.0.0.1:8144"\n'
+    )
     return path
 
 
--- a/stories/control/test_vault.py
+++ b/stories/control/test_vault.py
@@ -65,7 +65,7 @@
             vault._synced = 3  # the fourth value was not on disk yet when the fifth was written
         vault.put([an_entry(4)])
         data = bytearray(dat(Path(name)).read_bytes())
-        data[place:place + BLOCK] = bytes(BLOCK)
+        data[place : place + BLOCK] = bytes(BLOCK)
         dat(Path(name)).write_bytes(bytes(data))
         found, _ = read_folder(Path(name))
         assert found.is_damaged is hole_is_synced
--- a/stories/core/test_boot.py
+++ b/stories/core/test_boot.py
@@ -35,8 +35,11 @@
         read_boot(broken.replace("[7380,7395]", "[7380]").encode(), "boot.toml", "dataplane")
     assert [fault.path for fault in problem.raised.problems] == ["zone"]
     with raises(BadSettings) as problem:
-        read_boot(broken.replace("zone = 7", 'zone = "z"').replace("[7380,7395]", "[7380]").encode(),
-                  "boot.toml", "dataplane")
+        read_boot(
+            broken.replace("zone = 7", 'zone = "z"').replace("[7380,7395]", "[7380]").encode(),
+            "boot.toml",
+            "dataplane",
+        )
     assert [fault.path for fault in problem.raised.problems] == ["internal-ports", "seed-nodes.0"]
 
 
--- a/stories/dataplane/test_beats.py
+++ b/stories/dataplane/test_beats.py
@@ -36,8 +36,10 @@
 
 
 @test("a beat that can't be read is refused with every fault and its place")
-def _(body: bytes = each(b"{", b"[]", b'{"service":1,"address":"x","lifecycle-state":"up"}'),
-      faults: str = each("", "", "service call-sequence")) -> None:
+def _(
+    body: bytes = each(b"{", b"[]", b'{"service":1,"address":"x","lifecycle-state":"up"}'),
+    faults: str = each("", "", "service call-sequence"),
+) -> None:
     with raises(BadSettings) as problem:
         read_beat(body)
     assert {fault.path for fault in problem.raised.problems} == set(faults.split(" "))
--- a/stories/keys/test_operations.py
+++ b/stories/keys/test_operations.py
@@ -43,13 +43,16 @@
                         self.lost_claims -= 1
                         self.carry_out(proxy, self.proxies[proxy].claimed(action.key, "", ""))
                     else:
-                        self.carry_out(proxy, self.proxies[proxy].claimed(
-                            action.key, verdict.holder, verdict.claim))
+                        self.carry_out(
+                            proxy, self.proxies[proxy].claimed(action.key, verdict.holder, verdict.claim)
+                        )
                 case DoRun():
                     self.runs.append((proxy, action.ask))
                 case DoAsk():
+
                     def told(reply: OperationIs | None, action: DoAsk = action) -> None:
                         self.carry_out(proxy, self.proxies[proxy].told(action.key, action.claim, reply))
+
                     if action.holder in self.proxies:
                         self.proxies[action.holder].asked(action.key, action.claim, told)
                     else:
--- a/stories/mesh/test_fleet.py
+++ b/stories/mesh/test_fleet.py
@@ -51,6 +51,7 @@
         async def one(place: int) -> int:
             await asyncio.sleep(place * 0.02)
             return await town.request(town.planes[1 + place % 3], "idempotent")
+
         statuses = town.run(ask_often())
         for address in town.planes:
             for way in town.plane(address).out._ways.values():
@@ -68,8 +69,9 @@
     with fleet(seed=3) as town:
         town.run(town.begin())
         leaving = town.backends[town.planes[1]]
-        town.run(town.traffic(6.0, 100.0, {
-            2.0: lambda: town.as_backend(leaving.address, leaving.drain(DRAIN_S))}))
+        town.run(
+            town.traffic(6.0, 100.0, {2.0: lambda: town.as_backend(leaving.address, leaving.drain(DRAIN_S))})
+        )
         assert leaving.acknowledged_at is not None
         assert leaving.last_run_at <= leaving.acknowledged_at + DRAIN_S
         assert set(town.ledger.ends) == {200} and not town.account(), (town.ledger.ends, town.account())
@@ -85,8 +87,12 @@
             backend.capacity, backend.work_s = 30, lambda: 0.25
 
         async def burst(count: int) -> list[int]:
-            return list(await asyncio.gather(*(
-                town.request(town.planes[place % 3], "idempotent") for place in range(count))))
+            return list(
+                await asyncio.gather(
+                    *(town.request(town.planes[place % 3], "idempotent") for place in range(count))
+                )
+            )
+
         for _ in range(3):
             town.run(burst(60))
             town.wait(0.08)
@@ -105,8 +111,15 @@
 @test("an address that another service's backend took over never gets the old one's requests")
 def _() -> None:
     with fleet(seed=4, planes=6, services=["tents", "maps"]) as town:
-        town.run(town.begin(routes=[route("idempotent", service="tents"), route("maps", service="maps"),
-                                    route("keyed", "keyed", "tents")]))
+        town.run(
+            town.begin(
+                routes=[
+                    route("idempotent", service="tents"),
+                    route("maps", service="maps"),
+                    route("keyed", "keyed", "tents"),
+                ]
+            )
+        )
         place = town.planes[0]
         town.run(town.traffic(1.0, 100.0))
         town.kill_backend(place)
@@ -142,8 +155,12 @@
         town.run(town.begin())
 
         async def both(key: str) -> list[int]:
-            return list(await asyncio.gather(*(
-                town.request(address, "keyed", key, tries=6) for address in town.planes[:2])))
+            return list(
+                await asyncio.gather(
+                    *(town.request(address, "keyed", key, tries=6) for address in town.planes[:2])
+                )
+            )
+
         assert town.run(both("k-before")) == [200, 200]
         town.kill(town.leader())
         statuses = town.run(both("k-while"))
@@ -203,6 +220,7 @@
 
         async def is_ready() -> int:
             return (await ask(leaving, READY, "GET", "/readiness", {}))[0]
+
         town.wait(0.1)
         assert town.run(is_ready()) == 503
         # Clients see that within two seconds, and go elsewhere
@@ -219,16 +237,21 @@
         other = [route("other"), route("idempotent")]
 
         async def race() -> list[int]:
-            return list(await asyncio.gather(town.configure(5, 1, routes=first),
-                                             town.configure(6, 1, routes=other)))
+            return list(
+                await asyncio.gather(town.configure(5, 1, routes=first), town.configure(6, 1, routes=other))
+            )
+
         statuses = town.run(race())
         assert sorted(statuses) == [200, 412], statuses
         town.wait(2.0)
         won, lost = ("new", "other") if statuses[0] == 200 else ("other", "new")
 
         async def look() -> list[dict[str, int]]:
-            return [{path: await town.request(address, path, tries=1) for path in ("old", won, lost)}
-                    for address in town.planes]
+            return [
+                {path: await town.request(address, path, tries=1) for path in ("old", won, lost)}
+                for address in town.planes
+            ]
+
         assert town.run(look()) == [{"old": 404, won: 200, lost: 404}] * 8
 
 
@@ -236,21 +259,44 @@
     ("no HTTP", b"\x16\x03\x01 nonsense\r\n\r\n", 400),
     ("no id", b"GET /idempotent/1 HTTP/1.1\r\nHost: x\r\n\r\n", 400),
     ("no host there", b"GET /idempotent/1 HTTP/1.1\r\nCometdoor-Attempt-Id: a\r\n\r\n", 400),
-    ("two ids", b"GET /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
-                b"Cometdoor-Attempt-Id: b\r\n\r\n", 400),
-    ("a deadline in words", b"GET /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
-                            b"Cometdoor-Deadline-Ms: soon\r\n\r\n", 400),
-    ("length and coding", b"POST /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
-                          b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
-                          b"0\r\n\r\nGET /x HTTP/1.1\r\n\r\n", 400),
-    ("two lengths", b"POST /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
-                    b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400),
+    (
+        "two ids",
+        b"GET /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
+        b"Cometdoor-Attempt-Id: b\r\n\r\n",
+        400,
+    ),
+    (
+        "a deadline in words",
+        b"GET /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
+        b"Cometdoor-Deadline-Ms: soon\r\n\r\n",
+        400,
+    ),
+    (
+        "length and coding",
+        b"POST /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+        400,
+    ),
+    (
+        "two lengths",
+        b"POST /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
+        b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        400,
+    ),
     ("a head that is too long", b"GET /idempotent/1 HTTP/1.1\r\nHost: x\r\nX-More: " + b"x" * 20_000, 431),
-    ("a body that is too long", b"POST /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
-                                b"Content-Length: 99999999\r\n\r\n", 413),
+    (
+        "a body that is too long",
+        b"POST /idempotent/1 HTTP/1.1\r\nHost: x\r\nCometdoor-Attempt-Id: a\r\n"
+        b"Content-Length: 99999999\r\n\r\n",
+        413,
+    ),
     ("no route", b"GET /nowhere/1 HTTP/1.1\r\nHost: pitches.example\r\nCometdoor-Attempt-Id: a\r\n\r\n", 404),
-    ("no such host", b"GET /idempotent/1 HTTP/1.1\r\nHost: else.example\r\n"
-                     b"Cometdoor-Attempt-Id: a\r\n\r\n", 404),
+    (
+        "no such host",
+        b"GET /idempotent/1 HTTP/1.1\r\nHost: else.example\r\nCometdoor-Attempt-Id: a\r\n\r\n",
+        404,
+    ),
 ]
 
 
@@ -265,6 +311,7 @@
             head = await asyncio.wait_for(reader.readuntil(b"\r\n"), 3.0)
             writer.close()
             return int(head.split()[1])
+
         for name, raw, status in BAD_REQUESTS:
             assert town.run(send(raw)) == status, name
         assert not town.ledger.runs and not town.account(), town.account()
@@ -276,32 +323,43 @@
         town.run(town.begin())
 
         async def replace(body: bytes, base: str) -> tuple[int, str]:
-            status, _, text = await ask(town.leader(), CONTROL, "POST", "/Configuration.Replace",
-                                        {"Cometdoor-Base-Version": base}, body)
+            status, _, text = await ask(
+                town.leader(),
+                CONTROL,
+                "POST",
+                "/Configuration.Replace",
+                {"Cometdoor-Base-Version": base},
+                body,
+            )
             return status, text.decode()
+
         sound = {"revision": 9, "services": [], "hosts": []}
         unnamed = {"hosts": [{"hostname": "", "host-routes": []}]}
         for body, base, status, place in [
-                (b"{", "1", 400, "can't be read whole"),
-                (json.dumps(sound).encode(), "one", 400, "Base-Version"),
-                (json.dumps(sound | {"revision": 1}).encode(), "1", 400, "revision"),
-                (json.dumps(sound).encode(), "7", 412, "version 1"),
-                (json.dumps(sound | unnamed).encode(), "1", 400, "hosts.0.hostname")]:
+            (b"{", "1", 400, "can't be read whole"),
+            (json.dumps(sound).encode(), "one", 400, "Base-Version"),
+            (json.dumps(sound | {"revision": 1}).encode(), "1", 400, "revision"),
+            (json.dumps(sound).encode(), "7", 412, "version 1"),
+            (json.dumps(sound | unnamed).encode(), "1", 400, "hosts.0.hostname"),
+        ]:
             got, text = town.run(replace(body, base))
             assert got == status and place in text, (body, got, text)
 
         async def describe() -> int:
             _, _, body = await ask(town.leader(), CONTROL, "GET", "/Configuration.Describe", {})
             return int(json.loads(body)["revision"])
+
         assert town.run(describe()) == 1
 
 
 @test("searches whose calls find two of three backends gone are served in part, and the urgent nearly whole")
 def _() -> None:
     with fleet(seed=16, planes=6, services=["search", "rates"]) as town:
-        routes = [route("search", service="search", more={"priority": 2, "target-latency-s": 0.8}),
-                  route("rates", service="rates", more={"target-latency-s": 0.2, "timeout-s": 0.6}),
-                  route("view", service="rates", more={"target-latency-s": 0.3})]
+        routes = [
+            route("search", service="search", more={"priority": 2, "target-latency-s": 0.8}),
+            route("rates", service="rates", more={"target-latency-s": 0.2, "timeout-s": 0.6}),
+            route("view", service="rates", more={"target-latency-s": 0.3}),
+        ]
         town.run(town.begin(routes=routes))
         for backend in town.backends.values():
             backend.work_s = (lambda: 0.055) if backend.service == "rates" else lambda: 0.2
@@ -321,8 +379,11 @@
             into.append(await town.request(town.planes[int(delay * 1000) % 6], kind))
 
         async def all_of_it() -> None:
-            await asyncio.gather(*(keep("search", searches, place / 40) for place in range(400)),
-                                 *(keep("view", views, place / 40) for place in range(400)))
+            await asyncio.gather(
+                *(keep("search", searches, place / 40) for place in range(400)),
+                *(keep("view", views, place / 40) for place in range(400)),
+            )
+
         town.run(all_of_it())
         # Then
         assert views.count(200) > 0.8 * len(views), views.count(200)
@@ -342,6 +403,7 @@
         async def stop_listening() -> None:
             assert backend._server is not None
             backend._server.close()
+
         town.as_backend(address, stop_listening())
         town.run(town.traffic(1.0, 60.0))
         door = town.plane(address).door
@@ -371,6 +433,7 @@
         if is_full:
             raise DiskError("begin", str(vault.folder), "no space left")
         begin(vault, writes)
+
     with fleet(seed=19) as town, mock.patch.object(Vault, "begin", begin_if_room):
         is_full = False
         town.run(town.begin())
@@ -399,7 +462,10 @@
         faults = told.raised.exceptions
         assert len(faults) == 4 and all(isinstance(fault, ListenError) for fault in faults)
         assert {fault.peer.rpartition(":")[2] for fault in faults if isinstance(fault, ListenError)} >= {
-            str(OUT), str(READY), str(CONTROL)}
+            str(OUT),
+            str(READY),
+            str(CONTROL),
+        }
 
 
 @test("a core of which one disk is left is built anew: its configuration stands, and no key runs twice")
@@ -420,8 +486,12 @@
         for address in town.core:
             if address != left:
                 (town.folder / address).rename(town.folder / f"lost-{address}")
-        done = rebuild([town.folder / "left"], town.folder / left,
-                       Member("", f"{left}:{INTERNAL + 1}", f"{left}:{CONTROL}", left), 60.0)
+        done = rebuild(
+            [town.folder / "left"],
+            town.folder / left,
+            Member("", f"{left}:{INTERNAL + 1}", f"{left}:{CONTROL}", left),
+            60.0,
+        )
         assert done.revision == 4 and len(done.members_before) == 3
         for address in (left, *(address for address in town.core if address != left)):
             town.restart(address)
@@ -449,12 +519,13 @@
         async def look(after: str) -> tuple[int, list[dict[str, object]]]:
             status, _, body = await ask(town.leader(), CONTROL, "GET", f"/Core.Log/{after}", {})
             return status, json.loads(body).get("entries", [])
+
         _, entries = town.run(look("0"))
         changes = [entry["change"] for entry in entries]
         assert changes[0] == "members" and {"configuration", "claim", "lead"} <= set(changes)
         assert all(entry["committed"] for entry in entries if entry["change"] == "configuration")
         _, later = town.run(look(str(entries[2]["index"])))
-        assert later[:len(entries) - 3] == entries[3:]
+        assert later[: len(entries) - 3] == entries[3:]
         assert town.run(look("soon"))[0] == 404 and town.run(look("999999")) == (200, [])
 
 
--- a/stories/news/test_directory.py
+++ b/stories/news/test_directory.py
@@ -68,8 +68,9 @@
     town.run(4.0)
     town.kill("n4")
     town.run(4.0)
-    assert all([record.node for record in one.records.values() if record.silent] == ["n4"]
-               for one in town.up())
+    assert all(
+        [record.node for record in one.records.values() if record.silent] == ["n4"] for one in town.up()
+    )
 
 
 @test("where two can't reach one another and all others can, neither is silent")
@@ -138,8 +139,13 @@
 
 
 def a_configuration(routes: int, changed: int) -> bytes:
-    return json.dumps({"host-routes": [{"name": f"r-{place}", "timeout-s": 1 + (place < changed)}
-                                       for place in range(routes)]}).encode()
+    return json.dumps(
+        {
+            "host-routes": [
+                {"name": f"r-{place}", "timeout-s": 1 + (place < changed)} for place in range(routes)
+            ]
+        }
+    ).encode()
 
 
 @test("a configuration reaches all within half a second, also one that is cut off from the core alone")
--- a/stories/wire/test_splitter.py
+++ b/stories/wire/test_splitter.py
@@ -7,16 +7,20 @@
 
 @test("frames come out whole and in order, however their bytes come in")
 def _(size: int = each(1, 3, 7, 1000)) -> None:
-    frames = [Frame(1, False, Ping()), Frame(2, True, Ran(200, [(b"a", b"b")], b"x" * 500)),
-              Frame(0, False, Cancel(2))]
+    frames = [
+        Frame(1, False, Ping()),
+        Frame(2, True, Ran(200, [(b"a", b"b")], b"x" * 500)),
+        Frame(0, False, Cancel(2)),
+    ]
     data = b"".join(map(encode, frames))
     splitter = Splitter()
-    found = [frame for at in range(0, len(data), size) for frame in splitter.feed(data[at:at + size])]
+    found = [frame for at in range(0, len(data), size) for frame in splitter.feed(data[at : at + size])]
     assert found == frames
 
 
 @test("what is no frame ends the line")
-def _(data: bytes = each(b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\x03abc",
-                         (MAX_FRAME + 1).to_bytes(4, "big"))) -> None:
+def _(
+    data: bytes = each(b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\x03abc", (MAX_FRAME + 1).to_bytes(4, "big")),
+) -> None:
     with raises(BadFrame):
         Splitter().feed(data)
--- a/tests/core/test_evidence.py
+++ b/tests/core/test_evidence.py
@@ -11,16 +11,20 @@
 
 STAGES = list(Stage)
 # What can't be: nothing is closed or spoilt before there is a connection, refused once there is one.
-IMPOSSIBLE = {(Stage.CONNECTING, End.CLOSED), (Stage.CONNECTING, End.SPOILT),
-              *((stage, End.REFUSED) for stage in STAGES[1:]),
-              *((stage, End.TOO_LONG) for stage in (Stage.CONNECTING, Stage.OPEN, Stage.WRITTEN))}
+IMPOSSIBLE = {
+    (Stage.CONNECTING, End.CLOSED),
+    (Stage.CONNECTING, End.SPOILT),
+    *((stage, End.REFUSED) for stage in STAGES[1:]),
+    *((stage, End.TOO_LONG) for stage in (Stage.CONNECTING, Stage.OPEN, Stage.WRITTEN)),
+}
 UNSEEN = {End.BROKEN, End.CLOSED}  # how an idle connection ends without a word
 
 
 @pytest.mark.parametrize("kept", [False, True])
 @pytest.mark.parametrize(("stage", "end"), list(itertools.product(Stage, End)))
 def test_every_end_at_every_stage_says_whether_the_call_ran_and_whom_to_blame(
-        stage: Stage, end: End, kept: bool) -> None:
+    stage: Stage, end: End, kept: bool
+) -> None:
     if (stage, end) in IMPOSSIBLE:
         with pytest.raises(KeyError):
             read(stage, end, kept)
--- a/tests/core/test_keeping.py
+++ b/tests/core/test_keeping.py
@@ -42,8 +42,9 @@
                 met[once][1] += idle_s > limit_s
     assert met[False][1] <= met[False][0] / 7.0
     assert met[True][1] <= met[True][0] / 40.0
-    floor = {"a server that closes between 0.2 and 0.6 s": 0.1,
-             "one in fifty is lost at any age": 0.5}.get(name, 0.95)
+    floor = {"a server that closes between 0.2 and 0.6 s": 0.1, "one in fifty is lost at any age": 0.5}.get(
+        name, 0.95
+    )
     assert used >= floor * 40 * 400
 
 
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -60,13 +60,20 @@
 
 
 OWNERS = 4
-STEPS = st.lists(st.tuples(st.sampled_from(["take", "give", "guarantee", "leave"]),
-                           st.integers(0, OWNERS - 1), st.integers(0, 12)), max_size=200)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["take", "give", "guarantee", "leave"]),
+        st.integers(0, OWNERS - 1),
+        st.integers(0, 12),
+    ),
+    max_size=200,
+)
 
 
 @given(STEPS, st.integers(1, 40))
 def test_no_step_takes_more_than_there_is_or_denies_what_is_guaranteed(
-        steps: list[tuple[str, int, int]], total: int) -> None:
+    steps: list[tuple[str, int, int]], total: int
+) -> None:
     stock = Stock(total)
     shares = [stock.join(0) for _ in range(OWNERS)]
     everyone = list(shares)
--- a/tests/discovery/test_platform.py
+++ b/tests/discovery/test_platform.py
@@ -52,9 +52,15 @@
         with Script().in_place() as script:
             await started(script, discovery, member("s1", "127.0.0.1:9"))
             call = await discovery.next()
-            script.react = lambda event: [api.Watch()] if isinstance(event, api.TimerFired) else (
-                [api.SetTimer(5, 1.0)] if isinstance(event, api.ListChanged)
-                and event.kind is ListKind.FAILED else [])
+            script.react = lambda event: (
+                [api.Watch()]
+                if isinstance(event, api.TimerFired)
+                else (
+                    [api.SetTimer(5, 1.0)]
+                    if isinstance(event, api.ListChanged) and event.kind is ListKind.FAILED
+                    else []
+                )
+            )
             if ending == "503":
                 call.reply(503)
             elif ending == "reset":
@@ -119,19 +125,32 @@
     run(test)
 
 
-@pytest.mark.parametrize("unreadable", [
-    {"phase": "asleep"}, {"host_port": "nowhere"}, {"size": "large"}, {"cell": [1], "phase": None}])
+@pytest.mark.parametrize(
+    "unreadable",
+    [{"phase": "asleep"}, {"host_port": "nowhere"}, {"size": "large"}, {"cell": [1], "phase": None}],
+)
 @pytest.mark.parametrize("complete", [True, False])
 def test_an_entry_that_cannot_be_read_stays_as_it_was_and_the_others_are_news(
-        unreadable: dict[str, Any], complete: bool) -> None:
+    unreadable: dict[str, Any], complete: bool
+) -> None:
     reader = ListReader((), ())
     reader.read({"complete": True, "members": [member("s1", "127.0.0.1:1"), member("s2", "127.0.0.1:2")]})
-    servers, addresses = reader.read({"complete": complete, "members": [
-        member("s1", "127.0.0.1:1", **unreadable), member("new", "127.0.0.1:3", **unreadable), "what",
-        {"id": []},
-        member("s2", "127.0.0.1:2", phase="terminating")]})
+    servers, addresses = reader.read(
+        {
+            "complete": complete,
+            "members": [
+                member("s1", "127.0.0.1:1", **unreadable),
+                member("new", "127.0.0.1:3", **unreadable),
+                "what",
+                {"id": []},
+                member("s2", "127.0.0.1:2", phase="terminating"),
+            ],
+        }
+    )
     assert [(server.name, server.state) for server in servers] == [
-        ("s1", State.READY), ("s2", State.DRAINING)]
+        ("s1", State.READY),
+        ("s2", State.DRAINING),
+    ]
     assert addresses == {"s1": ("127.0.0.1", 1), "s2": ("127.0.0.1", 2)}
     reader.read({"members": [member("s1", "", phase="terminated")]})
     assert list(reader._last) == ["s2"]
@@ -146,7 +165,8 @@
                 call = await discovery.next()
                 call.open_stream()
                 script.react = lambda event: (
-                    [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else [])
+                    [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else []
+                )
                 caller, other = await rig.caller(), await rig.caller()
                 caller.ask()
                 served = await backend.next()
@@ -171,9 +191,12 @@
 def test_entries_are_read_stably() -> None:
     reader = ListReader(("b", "a"), ("big",))
     since = (time.time() - 7.0) * 1000.0
-    message = {"members": [
-        member("s1", "127.0.0.1:1", up_since_ms=since, size=1.5, locality="a", flavor="big"),
-        member("s2", "127.0.0.1:2", locality="far", flavor="new", cell="pod-7")]}
+    message = {
+        "members": [
+            member("s1", "127.0.0.1:1", up_since_ms=since, size=1.5, locality="a", flavor="big"),
+            member("s2", "127.0.0.1:2", locality="far", flavor="new", cell="pod-7"),
+        ]
+    }
     (one, two), addresses = reader.read(message)
     assert (one.zone, one.kind, one.cell, one.weight, one.state) == (1, 0, 3, 1.5, State.READY)
     assert (two.zone, two.kind, two.started_at) == (2, 1, 0.0)
--- a/tests/http/test_frontend.py
+++ b/tests/http/test_frontend.py
@@ -30,10 +30,17 @@
     "a deadline without end": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: inf"), 400),
     "a deadline gone by": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: -1"), 400),
     "the wrong method": (head("POST /read/1 HTTP/1.1", *GOOD, "Content-Length: 0"), 405),
-    "no key": (head("POST /book/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: book", "X-Expires-In: 1",
-                    "Content-Length: 0"), 400),
-    "a large body": (head("POST /pay/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: pay", "X-Expires-In: 1",
-                          "Content-Length: 65537") + b"x" * 65537, 413),
+    "no key": (
+        head("POST /book/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: book", "X-Expires-In: 1", "Content-Length: 0"),
+        400,
+    ),
+    "a large body": (
+        head(
+            "POST /pay/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: pay", "X-Expires-In: 1", "Content-Length: 65537"
+        )
+        + b"x" * 65537,
+        413,
+    ),
     "a large head": (head("GET /read/1 HTTP/1.1", *GOOD, "X-More: " + "x" * 66000), 431),
     "a head without end": (b"GET /read/1 HTTP/1.1\r\nX-More: " + b"x" * 50_000, 431),
     "a target without end": (b"GET /" + b"x" * 50_000, 431),
@@ -55,7 +62,9 @@
     "a deadline with an underscore": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: 1_0"), 400),
     "a huge deadline": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: 1e300"), 400),
     "more behind the request than belongs to it": (
-        head("GET /read/1 HTTP/1.1", *GOOD) + b"\x00\x01 garbage", 400),
+        head("GET /read/1 HTTP/1.1", *GOOD) + b"\x00\x01 garbage",
+        400,
+    ),
     "an upgrade": (head("CONNECT app.svc:1 HTTP/1.1", *GOOD), 400),
 }
 
@@ -80,11 +89,17 @@
 def test_a_request_that_comes_in_pieces_is_one_request() -> None:
     async def test() -> None:
         async with one_server() as (backend, script, _, caller):
-            data = head("POST /pay/1?q=1 HTTP/1.1", "X-Trace-Id: abc", "X-Qos: pay", "X-Expires-In: 5",
-                        "X-Size-Hint: 1500", "Transfer-Encoding: chunked")
+            data = head(
+                "POST /pay/1?q=1 HTTP/1.1",
+                "X-Trace-Id: abc",
+                "X-Qos: pay",
+                "X-Expires-In: 5",
+                "X-Size-Hint: 1500",
+                "Transfer-Encoding: chunked",
+            )
             data += b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
             for place in range(0, len(data), 7):
-                caller.writer.write(data[place:place + 7])
+                caller.writer.write(data[place : place + 7])
                 await caller.writer.drain()
             call = await backend.next()
             assert call.message.start == b"POST /pay/1?q=1 HTTP/1.1"
@@ -160,6 +175,7 @@
 
 def test_closing_idle_connections_spares_a_request_that_has_just_come() -> None:
     """A request that lies unread in the machine's buffer counts as taken: closing over it loses it."""
+
     async def test() -> None:
         backend = await FakeServer().start()
         rig = await Rig().start(member("s1", backend.address))
@@ -185,7 +201,8 @@
         with Script().in_place() as script:
             rig = await Rig().start(limits={"retry_after": allowed})
             script.react = lambda event: (
-                [api.Refuse(event.request, 250.0)] if isinstance(event, api.RequestArrived) else [])
+                [api.Refuse(event.request, 250.0)] if isinstance(event, api.RequestArrived) else []
+            )
             caller: Caller = await rig.caller()
             caller.ask()
             answer = await caller.answer()
@@ -258,8 +275,9 @@
         with Script().in_place() as script:
             rig = await Rig().start()
             caller = await rig.caller()
-            caller.writer.write(b"".join(
-                head("GET /read/1 HTTP/1.1", f"X-Trace-Id: {n}", *GOOD[1:]) for n in range(50)))
+            caller.writer.write(
+                b"".join(head("GET /read/1 HTTP/1.1", f"X-Trace-Id: {n}", *GOOD[1:]) for n in range(50))
+            )
             assert (await caller.answer()).status == 400
             assert await caller.ended()
             assert not any(isinstance(event, api.RequestArrived) for event in script.events)
@@ -290,6 +308,7 @@
 
 def test_newcomers_find_room_at_the_cost_of_those_that_say_nothing_or_are_long_idle() -> None:
     """Hundreds of silent connections must not shut out the usual callers, nor take the backends' part."""
+
     async def test() -> None:
         with mock.patch.multiple("cometdoor.http.frontend", SILENT_S=0.0, SPARE_IDLE_S=0.0):
             rig = await Rig().start(sockets=Descriptors.RESERVE + 8)
@@ -349,7 +368,8 @@
     async def test() -> None:
         rig = await Rig().start()
         rig.front._accept_one = mock.Mock(  # type: ignore[method-assign]
-            side_effect=OSError(errno.EMFILE, "Too many open files"))
+            side_effect=OSError(errno.EMFILE, "Too many open files")
+        )
         caller = await rig.caller()
         while not rig.front._accept_one.called:
             await asyncio.sleep(0)
@@ -364,8 +384,10 @@
 def test_a_caller_that_reads_no_answers_is_not_served_on_and_on(leaves: bool) -> None:
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch.multiple(
-                "cometdoor.http.frontend", IDLE_S=60.0 if leaves else 0.05, LINGER_S=0.01):
+        with (
+            Script().in_place() as script,
+            mock.patch.multiple("cometdoor.http.frontend", IDLE_S=60.0 if leaves else 0.05, LINGER_S=0.01),
+        ):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             with socket.socket() as raw:
--- a/tests/http/test_memory.py
+++ b/tests/http/test_memory.py
@@ -44,8 +44,11 @@
                 while rig.front.connections or rig.proxy._host._requests:
                     await asyncio.sleep(0)
                 gc.collect()
-                ours = Counter(type(found).__name__ for found in gc.garbage
-                               if type(found).__module__.startswith(("cometdoor", "jasperhall", "httptools")))
+                ours = Counter(
+                    type(found).__name__
+                    for found in gc.garbage
+                    if type(found).__module__.startswith(("cometdoor", "jasperhall", "httptools"))
+                )
             finally:
                 gc.set_debug(0)
                 gc.garbage.clear()
--- a/tests/http/test_proxy.py
+++ b/tests/http/test_proxy.py
@@ -36,11 +36,13 @@
 @pytest.mark.parametrize("how", ["inline", "off"])
 def test_the_module_is_told_what_an_answer_says_of_its_servers_load(how: str) -> None:
     """It was dropped on the way: on sockets the module never knew that a zone was busy."""
+
     async def test() -> None:
         async with one_server(report={"how": how}) as (backend, script, _, caller):
             caller.ask()
             (await backend.next()).reply(
-                200, b"x", "Endpoint-Load-Metrics: TEXT util=0.61, qps=12.5, latency_ms=80")
+                200, b"x", "Endpoint-Load-Metrics: TEXT util=0.61, qps=12.5, latency_ms=80"
+            )
             ended = await script.until(api.AttemptEnded)
             told = {"util": 0.61, "qps": 12.5, "latency_ms": 80.0} if how == "inline" else {}
             assert dict(ended.load) == told
@@ -49,13 +51,15 @@
 
 
 @pytest.mark.parametrize(("action", "status"), [(api.Refuse, 503), (api.Fail, 502)])
-def test_what_the_module_gave_up_on_is_answered_at_once(action: type[api.Refuse | api.Fail],
-                                                        status: int) -> None:
+def test_what_the_module_gave_up_on_is_answered_at_once(
+    action: type[api.Refuse | api.Fail], status: int
+) -> None:
     async def test() -> None:
         with Script().in_place() as script:
             rig = await Rig().start()
             script.react = lambda event: (
-                [action(event.request)] if isinstance(event, api.RequestArrived) else [])
+                [action(event.request)] if isinstance(event, api.RequestArrived) else []
+            )
             caller = await rig.caller()
             caller.ask(left="3600")  # held back until near its deadline it would outlast the test
             assert (await caller.answer()).status == status
@@ -73,8 +77,11 @@
                 if isinstance(event, api.RequestArrived):
                     return [api.Send(event.request, "s1"), api.Send(event.request, "s2")]
                 if isinstance(event, api.AttemptEnded) and event.outcome is Outcome.OK:
-                    return [api.Cancel(event.request, 0), api.Cancel(event.request, 0),
-                            api.Fail(event.request)]
+                    return [
+                        api.Cancel(event.request, 0),
+                        api.Cancel(event.request, 0),
+                        api.Fail(event.request),
+                    ]
                 return []
 
             script.react = react
@@ -100,7 +107,9 @@
             rig = await Rig().start(member("s1", slow.address), member("s2", fast.address))
             script.react = lambda event: (
                 [api.Send(event.request, "s1"), api.Send(event.request, "s2")]
-                if isinstance(event, api.RequestArrived) else [])
+                if isinstance(event, api.RequestArrived)
+                else []
+            )
             caller = await rig.caller()
             caller.ask()
             late = await slow.next()
@@ -158,7 +167,8 @@
         backend = await FakeServer().start()
         with Script().in_place() as script, mock.patch("cometdoor.core.host.MARGIN_MS", 300.0):
             script.react = lambda event: (
-                [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else [])
+                [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else []
+            )
             rig = await Rig().start(member("s1", backend.address))
             caller = await rig.caller()
             loop = asyncio.get_running_loop()
@@ -240,10 +250,16 @@
         for server in gone:
             server.stop()
         # Four further tries for all requests together: those after the first refused connections.
-        obligations = {**INFO["obligations"], "extra_floor": 4.0,  # type: ignore[dict-item]
-                       "extra_per_request": 0.0, "ratio_span_ms": 10_000.0}
-        rig = await Rig().start(*(member(f"s{place}", server.address) for place, server in
-                                  enumerate([*gone, alive])), obligations=obligations)
+        obligations = {
+            **INFO["obligations"],  # type: ignore[dict-item]
+            "extra_floor": 4.0,
+            "extra_per_request": 0.0,
+            "ratio_span_ms": 10_000.0,
+        }
+        rig = await Rig().start(
+            *(member(f"s{place}", server.address) for place, server in enumerate([*gone, alive])),
+            obligations=obligations,
+        )
         caller = await rig.caller()
         for _ in range(40):
             caller.ask("pay")
@@ -261,8 +277,9 @@
 
     async def test() -> None:
         backends = [await FakeServer().start() for _ in range(2)]
-        rig = await Rig().start(*(member(f"s{place}", backend.address)
-                                  for place, backend in enumerate(backends)))
+        rig = await Rig().start(
+            *(member(f"s{place}", backend.address) for place, backend in enumerate(backends))
+        )
         holding, asking = await rig.caller(), await rig.caller()
         holding.ask("pay")
         coming = [asyncio.ensure_future(backend.next()) for backend in backends]
@@ -283,8 +300,9 @@
 
     async def test() -> None:
         backends = [await FakeServer().start() for _ in range(2)]
-        rig = await Rig().start(*(member(f"s{place}", backend.address)
-                                  for place, backend in enumerate(backends)))
+        rig = await Rig().start(
+            *(member(f"s{place}", backend.address) for place, backend in enumerate(backends))
+        )
         caller = await rig.caller()
         for _ in range(30):
             caller.ask("pay")
@@ -306,8 +324,9 @@
         clock = time.monotonic
         with mock.patch("time.monotonic", lambda: clock() + passed):
             backends = [await FakeServer().start() for _ in range(4)]
-            rig = await Rig().start(*(member(f"s{place}", backend.address)
-                                      for place, backend in enumerate(backends)))
+            rig = await Rig().start(
+                *(member(f"s{place}", backend.address) for place, backend in enumerate(backends))
+            )
             counts = [0, 0, 0, 0]
             turns_away = False
 
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -28,13 +28,25 @@
     return ended.outcome
 
 
-@pytest.mark.parametrize(("status", "headers", "outcome"), [
-    (500, (), Outcome.ERROR), (503, (), Outcome.ERROR), (504, (), Outcome.ERROR), (404, (), Outcome.ERROR),
-    (400, (), Outcome.ERROR), (429, (), Outcome.ERROR), (204, (), Outcome.ERROR),
-    (500, (NEVER_RAN,), Outcome.ERROR), (503, (NEVER_RAN,), Outcome.FULL), (504, (NEVER_RAN,), Outcome.FULL),
-    (503, ("X-Never-Ran: 0",), Outcome.ERROR)])
-def test_only_a_marked_503_or_504_proves_that_nothing_ran(status: int, headers: tuple[str, ...],
-                                                         outcome: Outcome) -> None:
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        (500, (), Outcome.ERROR),
+        (503, (), Outcome.ERROR),
+        (504, (), Outcome.ERROR),
+        (404, (), Outcome.ERROR),
+        (400, (), Outcome.ERROR),
+        (429, (), Outcome.ERROR),
+        (204, (), Outcome.ERROR),
+        (500, (NEVER_RAN,), Outcome.ERROR),
+        (503, (NEVER_RAN,), Outcome.FULL),
+        (504, (NEVER_RAN,), Outcome.FULL),
+        (503, ("X-Never-Ran: 0",), Outcome.ERROR),
+    ],
+)
+def test_only_a_marked_503_or_504_proves_that_nothing_ran(
+    status: int, headers: tuple[str, ...], outcome: Outcome
+) -> None:
     async def test() -> None:
         async with one_server() as (backend, script, _, caller):
             caller.ask()
@@ -70,8 +82,9 @@
                 other.setblocking(False)
                 other.connect_ex(full.getsockname())
             script.react = first_to("s1")
-            rig = await Rig().start(member("s1", f"127.0.0.1:{full.getsockname()[1]}"),
-                                    limits={"connect_timeout_ms": 40.0})
+            rig = await Rig().start(
+                member("s1", f"127.0.0.1:{full.getsockname()[1]}"), limits={"connect_timeout_ms": 40.0}
+            )
             assert await one_outcome(script, await rig.caller(), 502) is Outcome.CONNECT_FAILED
             for other in others:
                 other.close()
@@ -122,6 +135,7 @@
 @pytest.mark.parametrize("name", SPOILT)
 def test_a_spoilt_answer_has_failed_and_may_have_run(name: str) -> None:
     """Its connection stays open. It is not taken for a kept one that was dropped, as a reset might be."""
+
     async def test() -> None:
         backend = await FakeServer().start()
         with Script().in_place() as script, mock.patch("cometdoor.http.upstream.ANSWER_S", 0.02):
@@ -139,12 +153,20 @@
     run(test)
 
 
-@pytest.mark.parametrize(("size", "room", "status"), [
-    (1 << 20, 0, 502), (1 << 20, 2 << 20, 200), ((1 << 20) + 1, 9 << 20, 502), (65_536, 0, 200),
-    (65_537, 0, 502)])
+@pytest.mark.parametrize(
+    ("size", "room", "status"),
+    [
+        (1 << 20, 0, 502),
+        (1 << 20, 2 << 20, 200),
+        ((1 << 20) + 1, 9 << 20, 502),
+        (65_536, 0, 200),
+        (65_537, 0, 502),
+    ],
+)
 @pytest.mark.parametrize("chunked", [False, True])
 def test_an_answer_over_64_kib_is_carried_while_there_is_room(
-        chunked: bool, size: int, room: int, status: int) -> None:
+    chunked: bool, size: int, room: int, status: int
+) -> None:
     async def test() -> None:
         with mock.patch("cometdoor.http.upstream.MAX_HELD", room):
             async with one_server() as (backend, script, rig, caller):
@@ -167,6 +189,7 @@
 @pytest.mark.parametrize("stray", [b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz", b"\x00noise"])
 def test_what_comes_late_behind_an_answer_never_reaches_the_next_request(stray: bytes) -> None:
     """Also where the next request comes at once, before the stray does."""
+
     async def test() -> None:
         async with one_server() as (backend, _, _, caller):
             caller.ask()
@@ -221,6 +244,7 @@
 
 def test_a_break_before_the_last_byte_is_written_never_ran() -> None:
     """What waits in the transport's buffer has not been written, though the transport has taken it."""
+
     async def test() -> None:
         accepted: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
 
@@ -232,8 +256,7 @@
         loop = asyncio.get_running_loop()
         pool = Pool(loop, Descriptors(100), 30_000.0, 250.0)
         done: asyncio.Future[Outcome] = loop.create_future()
-        exchange = Exchange(lambda: b"x" * (64 << 20),
-                            lambda reading, _: done.set_result(reading.outcome))
+        exchange = Exchange(lambda: b"x" * (64 << 20), lambda reading, _: done.set_result(reading.outcome))
         pool.send("s1", server.sockets[0].getsockname()[:2], exchange)
         writer = await accepted.get()
         assert exchange.stage() is Stage.HALF
@@ -257,8 +280,12 @@
         for cut_at in range(0 if held else 1, len(payload) + 1):  # at 0 the break may come before the write
             got: asyncio.Future[bytes] = loop.create_future()
 
-            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut_at: int = cut_at,
-                            got: asyncio.Future[bytes] = got) -> None:
+            async def serve(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                cut_at: int = cut_at,
+                got: asyncio.Future[bytes] = got,
+            ) -> None:
                 got.set_result(await reader.readexactly(cut_at))
                 writer.transport.abort()
 
@@ -318,8 +345,11 @@
         pool = Pool(loop, Descriptors(100), 30_000.0, 30_000.0)
         done: asyncio.Future[Outcome] = loop.create_future()
         with mock.patch.multiple("cometdoor.http.upstream", HOLD_LEAST_S=30.0, HOLD_MOST_S=30.0):
-            pool.send("s1", server.sockets[0].getsockname()[:2],
-                      Exchange(lambda: b"12345", partial(tell, done), 30.0))
+            pool.send(
+                "s1",
+                server.sockets[0].getsockname()[:2],
+                Exchange(lambda: b"12345", partial(tell, done), 30.0),
+            )
             assert await done is Outcome.ERROR
         assert await late == b"" and not pool.held_bytes
 
@@ -426,7 +456,8 @@
             idle.reply(200)
             await callers[1].answer()
             script.react = lambda event: (
-                [api.Close("s1"), api.Fail(event.request)] if isinstance(event, api.RequestArrived) else [])
+                [api.Close("s1"), api.Fail(event.request)] if isinstance(event, api.RequestArrived) else []
+            )
             callers[2].ask()
             assert (await callers[2].answer()).status == 502
             await idle.closed()
@@ -438,12 +469,14 @@
 
 def test_descriptors_run_out_for_idle_connections_first() -> None:
     """Over the limit the process could accept nobody: an idle one goes, else an attempt ends unsent."""
+
     async def test() -> None:
         one, two = await FakeServer().start(), await FakeServer().start()
         with Script().in_place() as script:
             script.react = first_to("s1")
-            rig = await Rig().start(member("s1", one.address), member("s2", two.address),
-                                    sockets=Descriptors.RESERVE + 3)
+            rig = await Rig().start(
+                member("s1", one.address), member("s2", two.address), sockets=Descriptors.RESERVE + 3
+            )
             rig.front.most = lambda: 2  # type: ignore[method-assign]
             callers = [await rig.caller(), await rig.caller()]
             callers[0].ask()
@@ -463,16 +496,25 @@
     run(test)
 
 
-@pytest.mark.parametrize(("fields", "load"), [
-    ([b"TEXT util=0.61, qps=12.5"], {"util": 0.61, "qps": 12.5}),
-    ([b"text util=1"], {"util": 1.0}),
-    ([b"TEXT util=0.5,util=0.9"], {}),
-    ([b"TEXT util=0.5", b"TEXT util=0.5"], {}),
-    ([b"TEXT util=0.5, \xff\xfe=1"], {}),
-    ([b"TEXT util=nan"], {}), ([b"TEXT util=-1"], {}), ([b"TEXT util=1e9"], {}), ([b"TEXT util"], {}),
-    ([b"TEXT util=0.5 qps=3"], {}), ([b"JSON {}"], {}), ([b""], {}), ([], {}),
-    ([b"TEXT util=0." + b"1" * 300], {}),
-])
+@pytest.mark.parametrize(
+    ("fields", "load"),
+    [
+        ([b"TEXT util=0.61, qps=12.5"], {"util": 0.61, "qps": 12.5}),
+        ([b"text util=1"], {"util": 1.0}),
+        ([b"TEXT util=0.5,util=0.9"], {}),
+        ([b"TEXT util=0.5", b"TEXT util=0.5"], {}),
+        ([b"TEXT util=0.5, \xff\xfe=1"], {}),
+        ([b"TEXT util=nan"], {}),
+        ([b"TEXT util=-1"], {}),
+        ([b"TEXT util=1e9"], {}),
+        ([b"TEXT util"], {}),
+        ([b"TEXT util=0.5 qps=3"], {}),
+        ([b"JSON {}"], {}),
+        ([b""], {}),
+        ([], {}),
+        ([b"TEXT util=0." + b"1" * 300], {}),
+    ],
+)
 def test_a_load_report_is_read_whole_or_not_at_all(fields: list[bytes], load: dict[str, float]) -> None:
     headers = [(b"Endpoint-Load-Metrics", field) for field in fields]
     assert load_of(Answer(200, headers, b"")) == load
--- a/tests/jasperhall/harness.py
+++ b/tests/jasperhall/harness.py
@@ -79,22 +79,38 @@
     def list_servers(self, *entries: api.Server, kind: ListKind = ListKind.FULL) -> list[api.Action]:
         return self.feed(api.ListChanged(kind, entries))
 
-    def request(self, name: str, class_index: int = 0, left_ms: float = 3000.0,
-                tenant: int = 0) -> list[api.Action]:
+    def request(
+        self, name: str, class_index: int = 0, left_ms: float = 3000.0, tenant: int = 0
+    ) -> list[api.Action]:
         self.taken.append(self.now)
         self.owed[name] = Owed(self.settings.classes[class_index], self.now + left_ms)
         return self.feed(api.RequestArrived(name, class_index, left_ms, tenant))
 
-    def end(self, name: str, attempt: int, outcome: Outcome,
-            load: dict[str, float] | None = None, blame: float | None = None) -> list[api.Action]:
+    def end(
+        self,
+        name: str,
+        attempt: int,
+        outcome: Outcome,
+        load: dict[str, float] | None = None,
+        blame: float | None = None,
+    ) -> list[api.Action]:
         owed = self.owed[name]
         sent = owed.sent[attempt]
         sent.outcome = outcome
         if outcome is Outcome.OK and not owed.answered:
             owed.answered = "served"
-        return self.feed(api.AttemptEnded(
-            name, attempt, sent.server.name, outcome, bool(owed.answered), self.now - sent.at, load or {},
-            blame))
+        return self.feed(
+            api.AttemptEnded(
+                name,
+                attempt,
+                sent.server.name,
+                outcome,
+                bool(owed.answered),
+                self.now - sent.at,
+                load or {},
+                blame,
+            )
+        )
 
     def gone(self, name: str) -> list[api.Action]:
         self.owed[name].answered = self.owed[name].answered or "left"
@@ -104,9 +120,12 @@
         """Let time pass: timers fall due and attempts run into their clients' deadlines."""
         target = self.now + ms
         while True:
-            deadlines = [(owed.sent[attempt].until, name, attempt) for name, owed in self.owed.items()
-                         for attempt in owed.outstanding()
-                         if owed.sent[attempt].until <= target and not owed.answered]
+            deadlines = [
+                (owed.sent[attempt].until, name, attempt)
+                for name, owed in self.owed.items()
+                for attempt in owed.outstanding()
+                if owed.sent[attempt].until <= target and not owed.answered
+            ]
             due = min(self.timers, default=(float("inf"), 0))
             deadline = min(deadlines, default=None)
             if deadline and deadline[0] <= due[0]:
@@ -160,7 +179,8 @@
             if owed.cls.effect is Effect.KEYED:
                 scope = owed.cls.dedup_scope
                 if (scope is Scope.CELL and server.cell != sent.server.cell) or (
-                        scope is Scope.ZONE and server.zone != sent.server.zone):
+                    scope is Scope.ZONE and server.zone != sent.server.zone
+                ):
                     raise RuleBroken("rule 2: a keyed request leaves its group")
                 if self.now - sent.at > owed.cls.key_ttl_ms:
                     raise RuleBroken("rule 2: a keyed request outlives its key")
@@ -185,6 +205,7 @@
     def check_refusal(self, name: str, owed: Owed) -> None:
         ran = any(sent.may_have_run() for sent in owed.sent)
         harmless = owed.cls.effect is Effect.SAFE or (
-            owed.cls.effect is Effect.KEYED and owed.cls.dedup_scope is Scope.ALL)
+            owed.cls.effect is Effect.KEYED and owed.cls.dedup_scope is Scope.ALL
+        )
         if ran and not harmless:
             raise RuleBroken(f"rule 2: {name} is refused though it may have run")
