--- a/tests/jasperhall/test_balancer.py
+++ b/tests/jasperhall/test_balancer.py
@@ -28,8 +28,13 @@
     return [action.server for action in actions if isinstance(action, api.Send)]
 
 
-def serve(checker: Checker, count: int, latencies: dict[str, float] | None = None,
-          fails: frozenset[str] = frozenset(), tag: str = "r") -> Counter[str]:
+def serve(
+    checker: Checker,
+    count: int,
+    latencies: dict[str, float] | None = None,
+    fails: frozenset[str] = frozenset(),
+    tag: str = "r",
+) -> Counter[str]:
     """Requests one after another, each answered after its server's latency."""
     turns: Counter[str] = Counter()
     for number in range(count):
@@ -59,7 +64,7 @@
         checker.advance(10.0)
         checker.end(f"r{number}", 0, Outcome.OK)
         rounds.append(server)
-    assert all(Counter(rounds[i:i + 4])["a"] == 2 for i in range(0, 24, 4))
+    assert all(Counter(rounds[i : i + 4])["a"] == 2 for i in range(0, 24, 4))
 
 
 def test_balancers_start_at_different_phases() -> None:
@@ -82,7 +87,8 @@
 def test_the_own_zone_is_preferred_only_where_crossing_has_a_price() -> None:
     free, priced = (
         serve(started(*servers(8), settings=replace(SETTINGS, cross_zone_price=price)), 120)
-        for price in (0.0, 0.1))
+        for price in (0.0, 0.1)
+    )
     own = [server.name for server in servers(8) if server.zone == SETTINGS.zone]
     assert sum(free[name] for name in own) == pytest.approx(60, abs=4)
     assert sum(priced[name] for name in own) > 90
@@ -211,8 +217,9 @@
     checker = started(*FOUR_ZONES, settings=settings)
     own = {server.name for server in FOUR_ZONES if server.zone == 0}
     before = serve(checker, 300)  # one in 10 ms, for 3 s
-    checker.list_servers(*(replace(server, started_at=checker.now) if server.name in own else server
-                           for server in FOUR_ZONES))
+    checker.list_servers(
+        *(replace(server, started_at=checker.now) if server.name in own else server for server in FOUR_ZONES)
+    )
     after = serve(checker, 300, tag="b")
     bore = sum(before[name] for name in own)
     assert bore >= 200
@@ -242,8 +249,9 @@
     checker = started(*FOUR_ZONES, settings=replace(SETTINGS, cross_zone_price=0.015, balancers=1))
     near = next(server.name for server in FOUR_ZONES if server.zone == 0)
     before = serve(checker, 240)[near]
-    checker.list_servers(*(replace(server, zone=1) if server.name == near else server
-                           for server in FOUR_ZONES))
+    checker.list_servers(
+        *(replace(server, zone=1) if server.name == near else server for server in FOUR_ZONES)
+    )
     assert serve(checker, 240, tag="b")[near] < before / 2
 
 
@@ -281,13 +289,16 @@
     assert len(checker.owed["r"].sent) == 1
 
 
-@pytest.mark.parametrize(("class_index", "changes", "copies"), [
-    (SAFE_INDEX, {}, 1),
-    (SAFE_INDEX, {"may_duplicate": False}, 0),
-    (SAFE_INDEX, {"max_attempts": 1}, 0),
-    (KEYED_INDEX, {}, 1),
-    (UNSAFE_INDEX, {}, 0),
-])
+@pytest.mark.parametrize(
+    ("class_index", "changes", "copies"),
+    [
+        (SAFE_INDEX, {}, 1),
+        (SAFE_INDEX, {"may_duplicate": False}, 0),
+        (SAFE_INDEX, {"max_attempts": 1}, 0),
+        (KEYED_INDEX, {}, 1),
+        (UNSAFE_INDEX, {}, 0),
+    ],
+)
 def test_copies_go_only_where_they_may(class_index: int, changes: dict[str, int], copies: int) -> None:
     checker = started(*servers(9), settings=replace(SETTINGS, **changes))  # type: ignore[arg-type]
     checker.request("r", class_index)
@@ -324,8 +335,9 @@
         assert checker.owed["r"].sent[0].server != checker.owed["r"].sent[1].server
 
 
-@pytest.mark.parametrize(("cls", "answer"), [
-    (SAFE, api.Refuse), (KEYED, api.Fail), (KEYED_ALL, api.Refuse), (UNSAFE, api.Fail)])
+@pytest.mark.parametrize(
+    ("cls", "answer"), [(SAFE, api.Refuse), (KEYED, api.Fail), (KEYED_ALL, api.Refuse), (UNSAFE, api.Fail)]
+)
 def test_a_request_out_of_time_gets_its_final_answer(cls: api.RequestClass, answer: type) -> None:
     checker = started(*servers(9))
     checker.request("r", SETTINGS.classes.index(cls), left_ms=100.0)
@@ -418,9 +430,15 @@
     assert fail_all(checker, 3, tag="b") == 0
 
 
-@pytest.mark.parametrize(("class_index", "answer"), [
-    (SAFE_INDEX, api.Refuse), (KEYED_INDEX, api.Fail), (KEYED_ALL_INDEX, api.Refuse),
-    (UNSAFE_INDEX, api.Fail)])
+@pytest.mark.parametrize(
+    ("class_index", "answer"),
+    [
+        (SAFE_INDEX, api.Refuse),
+        (KEYED_INDEX, api.Fail),
+        (KEYED_ALL_INDEX, api.Refuse),
+        (UNSAFE_INDEX, api.Fail),
+    ],
+)
 def test_with_the_budget_spent_a_request_still_gets_its_answer(class_index: int, answer: type) -> None:
     checker = with_budget(api.AttemptBudget())
     checker.request("r", class_index)
@@ -592,8 +610,10 @@
 def service_in_overload(worst_class_weight: float) -> tuple[float, float]:
     """Of requests worth 3 and worth 1 that come as often, the shares served at half of their rate."""
     classes = (replace(UNSAFE, worth=3.0, deadline_ms=5000), replace(UNSAFE, deadline_ms=5000))
-    checker = started(*servers(9), settings=replace(
-        SETTINGS, classes=classes, whole_weight=0.5, worst_class_weight=worst_class_weight))
+    checker = started(
+        *servers(9),
+        settings=replace(SETTINGS, classes=classes, whole_weight=0.5, worst_class_weight=worst_class_weight),
+    )
     served = [0, 0]
     open_: list[tuple[float, str]] = []
     free_at = 0.0
@@ -611,8 +631,9 @@
                 if not checker.owed[other].answered:
                     checker.end(other, 0, Outcome.OK)
                     served[int(other[1:]) % 2] += number >= 500
-        checker.owed = {key: owed for key, owed in checker.owed.items()
-                        if not owed.answered or owed.outstanding()}
+        checker.owed = {
+            key: owed for key, owed in checker.owed.items() if not owed.answered or owed.outstanding()
+        }
     return served[0] / 1250, served[1] / 1250
 
 
@@ -628,8 +649,10 @@
 def test_a_tenant_above_its_share_makes_room_for_those_within(over_share_worth: float) -> None:
     """Incident idbc2fe: one tenant sent thrice its share, and all were refused alike."""
     tenants = (api.Tenant(40.0), api.Tenant(40.0))
-    checker = started(*servers(9), settings=replace(
-        SETTINGS, tenants=tenants, balancers=2, over_share_worth=over_share_worth))
+    checker = started(
+        *servers(9),
+        settings=replace(SETTINGS, tenants=tenants, balancers=2, over_share_worth=over_share_worth),
+    )
     refusals: Counter[int] = Counter()
     for number in range(1200):
         tenant = int(number % 5 == 0)  # 80 a second from the first, 20 from the second
@@ -726,8 +749,10 @@
     checker = started(*servers(6))
     serve(checker, 60)
     (server,) = sent_to(checker.request("r", UNSAFE_INDEX))
-    weight = {name: checker.balancer._choosing.weight(member, checker.now)
-              for name, member in checker.balancer._choosing.members.items()}
+    weight = {
+        name: checker.balancer._choosing.weight(member, checker.now)
+        for name, member in checker.balancer._choosing.members.items()
+    }
     checker.advance(DELAY + 1)
     for name, member in checker.balancer._choosing.members.items():
         kept = checker.balancer._choosing.weight(member, checker.now) / weight[name]
@@ -951,8 +976,12 @@
     """Turns of small or failing ones lie far ahead in virtual time: their entries were not met again."""
     checker = Checker()
     for round_ in range(300):
-        checker.list_servers(*(replace(entry, name=f"r{round_}-{entry.name}", weight=1.0 if place else 0.01)
-                               for place, entry in enumerate(servers(4))))
+        checker.list_servers(
+            *(
+                replace(entry, name=f"r{round_}-{entry.name}", weight=1.0 if place else 0.01)
+                for place, entry in enumerate(servers(4))
+            )
+        )
         for place in range(4):
             name = f"q{round_}-{place}"
             checker.request(name)
@@ -977,8 +1006,11 @@
         checker.list_servers(*servers(3), kind=ListKind.CACHED)
         for _ in range(5):
             checker.advance(5_000.0)
-            pauses = [action.after_ms for action in checker.list_servers(kind=ListKind.FAILED)
-                      if isinstance(action, api.SetTimer)]
+            pauses = [
+                action.after_ms
+                for action in checker.list_servers(kind=ListKind.FAILED)
+                if isinstance(action, api.SetTimer)
+            ]
             assert len(pauses) == 1 and pauses[0] <= 1_200.0
 
 
@@ -1070,8 +1102,10 @@
     assert turns(checker, 20) == {"s1": 20}
 
 
-@pytest.mark.parametrize(("reach", "fewest", "most"), [
-    (1.0, 5, 6), (0.0, 5, 6), (float("nan"), 5, 6), (float("inf"), 5, 6), (2.0, 10, 11), (1e9, 40, 40)])
+@pytest.mark.parametrize(
+    ("reach", "fewest", "most"),
+    [(1.0, 5, 6), (0.0, 5, 6), (float("nan"), 5, 6), (float("inf"), 5, 6), (2.0, 10, 11), (1e9, 40, 40)],
+)
 def test_a_reach_widens_the_subset_and_never_narrows_it(reach: float, fewest: int, most: int) -> None:
     checker = Checker(replace(SETTINGS, balancers=200, position=7), 1)
     checker.list_servers(*servers(40))
@@ -1101,9 +1135,16 @@
     alone = cold_start()
     assert cold_start(api.Lent("s0", 0.0, 20, 1000.0)) >= alone + 15
     assert cold_start(api.Lent("s0", 0.0, 20, 1000.0)) <= alone + 20
-    assert cold_start(api.Lent("s0", 1.0, 20, 1000.0), api.Lent("s1", 0.0, 20, 1000.0),
-                      api.Lent("nobody", 0.0, 9, 1000.0), api.Lent("s0", 0.0, -5, 1000.0),
-                      api.Lent("s0", 0.0, 20, 0.0)) == alone
+    assert (
+        cold_start(
+            api.Lent("s0", 1.0, 20, 1000.0),
+            api.Lent("s1", 0.0, 20, 1000.0),
+            api.Lent("nobody", 0.0, 9, 1000.0),
+            api.Lent("s0", 0.0, -5, 1000.0),
+            api.Lent("s0", 0.0, 20, 0.0),
+        )
+        == alone
+    )
 
 
 def calls(checker: Checker, first: int, count: int, index: int, sick: str) -> list[str]:
--- a/tests/jasperhall/test_limits.py
+++ b/tests/jasperhall/test_limits.py
@@ -9,8 +9,19 @@
 
 def test_the_decision_module_stays_within_its_size() -> None:
     assert {path.name for path in POLICY} == {
-        f"{name}.py" for name in ("admission", "averages", "balancer", "choosing", "learning", "members",
-                                  "suspicion", "tries", "warmth")}
+        f"{name}.py"
+        for name in (
+            "admission",
+            "averages",
+            "balancer",
+            "choosing",
+            "learning",
+            "members",
+            "suspicion",
+            "tries",
+            "warmth",
+        )
+    }
     lines = [line for path in POLICY for line in path.read_text().splitlines()]
     assert 0 < sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
--- a/tests/jasperhall/test_rules.py
+++ b/tests/jasperhall/test_rules.py
@@ -16,8 +16,11 @@
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("request"), st.integers(0, 3), st.sampled_from([50.0, 700.0, 3000.0])),
-        st.tuples(st.just("end"), st.integers(0, 1000), st.sampled_from(
-            [o for o in Outcome if o is not Outcome.CANCELLED])),
+        st.tuples(
+            st.just("end"),
+            st.integers(0, 1000),
+            st.sampled_from([o for o in Outcome if o is not Outcome.CANCELLED]),
+        ),
         st.tuples(st.just("advance"), st.sampled_from([1.0, 90.0, 600.0, 2500.0, 20_000.0]), st.none()),
         st.tuples(st.just("state"), st.integers(0, 8), st.sampled_from(list(State))),
         st.tuples(st.just("restart"), st.integers(0, 8), st.none()),
@@ -82,19 +85,26 @@
 @given(
     steps=STEPS,
     seed=st.integers(0, 2**63),
-    limits=st.fixed_dictionaries({
-        "may_cancel": st.booleans(),
-        "may_duplicate": st.booleans(),
-        "max_attempts": st.integers(1, 6),
-        "tier": st.integers(0, 1),
-        "must_ask": st.booleans(),
-        "warm_up_ms": st.sampled_from([0.0, 9000.0]),
-        "cold_from": st.sampled_from([0.1, 1.0]),
-        "balancers": st.sampled_from([1, 7, 90]),
-        "attempt_budget": st.sampled_from([
-            None, api.AttemptBudget(), api.AttemptBudget(1.0, 0.5, 700.0),
-            api.AttemptBudget(2.0, 0.1, 5000.0)]),
-    }),
+    limits=st.fixed_dictionaries(
+        {
+            "may_cancel": st.booleans(),
+            "may_duplicate": st.booleans(),
+            "max_attempts": st.integers(1, 6),
+            "tier": st.integers(0, 1),
+            "must_ask": st.booleans(),
+            "warm_up_ms": st.sampled_from([0.0, 9000.0]),
+            "cold_from": st.sampled_from([0.1, 1.0]),
+            "balancers": st.sampled_from([1, 7, 90]),
+            "attempt_budget": st.sampled_from(
+                [
+                    None,
+                    api.AttemptBudget(),
+                    api.AttemptBudget(1.0, 0.5, 700.0),
+                    api.AttemptBudget(2.0, 0.1, 5000.0),
+                ]
+            ),
+        }
+    ),
 )
 def test_rules_one_to_three_and_five_hold_whatever_happens(
     steps: list[tuple[str, object, object]], seed: int, limits: dict[str, object]
@@ -159,17 +169,20 @@
         checker.check(api.Send("r", server))
 
 
-@pytest.mark.parametrize(("cls", "breach"), [
-    (SAFE, breach_of_drain),
-    (SAFE, breach_of_budget),
-    (SAFE, breach_after_answer),
-    (SAFE, breach_of_silence),
-    (UNSAFE, lambda c: (c.check(SEND_S0), c.check(SEND_S3))),
-    (UNSAFE, lambda c: (c.check(SEND_S0), c.check(api.Refuse("r")))),
-    (KEYED, lambda c: (c.check(SEND_S0), c.check(SEND_S3))),
-    (KEYED, lambda c: (c.check(SEND_S0), c.check(api.Refuse("r")))),
-    (KEYED_ALL, breach_of_key_ttl),
-])
+@pytest.mark.parametrize(
+    ("cls", "breach"),
+    [
+        (SAFE, breach_of_drain),
+        (SAFE, breach_of_budget),
+        (SAFE, breach_after_answer),
+        (SAFE, breach_of_silence),
+        (UNSAFE, lambda c: (c.check(SEND_S0), c.check(SEND_S3))),
+        (UNSAFE, lambda c: (c.check(SEND_S0), c.check(api.Refuse("r")))),
+        (KEYED, lambda c: (c.check(SEND_S0), c.check(SEND_S3))),
+        (KEYED, lambda c: (c.check(SEND_S0), c.check(api.Refuse("r")))),
+        (KEYED_ALL, breach_of_key_ttl),
+    ],
+)
 def test_the_checker_objects_to_each_breach(cls: api.RequestClass, breach: Breach) -> None:
     checker = Checker()
     checker.list_servers(*servers(6))
--- a/tests/jasperhall/test_settings.py
+++ b/tests/jasperhall/test_settings.py
@@ -10,20 +10,36 @@
 from tests.jasperhall.harness import SAFE, SETTINGS
 
 
-@pytest.mark.parametrize(("field", "value"), [
-    ("classes", ()), ("max_attempts", 0), ("position", 1), ("position", -1), ("tier", 1), ("cold_from", 0.0),
-    ("cold_from", 1.5), ("ask_within_ms", 0.0), ("overload_factor", 0.0), ("fall_ms", -1.0),
-    ("warm_up_ms", -1.0),
-    ("warm_up_ms", float("nan")), ("over_share_worth", -0.1), ("cross_zone_price", -1.0),
-    ("whole_weight", -0.1), ("worst_class_weight", -0.1),
-])
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("classes", ()),
+        ("max_attempts", 0),
+        ("position", 1),
+        ("position", -1),
+        ("tier", 1),
+        ("cold_from", 0.0),
+        ("cold_from", 1.5),
+        ("ask_within_ms", 0.0),
+        ("overload_factor", 0.0),
+        ("fall_ms", -1.0),
+        ("warm_up_ms", -1.0),
+        ("warm_up_ms", float("nan")),
+        ("over_share_worth", -0.1),
+        ("cross_zone_price", -1.0),
+        ("whole_weight", -0.1),
+        ("worst_class_weight", -0.1),
+    ],
+)
 def test_a_senseless_setting_is_refused_by_name(field: str, value: object) -> None:
     with pytest.raises(ValueError, match=field):
         replace(SETTINGS, **{field: value})  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize(("field", "value"), [
-    ("aim_ms", 0.0), ("deadline_ms", -1.0), ("key_ttl_ms", -1.0), ("worth", -1.0), ("late_worth", -0.5)])
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("aim_ms", 0.0), ("deadline_ms", -1.0), ("key_ttl_ms", -1.0), ("worth", -1.0), ("late_worth", -0.5)],
+)
 def test_a_senseless_class_is_refused_by_name(field: str, value: float) -> None:
     with pytest.raises(ValueError, match=field):
         replace(SAFE, **{field: value})  # type: ignore[arg-type]
--- a/tests/jasperhall/test_simhost.py
+++ b/tests/jasperhall/test_simhost.py
@@ -10,35 +10,77 @@
 
 import pytest
 
-LANE = {"aim_ms": 1000.0, "deadline_ms": 3000.0, "dedup_scope": "all", "effect": "retryable",
-        "key_ttl_ms": 0.0, "late_worth": 0.2, "name": "read", "stream": False, "worth": 1.0,
-        "a_key_to_come": 1}
+LANE = {
+    "aim_ms": 1000.0,
+    "deadline_ms": 3000.0,
+    "dedup_scope": "all",
+    "effect": "retryable",
+    "key_ttl_ms": 0.0,
+    "late_worth": 0.2,
+    "name": "read",
+    "stream": False,
+    "worth": 1.0,
+    "a_key_to_come": 1,
+}
 INFO = {
-    "client_habits": {"marks_retry": False}, "counted_by": "request", "discovery": "automatic",
-    "extra": {}, "family": "chain",
+    "client_habits": {"marks_retry": False},
+    "counted_by": "request",
+    "discovery": "automatic",
+    "extra": {},
+    "family": "chain",
     "fees": {"connection": 0.0, "cross_zone": 0.0, "handshake": 0.0, "probe": 0.0, "waste": 0.0},
-    "group_size": 3, "host_types": ["std"],
-    "lanes": [LANE, {**LANE, "effect": "dedup", "dedup_scope": "cell", "key_ttl_ms": 900.0},
-              {**LANE, "effect": "fragile"}],
-    "limits": {"cancel": True, "may_duplicate": True, "max_open": 100, "max_retry_after_ms": 500.0,
-               "multiplex": 1, "probes": False, "retry_after": True, "try_limit": 4},
-    "obligations": {"ask_within_ms": 10000.0, "cold_from": 0.3, "fall_ms": 3000.0, "overload_factor": 3.0,
-                    "ramp_time_ms": 9000.0},
-    "over_share_worth": 1.0, "position": 0, "report": {"columns": [], "how": "off"}, "round_ms": 5.0,
-    "stage": 0, "tenants": [], "tiers": ["front"], "weights": "rough", "zone": 0, "zones": ["a"],
+    "group_size": 3,
+    "host_types": ["std"],
+    "lanes": [
+        LANE,
+        {**LANE, "effect": "dedup", "dedup_scope": "cell", "key_ttl_ms": 900.0},
+        {**LANE, "effect": "fragile"},
+    ],
+    "limits": {
+        "cancel": True,
+        "may_duplicate": True,
+        "max_open": 100,
+        "max_retry_after_ms": 500.0,
+        "multiplex": 1,
+        "probes": False,
+        "retry_after": True,
+        "try_limit": 4,
+    },
+    "obligations": {
+        "ask_within_ms": 10000.0,
+        "cold_from": 0.3,
+        "fall_ms": 3000.0,
+        "overload_factor": 3.0,
+        "ramp_time_ms": 9000.0,
+    },
+    "over_share_worth": 1.0,
+    "position": 0,
+    "report": {"columns": [], "how": "off"},
+    "round_ms": 5.0,
+    "stage": 0,
+    "tenants": [],
+    "tiers": ["front"],
+    "weights": "rough",
+    "zone": 0,
+    "zones": ["a"],
     "a_key_to_come": {},
 }
 CENSUS = ["census", 0, [[0, 1.0, i // 3, 0, "on", f"backend-{i}", None, "more"] for i in range(6)]]
 
 
 def opening(position: int = 0, **changes: Any) -> list[Any]:
-    return [["open_instance", 7 + position, {**INFO, "position": position, **changes}], CENSUS,
-            ["membership", "Persisted", 1, 0]]
+    return [
+        ["open_instance", 7 + position, {**INFO, "position": position, **changes}],
+        CENSUS,
+        ["membership", "Persisted", 1, 0],
+    ]
 
 
 def batch(at: float, **instances: list[Any]) -> dict[str, Any]:
-    return {"wall_ms": at, "proxys": [{"proxy_id": int(name[1:]), "input": events}
-                                      for name, events in instances.items()]}
+    return {
+        "wall_ms": at,
+        "proxys": [{"proxy_id": int(name[1:]), "input": events} for name, events in instances.items()],
+    }
 
 
 def demand(request: str, lane: int = 0, left_ms: float = 2000.0) -> list[Any]:
@@ -48,14 +90,25 @@
 def run(*lines: Any, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
     return subprocess.run(
-        [sys.executable, "-m", "jasperhall.simhost"], input=text, capture_output=True, text=True,
-        timeout=60, env={**os.environ, "PYTHONHASHSEED": hash_seed}, check=False)
+        [sys.executable, "-m", "jasperhall.simhost"],
+        input=text,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "PYTHONHASHSEED": hash_seed},
+        check=False,
+    )
 
 
 def orders(result: subprocess.CompletedProcess[str], instance: int = 0) -> list[list[Any]]:
     assert result.returncode == 0, result.stderr
-    return [order for line in result.stdout.splitlines() for group in json.loads(line)["proxys"]
-            if group["proxy_id"] == instance for order in group["orders"]]
+    return [
+        order
+        for line in result.stdout.splitlines()
+        for group in json.loads(line)["proxys"]
+        if group["proxy_id"] == instance
+        for order in group["orders"]
+    ]
 
 
 def test_each_batch_gets_one_reply() -> None:
@@ -72,8 +125,10 @@
     late = batch(timer[2] + 1.0, p0=[["tick_due", timer[1]], ["tick_due", 10**9]])
     copy = orders(run(*opened, late))[-1]
     assert copy[:2] == ["route", "00aa"] and copy[2] != first[2]
-    won = batch(timer[2] + 9.0, p0=[
-        ["outcome", "00aa", copy[2], 1, "completed", True, 8.0, {"load_share": 0.5}, "more"]])
+    won = batch(
+        timer[2] + 9.0,
+        p0=[["outcome", "00aa", copy[2], 1, "completed", True, 8.0, {"load_share": 0.5}, "more"]],
+    )
     assert orders(run(*opened, late, won))[-1] == ["cancel", "00aa", 0]
 
 
@@ -91,41 +146,78 @@
     lines = [batch(0.0, p0=[["open_instance", 7, INFO], one, ["membership", "Persisted", 1, 0]])]
     for request, at, (outcome, final) in [("aa", 10.0, ok), ("bb", 3000.0, lost), ("cc", 3100.0, ok)]:
         lines.append(batch(at, p0=[demand(request, 2)]))
-        lines.append(batch(at + 2.0, p0=[
-            ["outcome", request, "backend-0", 0, outcome, final, 2.0, None]]))
+        lines.append(batch(at + 2.0, p0=[["outcome", request, "backend-0", 0, outcome, final, 2.0, None]]))
     lines.append(batch(9000.0, p0=[demand("dd", 2)]))
     assert [order[0] for order in orders(run(*lines)) if order[0] != "set_timer"] == [
-        "route", "route", "hang_up", "respond_error", "route", "hang_up", "route"]
+        "route",
+        "route",
+        "hang_up",
+        "respond_error",
+        "route",
+        "hang_up",
+        "route",
+    ]
 
 
 def test_list_numbers_are_reused_within_a_batch() -> None:
     drained = ["census", 0, [[0, 1.0, 0, 0, "fading", f"backend-{i}", None] for i in range(6)]]
     other = ["census", 0, [[0, 1.0, 0, 0, "on", "backend-new", None]]]
-    result = run(batch(0.0, p0=opening()), batch(1.0, p0=[
-        drained, ["membership", "Partial", 2, 0], other, ["membership", "Partial", 3, 0], demand("00aa")]))
+    result = run(
+        batch(0.0, p0=opening()),
+        batch(
+            1.0,
+            p0=[
+                drained,
+                ["membership", "Partial", 2, 0],
+                other,
+                ["membership", "Partial", 3, 0],
+                demand("00aa"),
+            ],
+        ),
+    )
     assert orders(result)[0][:3] == ["route", "00aa", "backend-new"]
 
 
 def test_a_torn_down_instance_is_silent_and_may_open_again() -> None:
-    result = run(batch(0.0, p0=opening()), batch(1.0, p0=[["teardown"], demand("00aa")]),
-                 batch(2.0, p0=[*opening(), demand("00bb")]))
+    result = run(
+        batch(0.0, p0=opening()),
+        batch(1.0, p0=[["teardown"], demand("00aa")]),
+        batch(2.0, p0=[*opening(), demand("00bb")]),
+    )
     assert [order[1] for order in orders(result) if order[0] == "route"] == ["00bb"]
 
 
 def test_unknown_events_and_closed_requests_change_nothing() -> None:
-    result = run(batch(0.0, p0=opening()), batch(1.0, p0=[
-        ["an_event_to_come", 1], ["peer_data", 1, "00"], ["client_gone", "00ff"],
-        ["first", "00ff", 0, "x", 1.0],
-        ["checked", 1.0, "backend-0", "completed", None],
-        ["outcome", "00ff", "backend-0", 0, "errored", False, 1.0, None]]))
+    result = run(
+        batch(0.0, p0=opening()),
+        batch(
+            1.0,
+            p0=[
+                ["an_event_to_come", 1],
+                ["peer_data", 1, "00"],
+                ["client_gone", "00ff"],
+                ["first", "00ff", 0, "x", 1.0],
+                ["checked", 1.0, "backend-0", "completed", None],
+                ["outcome", "00ff", "backend-0", 0, "errored", False, 1.0, None],
+            ],
+        ),
+    )
     assert orders(result) == []
 
 
-@pytest.mark.parametrize("line", [
-    "not json", "[]", "{}", '{"wall_ms":1}', '{"wall_ms":"x","proxys":[]}', '{"wall_ms":1,"proxys":[{}]}',
-    '{"wall_ms":1,"proxys":[{"proxy_id":0,"input":[[]]}]}',
-    '{"wall_ms":1,"proxys":[{"proxy_id":0,"input":[["open_instance",1,{}]]}]}',
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "not json",
+        "[]",
+        "{}",
+        '{"wall_ms":1}',
+        '{"wall_ms":"x","proxys":[]}',
+        '{"wall_ms":1,"proxys":[{}]}',
+        '{"wall_ms":1,"proxys":[{"proxy_id":0,"input":[[]]}]}',
+        '{"wall_ms":1,"proxys":[{"proxy_id":0,"input":[["open_instance",1,{}]]}]}',
+    ],
+)
 def test_malformed_input_ends_with_a_plain_message(line: str) -> None:
     result = run(batch(0.0), line)
     assert result.returncode == 2
@@ -133,13 +225,16 @@
     assert "Traceback" not in result.stderr
 
 
-@pytest.mark.parametrize(("rules", "routes"), [
-    ({"extra_floor": 0.0, "extra_per_request": 0.0, "ratio_span_ms": 5000.0}, 1),
-    ({"extra_floor": 1.0}, 2),
-    ({"extra_per_request": 1.0, "ratio_span_ms": 2000.0}, 2),
-    ({"extra_per_request": 1.0, "ratio_span_ms": 900.0}, 1),
-    ({"extra_floor": None, "extra_per_request": None}, 2),
-])
+@pytest.mark.parametrize(
+    ("rules", "routes"),
+    [
+        ({"extra_floor": 0.0, "extra_per_request": 0.0, "ratio_span_ms": 5000.0}, 1),
+        ({"extra_floor": 1.0}, 2),
+        ({"extra_per_request": 1.0, "ratio_span_ms": 2000.0}, 2),
+        ({"extra_per_request": 1.0, "ratio_span_ms": 900.0}, 1),
+        ({"extra_floor": None, "extra_per_request": None}, 2),
+    ],
+)
 def test_the_budget_of_attempts_is_passed_on(rules: dict[str, float], routes: int) -> None:
     obligations = {**INFO["obligations"], **rules}  # type: ignore[dict-item]
     opened = [batch(0.0, p0=opening(obligations=obligations)), batch(1.0, p0=[demand("00aa", 2)])]
@@ -185,8 +280,9 @@
 def test_optional_and_null_settings_read_as_absent() -> None:
     lane = {"aim_ms": 1000.0, "deadline_ms": 3000.0, "effect": "retryable", "worth": None}
     info = {"lanes": [lane], "tenants": None, "fees": None}
-    result = run(batch(0.0, p0=[
-        ["open_instance", 7, info], CENSUS, ["membership", "Persisted", 1, 0], demand("00aa")]))
+    result = run(
+        batch(0.0, p0=[["open_instance", 7, info], CENSUS, ["membership", "Persisted", 1, 0], demand("00aa")])
+    )
     assert orders(result)[0][:2] == ["route", "00aa"]
 
 
@@ -196,11 +292,21 @@
     assert not [order for order in orders(result) if order[0] == "route"]
 
 
-@pytest.mark.parametrize("event", [
-    ["demand"], ["demand", "00aa", "x", None, None, None, None, 9.0], ["demand", "00aa", 0],
-    ["outcome", "00aa", "b", 0, "odd", True, 1, None], ["membership", "Partial", 1, 15],
-    ["membership", "odd", 1, 0], ["census", 0, [[0, 1, 0]]], 7, "demand", None,
-])
+@pytest.mark.parametrize(
+    "event",
+    [
+        ["demand"],
+        ["demand", "00aa", "x", None, None, None, None, 9.0],
+        ["demand", "00aa", 0],
+        ["outcome", "00aa", "b", 0, "odd", True, 1, None],
+        ["membership", "Partial", 1, 15],
+        ["membership", "odd", 1, 0],
+        ["census", 0, [[0, 1, 0]]],
+        7,
+        "demand",
+        None,
+    ],
+)
 def test_an_event_that_is_not_the_wires_ends_with_one_line_and_half_nothing(event: Any) -> None:
     result = run(batch(0.0, p0=opening()), batch(1.0, p0=[event]))
     assert result.returncode == 2
--- a/tests/jasperhall/test_suspicion.py
+++ b/tests/jasperhall/test_suspicion.py
@@ -70,10 +70,13 @@
         assert alarms <= 0.1 * hours
 
 
-@pytest.mark.parametrize(("elsewhere", "share", "calls"), [(0.0, 1.0, 3), (0.0, 0.5, 15), (0.02, 1.0, 4),
-                                                          (0.1, 1.0, 7), (0.02, 0.7, 8)])
-def test_a_server_that_fails_unlike_its_peers_is_named_within_few_calls(elsewhere: float, share: float,
-                                                                       calls: int) -> None:
+@pytest.mark.parametrize(
+    ("elsewhere", "share", "calls"),
+    [(0.0, 1.0, 3), (0.0, 0.5, 15), (0.02, 1.0, 4), (0.1, 1.0, 7), (0.02, 0.7, 8)],
+)
+def test_a_server_that_fails_unlike_its_peers_is_named_within_few_calls(
+    elsewhere: float, share: float, calls: int
+) -> None:
     took = []
     for seed in range(20):
         bench = Bench(seed, [elsewhere] * 12)
@@ -185,11 +188,18 @@
     assert max(wary[0.13]) <= 6
 
 
-@pytest.mark.parametrize(("outcome", "blame", "cold"), [
-    (Outcome.CONNECT_FAILED, 1.0, True), (Outcome.CONNECT_FAILED, 0.5, False),
-    (Outcome.CONNECT_FAILED, None, False), (Outcome.RESET, 1.0, False)])
-def test_who_answers_where_nobody_listened_has_just_started(outcome: Outcome, blame: float | None,
-                                                            cold: bool) -> None:
+@pytest.mark.parametrize(
+    ("outcome", "blame", "cold"),
+    [
+        (Outcome.CONNECT_FAILED, 1.0, True),
+        (Outcome.CONNECT_FAILED, 0.5, False),
+        (Outcome.CONNECT_FAILED, None, False),
+        (Outcome.RESET, 1.0, False),
+    ],
+)
+def test_who_answers_where_nobody_listened_has_just_started(
+    outcome: Outcome, blame: float | None, cold: bool
+) -> None:
     bench = Bench(1, [0.0])
     bench.call(0, outcome, blame)
     assert not bench.servers[0].back_at
--- a/tests/planning/test_advice.py
+++ b/tests/planning/test_advice.py
@@ -99,14 +99,22 @@
     assert counsel.follow(SERVERS[:3], 0.0) == {}
 
 
-STEPS = st.lists(st.tuples(st.integers(0, 2), st.lists(st.tuples(st.integers(0, 9), st.integers(1, 100)),
-                 max_size=10), st.booleans(), st.one_of(st.none(), st.floats(0.0, 12_000.0)),
-                 st.floats(0.0, 3000.0)), max_size=40)
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.lists(st.tuples(st.integers(0, 9), st.integers(1, 100)), max_size=10),
+        st.booleans(),
+        st.one_of(st.none(), st.floats(0.0, 12_000.0)),
+        st.floats(0.0, 3000.0),
+    ),
+    max_size=40,
+)
 
 
 @given(STEPS, st.integers(0, 10))
 def test_no_advice_takes_more_than_it_may(
-        steps: list[tuple[int, list[tuple[int, int]], bool, float | None, float]], listed: int) -> None:
+    steps: list[tuple[int, list[tuple[int, int]], bool, float | None, float]], listed: int
+) -> None:
     counsel, now = Counsel(), 20_000.0
     for planner, opinions, whole, age, wait in steps:
         now += wait
@@ -128,12 +136,18 @@
     named = {opinion.server for opinion in advice.opinions}
     if not advice.is_whole:
         assert max(verdicts[server].factor for server in named) <= min(
-            verdict.factor for server, verdict in verdicts.items() if server not in named)
+            verdict.factor for server, verdict in verdicts.items() if server not in named
+        )
 
 
-@pytest.mark.parametrize("bad", [
-    Advice(True, [Opinion(b"x", 5)]), Advice(True, [Opinion(b"x" * 6, 0)]),
-    Advice(True, [Opinion(b"x" * 6, 101)])])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        Advice(True, [Opinion(b"x", 5)]),
+        Advice(True, [Opinion(b"x" * 6, 0)]),
+        Advice(True, [Opinion(b"x" * 6, 101)]),
+    ],
+)
 def test_what_no_planner_says_is_no_advice(bad: Advice) -> None:
     with pytest.raises(BadAdvice):
         read_advice(msgspec.msgpack.encode(bad))
@@ -162,10 +176,13 @@
     return read_advice(write_advice(make_advice({}), reach))
 
 
-@given(st.lists(st.tuples(st.integers(0, 2), st.floats(0.0, 1e6), st.floats(0.0, 20_000.0)), max_size=30),
-       st.floats(0.0, 100.0))
+@given(
+    st.lists(st.tuples(st.integers(0, 2), st.floats(0.0, 1e6), st.floats(0.0, 20_000.0)), max_size=30),
+    st.floats(0.0, 100.0),
+)
 def test_no_advice_has_a_subset_narrowed_or_widened_beyond_own_traffic(
-        notes: list[tuple[int, float, float]], most: float) -> None:
+    notes: list[tuple[int, float, float]], most: float
+) -> None:
     counsel, now = Counsel(), 0.0
     for planner, reach, pause_ms in notes:
         now += pause_ms
--- a/tests/planning/test_fleet.py
+++ b/tests/planning/test_fleet.py
@@ -1,6 +1,6 @@
 """A whole fleet in virtual time: every case that planning is to survive, on the modules of service.
 
-    python -m benchmarks.planning_sim      plays thousands, and some with 1,000 forwarders
+python -m benchmarks.planning_sim      plays thousands, and some with 1,000 forwarders
 """
 
 from __future__ import annotations
@@ -54,8 +54,9 @@
 def test_subsets_follow_traffic_so_that_load_is_even() -> None:
     peaks = {}
     for planners in (0, 3):
-        fleet = Fleet(9, Size(forwarders=30, planners=planners, servers=30, rate=5.0, skew=1.2, busy=0.3,
-                              seconds=22.0))
+        fleet = Fleet(
+            9, Size(forwarders=30, planners=planners, servers=30, rate=5.0, skew=1.2, busy=0.3, seconds=22.0)
+        )
         assert not outcome(fleet).broken
         shares = [fleet.share_of(name, fleet.ends_ms - 10_000.0, fleet.ends_ms) for name in fleet.servers]
         peaks[planners] = max(shares) * len(shares)
--- a/tests/planning/test_judgement.py
+++ b/tests/planning/test_judgement.py
@@ -57,8 +57,9 @@
     assert states(picture(well)) == {}
 
 
-@pytest.mark.parametrize(("seen", "state"), [
-    (frozen, State.FROZEN), (failing, State.FAILING), (slow, State.SLOW)])
+@pytest.mark.parametrize(
+    ("seen", "state"), [(frozen, State.FROZEN), (failing, State.FAILING), (slow, State.SLOW)]
+)
 def test_a_sick_server_is_named_for_what_it_has(seen: Sees, state: State) -> None:
     found = picture(one(3, seen)).judge(3010.0)
     assert {SERVERS.index(name): verdict.state for name, verdict in found.items()} == {3: state}
@@ -228,6 +229,7 @@
 
 def test_a_server_that_still_answers_somebody_does_not_stand_still() -> None:
     """Two calls are very late there, of two forwarders: heavy work, or a queue."""
+
     def sees(number: int, server: int, beat: int) -> Entry:
         return (frozen if server == 3 and number < 2 else well)(number, server, beat)
 
@@ -236,6 +238,7 @@
 
 def test_nobody_stands_still_where_answers_are_seldom() -> None:
     """The median server gives two in a beat: in 1.5 s this one missed five, in one second it had not."""
+
     def seldom(number: int, server: int, beat: int) -> Entry:
         if server == 3:
             return frozen(number, server, beat)
@@ -245,7 +248,7 @@
     assert states(picture(seldom, beats=8), 4010.0) == {3: State.FROZEN}
 
 
-@pytest.mark.parametrize("nonsense", [0, 10 ** 6])
+@pytest.mark.parametrize("nonsense", [0, 10**6])
 def test_reach_follows_traffic_and_nonsense_moves_it_by_half_at_most(nonsense: int) -> None:
     made = Picture()
     for beat in range(1, 40):
--- a/tests/planning/test_reports.py
+++ b/tests/planning/test_reports.py
@@ -95,10 +95,17 @@
     assert len(told) == 100
 
 
-@given(st.lists(st.tuples(st.integers(0, 400), st.sampled_from(list(Outcome)), st.floats(0.0, 1e7)),
-                max_size=60), st.integers(0, 400), st.integers(0, 2**16 - 1), st.floats(0.0, 1e3))
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 400), st.sampled_from(list(Outcome)), st.floats(0.0, 1e7)), max_size=60
+    ),
+    st.integers(0, 400),
+    st.integers(0, 2**16 - 1),
+    st.floats(0.0, 1e3),
+)
 def test_every_report_fits_a_note_and_can_be_read(
-        calls: list[tuple[int, Outcome, float]], servers: int, started: int, rate: float) -> None:
+    calls: list[tuple[int, Outcome, float]], servers: int, started: int, rate: float
+) -> None:
     made = Reporter()
     made.listed((f"s{number}", started) for number in range(servers))
     for number, (server, outcome, ms) in enumerate(calls):
@@ -112,11 +119,16 @@
     assert len({entry.server for entry in report.entries}) == len(report.entries)
 
 
-@pytest.mark.parametrize("bad", [
-    Report(-1, 0, 0, 0, []), Report(0, 0, 0, 0, [Entry(b"x", 0, 0, (0, 0, 0, 0, 0), 0, 0, 0)]),
-    Report(0, 0, 0, 0, [Entry(b"x" * 6, 0, -1, (0, 0, 0, 0, 0), 0, 0, 0)]),
-    Report(0, 0, 0, 0, [Entry(b"x" * 6, 0, MOST + 1, (0, 0, 0, 0, 0), 0, 0, 0)]),
-    Report(0, 0, 0, 0, [Entry(b"x" * 6, 0, 0, (0, 0, 0, 0, 0), -MOST - 1, 0, 0)])])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        Report(-1, 0, 0, 0, []),
+        Report(0, 0, 0, 0, [Entry(b"x", 0, 0, (0, 0, 0, 0, 0), 0, 0, 0)]),
+        Report(0, 0, 0, 0, [Entry(b"x" * 6, 0, -1, (0, 0, 0, 0, 0), 0, 0, 0)]),
+        Report(0, 0, 0, 0, [Entry(b"x" * 6, 0, MOST + 1, (0, 0, 0, 0, 0), 0, 0, 0)]),
+        Report(0, 0, 0, 0, [Entry(b"x" * 6, 0, 0, (0, 0, 0, 0, 0), -MOST - 1, 0, 0)]),
+    ],
+)
 def test_what_no_forwarder_says_is_no_report(bad: Report) -> None:
     with pytest.raises(BadReport):
         read_report(msgspec.msgpack.encode(bad))
--- a/tests/planning/test_settings.py
+++ b/tests/planning/test_settings.py
@@ -22,13 +22,17 @@
 
 
 KEYS = '[keys]\nseal_with = 1\n[[keys.known]]\nnumber = 1\nfile = "notes.key"\n'
-PLANNERS = KEYS + '[planner]\nnumber = 0\nplanners = 1\n[[fleet]]\nservice = "a"\nlisten = "127.0.0.1:0"\n' \
-                  "forwarders = 5\n"
+PLANNERS = (
+    KEYS + '[planner]\nnumber = 0\nplanners = 1\n[[fleet]]\nservice = "a"\nlisten = "127.0.0.1:0"\n'
+    "forwarders = 5\n"
+)
 FORWARDERS = KEYS + '[forwarder]\nnumber = 3\n[[service]]\nname = "a"\nplanners = ["127.0.0.1:7946"]\n'
 
 
-@pytest.mark.parametrize(("name", "said"), [
-    ("planners", "planner 0 of 3, 1 fleets, 1 keys"), ("forwarders", "forwarder 7, 1 services, 1 keys")])
+@pytest.mark.parametrize(
+    ("name", "said"),
+    [("planners", "planner 0 of 3, 1 fleets, 1 keys"), ("forwarders", "forwarder 7, 1 services, 1 keys")],
+)
 def test_the_examples_are_good(name: str, said: str, capsys: pytest.CaptureFixture[str]) -> None:
     assert cli.main(["check", str(DEPLOY / f"{name}.example.toml")]) == 0
     assert said in capsys.readouterr().out
@@ -42,7 +46,9 @@
 
 
 def test_a_planners_file_with_many_errors_has_them_all_told(tmp_path: Path) -> None:
-    path = written(tmp_path, '''
+    path = written(
+        tmp_path,
+        """
 [planner]
 number = 2
 planners = 2
@@ -63,16 +69,24 @@
 service = "a"
 listen = "127.0.0.1:7946"
 forwarders = 5
-''')
+""",
+    )
     with pytest.raises(BadSettings) as found:
         load_planners(path)
     assert [problem.path for problem in found.value.problems] == [
-        "keys.known.1.number", "keys.seal_with", "planner.number", "planner.status", "fleet.0.listen",
-        "fleet.1.service"]
+        "keys.known.1.number",
+        "keys.seal_with",
+        "planner.number",
+        "planner.status",
+        "fleet.0.listen",
+        "fleet.1.service",
+    ]
 
 
 def test_a_forwarders_file_with_many_errors_has_them_all_told(tmp_path: Path) -> None:
-    path = written(tmp_path, '''
+    path = written(
+        tmp_path,
+        """
 [forwarder]
 number = 70000
 colour = "red"
@@ -84,17 +98,27 @@
 name = "a b"
 planners = "127.0.0.1:7946"
 transport = "smoke"
-''')
+""",
+    )
     with pytest.raises(BadSettings) as found:
         load_forwarders(path)
     assert {problem.path for problem in found.value.problems} == {
-        "forwarder.number", "forwarder.colour", "keys.known.0.number", "keys.known.0.file", "service.0.name",
-        "service.0.planners", "service.0.transport"}
+        "forwarder.number",
+        "forwarder.colour",
+        "keys.known.0.number",
+        "keys.known.0.file",
+        "service.0.name",
+        "service.0.planners",
+        "service.0.transport",
+    }
 
 
 def test_planners_that_are_none_or_twice_the_same(tmp_path: Path) -> None:
-    for planners, path in (([], "service.0.planners"), (["127.0.0.1:1"] * 2, "service.0.planners.1"),
-                           (["x"], "service.0.planners.0")):
+    for planners, path in (
+        ([], "service.0.planners"),
+        (["127.0.0.1:1"] * 2, "service.0.planners.1"),
+        (["x"], "service.0.planners.0"),
+    ):
         text = FORWARDERS.replace('["127.0.0.1:7946"]', repr(planners))
         with pytest.raises(BadSettings) as found:
             load_forwarders(written(tmp_path, text))
@@ -118,7 +142,8 @@
 
 
 def test_a_file_of_forwarders_for_a_service_that_is_not_served(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     path = written(tmp_path, FORWARDERS)
     services = str(DEPLOY / "services.example.toml")
     assert cli.main(["serve", services, "--planning", str(path)]) == 2
@@ -141,8 +166,11 @@
     stream = b"".join(map(frame, notes))
     for step in (1, 3, 100, len(stream)):
         unframer = Unframer()
-        found = [note for place in range(0, len(stream), step)
-                 for note in unframer.feed(stream[place:place + step])]
+        found = [
+            note
+            for place in range(0, len(stream), step)
+            for note in unframer.feed(stream[place : place + step])
+        ]
         assert found == notes
 
 
--- a/tests/planning/test_together.py
+++ b/tests/planning/test_together.py
@@ -29,8 +29,16 @@
 class Fleet:
     """Forwarders send at random by the weight that advice leaves each server."""
 
-    def __init__(self, seed: int, *, forwarders: int = 12, planners: int = 3, servers: int = 10,
-                 loss: float = 0.1, late_ms: float = 50.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        forwarders: int = 12,
+        planners: int = 3,
+        servers: int = 10,
+        loss: float = 0.1,
+        late_ms: float = 50.0,
+    ) -> None:
         self.random = Random(seed)
         self.clock = VirtualClock()
         self.planners = planners
@@ -52,8 +60,9 @@
         return Planner(post, RULES, WARM_UP_MS, self.planners, self.clock.now_ms())
 
     def forwarder(self, number: int) -> Forwarder:
-        post = Post(KEYS, number, self.random.getrandbits(31) + 1, self.planners,
-                    frozenset({Kind.ADVICE, Kind.LOAN}))
+        post = Post(
+            KEYS, number, self.random.getrandbits(31) + 1, self.planners, frozenset({Kind.ADVICE, Kind.LOAN})
+        )
         made = Forwarder(post, self.planners, WARM_UP_MS, EPOCH_MS)
         made.listed(self.servers)
         return made
@@ -91,8 +100,9 @@
         self.hands[number].sent(server, attempt, 100.0, self.clock.now_ms())
         took_ms = 1000.0 if server in self.sick else self.random.uniform(5.0, 30.0)
         outcome = Outcome.TIMEOUT if server in self.sick else Outcome.OK
-        self.clock.after(took_ms, lambda: self.hands[number].ended(
-            server, attempt, outcome, 100.0, self.clock.now_ms()))
+        self.clock.after(
+            took_ms, lambda: self.hands[number].ended(server, attempt, outcome, 100.0, self.clock.now_ms())
+        )
         self.clock.after(EVERY_MS, lambda: self.call(number))
 
     def run(self, ms: float) -> None:
@@ -155,8 +165,7 @@
     warm_rate = 12 / EVERY_MS / 10  # what a warm server bears; nine share it while one is cold
     part = LENT_SHARE * RULES.window_sends(warm_rate * 10 / 9) * 1.2  # estimated from random traffic
     for at, _ in loans:
-        lent = sum(event.sends for other, event in loans
-                   if at <= other < at + RULES.fall_ms)
+        lent = sum(event.sends for other, event in loans if at <= other < at + RULES.fall_ms)
         assert lent <= part
 
 
@@ -174,7 +183,9 @@
 def test_starts_are_the_same_for_forwarders_whose_clocks_are_not() -> None:
     """Each has the start on a clock of its own, made of discovery's."""
     up_since = 1_764_583_000_123.0
-    numbers = {start_number(Server("s", started_at=up_since - ahead), ahead)
-               for ahead in (1.764e12, 1.7644e12 + 0.123, 1.76e12 + 0.77)}
+    numbers = {
+        start_number(Server("s", started_at=up_since - ahead), ahead)
+        for ahead in (1.764e12, 1.7644e12 + 0.123, 1.76e12 + 0.77)
+    }
     assert len(numbers) == 1 and 1 <= numbers.pop() <= 65_535
     assert start_number(Server("s"), 5.0) == 0
--- a/tests/planning/test_voice.py
+++ b/tests/planning/test_voice.py
@@ -45,8 +45,11 @@
 
 
 def planner(number: int, planners: int, listen: str = "127.0.0.1:0", keys: Keys = OLD) -> PlannerProcess:
-    file = PlannersFile(planner=PlannerEntry(number=number, planners=planners, status="127.0.0.1:0"),
-                        keys=KEYS_ENTRY, fleet=[FleetEntry(service="a", listen=listen, forwarders=10)])
+    file = PlannersFile(
+        planner=PlannerEntry(number=number, planners=planners, status="127.0.0.1:0"),
+        keys=KEYS_ENTRY,
+        fleet=[FleetEntry(service="a", listen=listen, forwarders=10)],
+    )
     return PlannerProcess(Path("unused"), file, keys)
 
 
@@ -74,9 +77,16 @@
         fleet = Fleet(await Place("a").add(6), brains)
         for number in range(proxies):
             file = ForwardersFile(
-                forwarder=ForwarderEntry(number=number), keys=KEYS_ENTRY, service=[PlannedEntry(
-                    name="a", planners=["{}:{}".format(*brain.fleets[0].address) for brain in brains],
-                    transport="udp" if transport == "udp" else "tcp")])
+                forwarder=ForwarderEntry(number=number),
+                keys=KEYS_ENTRY,
+                service=[
+                    PlannedEntry(
+                        name="a",
+                        planners=["{}:{}".format(*brain.fleets[0].address) for brain in brains],
+                        transport="udp" if transport == "udp" else "tcp",
+                    )
+                ],
+            )
             loop = asyncio.get_running_loop()
             town = Town(settings_of(fleet.place.entry()))
             town.services = Services(settings_of(fleet.place.entry()), loop, Voices(loop, file, OLD))
@@ -225,24 +235,32 @@
     """`planner FILE`, `serve FILE --planning FILE` and `planner status FILE`, as an operator gives them."""
     (tmp_path / "old.key").write_text("ab" * 32)
     (tmp_path / "new.key").write_text("cd" * 32)
-    keys = '[keys]\nseal_with = {}\n[[keys.known]]\nnumber = 1\nfile = "old.key"\n' \
-           '[[keys.known]]\nnumber = 2\nfile = "new.key"\n'
+    keys = (
+        '[keys]\nseal_with = {}\n[[keys.known]]\nnumber = 1\nfile = "old.key"\n'
+        '[[keys.known]]\nnumber = 2\nfile = "new.key"\n'
+    )
     notes, status = _free_port(), _free_port()
     planners, forwarders, services = (tmp_path / name for name in ("p.toml", "f.toml", "s.toml"))
 
     def write(seal_with: int) -> None:
-        planners.write_text(keys.format(seal_with) + f'[planner]\nnumber = 0\nplanners = 1\n'
-                            f'status = "127.0.0.1:{status}"\n[[fleet]]\nservice = "a"\n'
-                            f'listen = "127.0.0.1:{notes}"\nforwarders = 3\n')
-        forwarders.write_text(keys.format(seal_with) + '[forwarder]\nnumber = 2\n[[service]]\nname = "a"\n'
-                              f'planners = ["127.0.0.1:{notes}"]\n')
+        planners.write_text(
+            keys.format(seal_with) + f"[planner]\nnumber = 0\nplanners = 1\n"
+            f'status = "127.0.0.1:{status}"\n[[fleet]]\nservice = "a"\n'
+            f'listen = "127.0.0.1:{notes}"\nforwarders = 3\n'
+        )
+        forwarders.write_text(
+            keys.format(seal_with) + '[forwarder]\nnumber = 2\n[[service]]\nname = "a"\n'
+            f'planners = ["127.0.0.1:{notes}"]\n'
+        )
 
     async def test() -> None:
         write(1)
         place = await Place("a").add(2)
         services.write_bytes(to_file({"listener": [{"address": "127.0.0.1:0"}], "service": [place.entry()]}))
-        running = [await _command("planner", str(planners)),
-                   await _command("serve", str(services), "--planning", str(forwarders))]
+        running = [
+            await _command("planner", str(planners)),
+            await _command("serve", str(services), "--planning", str(forwarders)),
+        ]
         try:
             async with asyncio.timeout(20.0):
                 while "1 forwarders report on 2 servers" not in await _page(planners, services):
@@ -270,8 +288,13 @@
 
 async def _command(*words: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cometdoor", *words,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL)
+        sys.executable,
+        "-m",
+        "cometdoor",
+        *words,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
 
 
 async def _page(planners: Path, services: Path) -> str:
--- a/tests/planning/test_wire.py
+++ b/tests/planning/test_wire.py
@@ -103,9 +103,19 @@
 
 def test_while_keys_are_changed_both_are_taken_and_then_the_old_one_is_not() -> None:
     old, both_old, both_new, new = (
-        KEYS, Keys({1: OLD, 2: NEW}, 1), Keys({1: OLD, 2: NEW}, 2), Keys({2: NEW}, 2))
-    for sender, receiver in ((old, both_old), (both_old, old), (both_old, both_new), (both_new, both_old),
-                             (both_new, new), (new, both_new)):
+        KEYS,
+        Keys({1: OLD, 2: NEW}, 1),
+        Keys({1: OLD, 2: NEW}, 2),
+        Keys({2: NEW}, 2),
+    )
+    for sender, receiver in (
+        (old, both_old),
+        (both_old, old),
+        (both_old, both_new),
+        (both_new, both_old),
+        (both_new, new),
+        (new, both_new),
+    ):
         sealed = forwarder(keys=sender).seal(Kind.REPORT, 2, b"x", 0.0)
         assert planner(keys=receiver).open(sealed, 0.0) is not None
     stale = planner(keys=new)
@@ -113,9 +123,17 @@
     assert stale.dropped == {Dropped.STRANGER: 1}
 
 
-@pytest.mark.parametrize(("known", "current", "said"), [
-    ({}, 1, "one key or two"), ({1: OLD, 2: OLD, 3: OLD}, 1, "one key or two"), ({1: OLD}, 2, "not among"),
-    ({1: b"short"}, 1, "5 bytes"), ({256: OLD}, 256, "number 256"), ({1: OLD + b"x"}, 1, "33 bytes")])
+@pytest.mark.parametrize(
+    ("known", "current", "said"),
+    [
+        ({}, 1, "one key or two"),
+        ({1: OLD, 2: OLD, 3: OLD}, 1, "one key or two"),
+        ({1: OLD}, 2, "not among"),
+        ({1: b"short"}, 1, "5 bytes"),
+        ({256: OLD}, 256, "number 256"),
+        ({1: OLD + b"x"}, 1, "33 bytes"),
+    ],
+)
 def test_keys_that_can_not_be_used_are_refused(known: dict[int, bytes], current: int, said: str) -> None:
     with pytest.raises(ValueError, match=said):
         Keys(known, current)
@@ -127,12 +145,17 @@
         forwarder().seal(Kind.REPORT, 2, b"x" * (MAX_BODY + 1), 0.0)
 
 
-@pytest.mark.parametrize(("make", "why"), [
-    (lambda: b"", Dropped.SIZE), (lambda: b"x" * 257, Dropped.SIZE),
-    (lambda: bytes([VERSION + 1]) + forwarder().seal(Kind.REPORT, 2, b"", 0.0)[1:], Dropped.VERSION),
-    (lambda: forwarder().seal(Kind.LOAN, 2, b"", 0.0), Dropped.STRANGER),
-    (lambda: forwarder(me=10).seal(Kind.REPORT, 2, b"", 0.0), Dropped.STRANGER),
-    (lambda: forwarder(keys=Keys({1: NEW}, 1)).seal(Kind.REPORT, 2, b"", 0.0), Dropped.FORGED)])
+@pytest.mark.parametrize(
+    ("make", "why"),
+    [
+        (lambda: b"", Dropped.SIZE),
+        (lambda: b"x" * 257, Dropped.SIZE),
+        (lambda: bytes([VERSION + 1]) + forwarder().seal(Kind.REPORT, 2, b"", 0.0)[1:], Dropped.VERSION),
+        (lambda: forwarder().seal(Kind.LOAN, 2, b"", 0.0), Dropped.STRANGER),
+        (lambda: forwarder(me=10).seal(Kind.REPORT, 2, b"", 0.0), Dropped.STRANGER),
+        (lambda: forwarder(keys=Keys({1: NEW}, 1)).seal(Kind.REPORT, 2, b"", 0.0), Dropped.FORGED),
+    ],
+)
 def test_what_is_dropped_is_counted_by_its_reason(make: object, why: Dropped) -> None:
     theirs = planner()
     assert theirs.open(make(), 0.0) is None  # type: ignore[operator]
@@ -154,7 +177,8 @@
 
 @given(st.integers(0, 2**32), st.integers(1, 60))
 def test_over_a_bad_network_each_note_is_taken_once_at_most_and_never_younger_than_it_is(
-        seed: int, count: int) -> None:
+    seed: int, count: int
+) -> None:
     """Notes are lost, doubled, reordered and late; parties start anew."""
     random = Random(seed)
     parties = {"ours": forwarder(life=1), "theirs": planner(life=1)}
@@ -173,11 +197,13 @@
         elif what < 0.6:
             name, other = random.choice([("ours", "theirs"), ("theirs", "ours")])
             written += 1
-            sealed = parties[name].seal(*((Kind.REPORT, 2) if name == "ours" else (Kind.LOAN, 5)),
-                                        b"%d" % written, now)
+            sealed = parties[name].seal(
+                *((Kind.REPORT, 2) if name == "ours" else (Kind.LOAN, 5)), b"%d" % written, now
+            )
             for _ in range(random.choice([0, 1, 1, 2])):
-                flying.append((now + random.expovariate(0.01), other, sealed, now,
-                               (name, lives[name], written)))
+                flying.append(
+                    (now + random.expovariate(0.01), other, sealed, now, (name, lives[name], written))
+                )
         for one in [one for one in flying if one[0] <= now]:
             flying.remove(one)
             _, to, sealed, written_at, mark = one
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -21,9 +21,11 @@
 from jasperhall import api
 from tests.jasperhall.test_simhost import INFO
 
-LANES = [{**INFO["lanes"][0], "name": "read"},  # type: ignore[index]
-         {**INFO["lanes"][1], "name": "book"},  # type: ignore[index]
-         {**INFO["lanes"][2], "name": "pay"}]  # type: ignore[index]
+LANES = [
+    {**INFO["lanes"][0], "name": "read"},  # type: ignore[index]
+    {**INFO["lanes"][1], "name": "book"},  # type: ignore[index]
+    {**INFO["lanes"][2], "name": "pay"},  # type: ignore[index]
+]
 
 
 TRACES = itertools.count(1)  # ids are new with every request
@@ -32,6 +34,7 @@
 def run(test: Callable[[], Awaitable[None]]) -> None:
     async def limited() -> None:
         await asyncio.wait_for(test(), 30.0)
+
     uvloop.run(limited())
 
 
@@ -52,8 +55,10 @@
     @staticmethod
     async def read(reader: asyncio.StreamReader) -> Message:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        headers = {name.lower(): value.strip() for name, _, value in
-                   (line.partition(":") for line in head[1:] if line)}
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in head[1:] if line)
+        }
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         return Message(head[0].encode(), headers, body)
 
@@ -169,18 +174,34 @@
 
 
 def member(name: str, address: str, **changes: Any) -> dict[str, Any]:
-    return {"id": name, "host_port": address, "locality": "a", "flavor": "std", "cell": 3,
-            "phase": "in_service", "size": 1.0, "up_since_ms": 0, **changes}
-
-
-def make_config(listen: str, discovery: str, *members: dict[str, Any], sockets: int = 1024,
-                **settings: Any) -> dict[str, Any]:
+    return {
+        "id": name,
+        "host_port": address,
+        "locality": "a",
+        "flavor": "std",
+        "cell": 3,
+        "phase": "in_service",
+        "size": 1.0,
+        "up_since_ms": 0,
+        **changes,
+    }
+
+
+def make_config(
+    listen: str, discovery: str, *members: dict[str, Any], sockets: int = 1024, **settings: Any
+) -> dict[str, Any]:
     limits = {**INFO["limits"], **settings.pop("limits", {})}  # type: ignore[dict-item]
     settings["discovery"] = settings.pop("discovery_mode", "automatic")
-    return {"name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "a_key_to_come": {},
-            "known": {"revision": 41, "complete": True, "members": list(members)},
-            "settings": {**INFO, "lanes": LANES, "limits": limits, **settings}}
+    return {
+        "name": "n1",
+        "listen": listen,
+        "discovery": discovery,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "a_key_to_come": {},
+        "known": {"revision": 41, "complete": True, "members": list(members)},
+        "settings": {**INFO, "lanes": LANES, "limits": limits, **settings},
+    }
 
 
 class Caller:
@@ -189,10 +210,17 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
 
-    def ask(self, kind: str = "read", body: bytes = b"", *extra: str, trace: str = "",
-            left: str = "5.0") -> None:
-        lines = [f"{'GET' if kind == 'read' else 'POST'} /{kind}/7f3a?x=%201 HTTP/1.1", "Host: app.svc",
-                 f"X-Trace-Id: {trace or next(TRACES)}", f"X-Qos: {kind}", f"X-Expires-In: {left}", *extra]
+    def ask(
+        self, kind: str = "read", body: bytes = b"", *extra: str, trace: str = "", left: str = "5.0"
+    ) -> None:
+        lines = [
+            f"{'GET' if kind == 'read' else 'POST'} /{kind}/7f3a?x=%201 HTTP/1.1",
+            "Host: app.svc",
+            f"X-Trace-Id: {trace or next(TRACES)}",
+            f"X-Qos: {kind}",
+            f"X-Expires-In: {left}",
+            *extra,
+        ]
         if kind == "book":
             lines.append("Idempotency-Key: 5c0f")
         if kind != "read":
@@ -216,8 +244,14 @@
         self.proxy: HttpService
         self.descriptors: Descriptors
 
-    async def start(self, *members: dict[str, Any], discovery: str = "127.0.0.1:1", sockets: int = 1024,
-                    asked: bool = False, **settings: Any) -> Rig:
+    async def start(
+        self,
+        *members: dict[str, Any],
+        discovery: str = "127.0.0.1:1",
+        sockets: int = 1024,
+        asked: bool = False,
+        **settings: Any,
+    ) -> Rig:
         settings["discovery_mode"] = "subscribe" if asked else "automatic"
         config = read_config(make_config("127.0.0.1:1", discovery, *members, sockets=sockets, **settings), {})
         self.node = Node(config, asyncio.get_running_loop())
--- a/tests/services/test_bulkheads.py
+++ b/tests/services/test_bulkheads.py
@@ -33,6 +33,7 @@
 
 def test_all_servers_of_one_service_frozen_the_other_at_full_load() -> None:
     """`b` is asked anew as fast as it answers, which keeps the loop busy throughout."""
+
     async def test() -> None:
         a, b, town = await two()
         a.freeze()
@@ -41,8 +42,10 @@
             reader, writer = await asyncio.open_connection(*town.address)
             statuses = []
             for number in range(requests):
-                writer.write(f"GET /look/1 HTTP/1.1\r\nHost: b.example.org\r\nX-Qos: look\r\n"
-                             f"X-Trace-Id: {name}-{number}\r\n\r\n".encode())
+                writer.write(
+                    f"GET /look/1 HTTP/1.1\r\nHost: b.example.org\r\nX-Qos: look\r\n"
+                    f"X-Trace-Id: {name}-{number}\r\n\r\n".encode()
+                )
                 head = await reader.readuntil(b"\r\n\r\n")
                 statuses.append(int(head.split(b" ")[1]))
                 await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r")[0]))
@@ -54,7 +57,8 @@
         book_a = await load_a
         assert found == [[200] * 150] * 16
         assert {entry.request for entry in b.ledger.entries if entry.has_run} == {
-            f"b{n}-{number}" for n in range(16) for number in range(150)}
+            f"b{n}-{number}" for n in range(16) for number in range(150)
+        }
         assert not any(one.was_served for one in book_a.tries)
         assert not check(book_a, a.ledger)
 
@@ -66,7 +70,8 @@
         a, b, town = await two()
         a.stop()
         book_a, book_b = await asyncio.gather(
-            town.load(a.load(100, 30, 30), 1, "a").run(1.0), town.load(b.load(100, 30, 30), 2, "b").run(1.0))
+            town.load(a.load(100, 30, 30), 1, "a").run(1.0), town.load(b.load(100, 30, 30), 2, "b").run(1.0)
+        )
         assert all(one.was_served for one in book_b.tries)
         assert book_a.tries and all(one.was_refused for one in book_a.tries)
         assert not check(book_a, a.ledger) and not check(book_b, b.ledger)
@@ -76,6 +81,7 @@
 
 def test_callers_that_hang_on_a_frozen_service_leave_room_for_newcomers_of_the_other() -> None:
     """With 128 descriptors callers may hold 48 connections: 100 that wait for `a` must not take them all."""
+
     async def test() -> None:
         a, _b, town = await two(sockets=128)
         a.freeze()
@@ -112,8 +118,10 @@
         a, b = await Place("a").add(1), await Place("b").add(1)
         town = await Town(settings_of(a.entry(limits={"open": 2}), b.entry())).start()
         a.freeze()
-        held = [asyncio.ensure_future(town.status(
-            "GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look")) for _ in range(2)]
+        held = [
+            asyncio.ensure_future(town.status("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look"))
+            for _ in range(2)
+        ]
         while town.services.running["a"].http.open_requests() < 2:
             await asyncio.sleep(0)
         answer = await town.ask("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look")
@@ -130,8 +138,9 @@
         a = await Place("a").add(2)
         town = await Town(settings_of(a.entry(limits={"connections": 1}))).start()
         a.freeze()
-        held = asyncio.ensure_future(town.status(
-            "GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Expires-In: 1.0"))
+        held = asyncio.ensure_future(
+            town.status("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Expires-In: 1.0")
+        )
         while not a.ledger.entries:
             await asyncio.sleep(0)
         assert await town.status("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look") == 503
@@ -166,8 +175,13 @@
         body = b"x" * 40_000
 
         async def charge() -> int:
-            return await town.status("POST /c HTTP/1.1", "Host: a.example.org", "X-Qos: charge",
-                                     f"Content-Length: {len(body)}", body=body)
+            return await town.status(
+                "POST /c HTTP/1.1",
+                "Host: a.example.org",
+                "X-Qos: charge",
+                f"Content-Length: {len(body)}",
+                body=body,
+            )
 
         held = [asyncio.ensure_future(charge()) for _ in range(2)]
         service = town.services.running["a"].http
@@ -225,13 +239,22 @@
         a, b, town = await two()
         a.freeze()
         b.freeze()
-        held = [asyncio.ensure_future(town.status(
-            "GET /look/1 HTTP/1.1", f"Host: {name}.example.org", "X-Qos: look", "X-Trace-Id: same"))
-            for name in ("a", "b")]
+        held = [
+            asyncio.ensure_future(
+                town.status(
+                    "GET /look/1 HTTP/1.1", f"Host: {name}.example.org", "X-Qos: look", "X-Trace-Id: same"
+                )
+            )
+            for name in ("a", "b")
+        ]
         while not (a.ledger.entries and b.ledger.entries):
             await asyncio.sleep(0)
-        assert await town.status("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look",
-                                 "X-Trace-Id: same") == 409
+        assert (
+            await town.status(
+                "GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Trace-Id: same"
+            )
+            == 409
+        )
         a.thaw()
         b.thaw()
         assert [await one for one in held] == [200, 200]
@@ -241,11 +264,14 @@
 
 def test_descriptors_that_are_short_are_shared_and_idle_ones_are_given_back() -> None:
     """16 connections to servers for two services; `a` holds all that it may, and `b` still has its part."""
+
     async def test() -> None:
         a, b, town = await two(sockets=64)
         a.freeze()
-        held = [asyncio.ensure_future(town.status(
-            "GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look")) for _ in range(14)]
+        held = [
+            asyncio.ensure_future(town.status("GET /look/1 HTTP/1.1", "Host: a.example.org", "X-Qos: look"))
+            for _ in range(14)
+        ]
         share = town.services.running["a"].servers_share
         while share.held < town.services.servers.most(share) - 2:
             await asyncio.sleep(0)
@@ -265,8 +291,10 @@
         with mock.patch("cometdoor.discovery.platform.FIRST_PAUSE_S", 0.01):
             town = await Town(settings_of(a.entry(), b.entry(), down)).start()
             for name, status in (("a", 503), ("c", 503), ("b", 200)):
-                assert await town.status("GET /look/1 HTTP/1.1", f"Host: {name}.example.org",
-                                         "X-Qos: look") == status
+                assert (
+                    await town.status("GET /look/1 HTTP/1.1", f"Host: {name}.example.org", "X-Qos: look")
+                    == status
+                )
             assert await town.status("GET /up HTTP/1.1", "Host: b.example.org") == 200
             town.services.stop()
 
@@ -278,8 +306,10 @@
         places = [await Place(f"s{number}").add(1) for number in range(100)]
         town = await Town(settings_of(*(place.entry() for place in places))).start()
         for place in places:
-            assert await town.status("GET /look/1 HTTP/1.1", f"Host: {place.name}.example.org",
-                                     "X-Qos: look") == 200
+            assert (
+                await town.status("GET /look/1 HTTP/1.1", f"Host: {place.name}.example.org", "X-Qos: look")
+                == 200
+            )
         assert [len(place.ledger.entries) for place in places] == [1] * 100
 
     run(test)
--- a/tests/services/test_changes.py
+++ b/tests/services/test_changes.py
@@ -41,8 +41,11 @@
         assert all(one.was_served for one in book_b.tries)
         assert {one.status for one in book_a.tries if one.sent_at > removed_at + 0.05} == {404}
         charges = {one.request for one in book_a.tries if one.cls == "charge"}
-        assert not [entry for entry in a.ledger.entries if entry.request in charges
-                    and entry.has_run and entry.how == "given up"]
+        assert not [
+            entry
+            for entry in a.ledger.entries
+            if entry.request in charges and entry.has_run and entry.how == "given up"
+        ]
 
     run(test)
 
@@ -170,7 +173,8 @@
         b.servers = a.servers  # the same processes
         town = await Town(settings_of(a.entry(), b.entry())).start()
         load = asyncio.gather(
-            town.load(a.load(100), 1, "a").run(1.0), town.load(b.load(100), 2, "b").run(1.0))
+            town.load(a.load(100), 1, "a").run(1.0), town.load(b.load(100), 2, "b").run(1.0)
+        )
         await until(lambda: len(a.ledger.entries) > 40)
         drains = a.entry()
         drains["servers"] = [{**drains["servers"][0], "drain": True}, drains["servers"][1]]
@@ -237,8 +241,9 @@
     async def test() -> None:
         a, b = await Place("a").add(2), await Place("b").add(2)
         town = await Town(settings_of(a.entry(), b.entry())).start()
-        loads = asyncio.gather(town.load(a.load(100, 30, 30), 1, "a").run(1.0),
-                               town.load(b.load(100, 30, 30), 2, "b").run(1.0))
+        loads = asyncio.gather(
+            town.load(a.load(100, 30, 30), 1, "a").run(1.0), town.load(b.load(100, 30, 30), 2, "b").run(1.0)
+        )
         for number in range(rounds):
             await asyncio.sleep(0.02)
             entries = [b.entry()] if number % 2 else [a.entry(), b.entry()]
@@ -256,6 +261,7 @@
 
 def test_a_cold_server_that_a_change_adds_under_load_is_not_pushed_over() -> None:
     """It can do 30 requests a second at first, 100 when warm; three times as many push it over."""
+
     async def test() -> None:
         cold = Cold(start=0.3, warm_up_s=2.0, rate=100.0, factor=3.0, window_s=0.3, slack=4.0)
         settings = {"from": 0.3, "warm_up_ms": 2000.0, "overload_factor": 3.0, "fall_ms": 300.0}
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -58,13 +58,17 @@
     assert states(members.told("b", full(ONE), addresses(ONE))) == {("b", "s1"): State.DRAINING}
 
 
-STEP = st.tuples(st.sampled_from("abc"), st.sampled_from(["full", "delta", "forget"]),
-                 st.lists(st.tuples(st.integers(1, 4), st.sampled_from(list(State))), max_size=4))
+STEP = st.tuples(
+    st.sampled_from("abc"),
+    st.sampled_from(["full", "delta", "forget"]),
+    st.lists(st.tuples(st.integers(1, 4), st.sampled_from(list(State))), max_size=4),
+)
 
 
 @given(st.lists(STEP, max_size=30))
 def test_what_each_instance_was_told_is_what_the_lists_say_together(
-        steps: list[tuple[str, str, list[tuple[int, State]]]]) -> None:
+    steps: list[tuple[str, str, list[tuple[int, State]]]],
+) -> None:
     members: Membership[str] = Membership()
     lists: dict[str, dict[str, State]] = {}
     told: dict[str, dict[str, State]] = {}
@@ -75,8 +79,13 @@
             told.pop(service, None)
         else:
             kind = ListKind.FULL if what == "full" else ListKind.DELTA
-            servers = tuple({number: Server(f"s{number}", state=state) for number, state in entries
-                             if kind is ListKind.DELTA or state is not State.GONE}.values())
+            servers = tuple(
+                {
+                    number: Server(f"s{number}", state=state)
+                    for number, state in entries
+                    if kind is ListKind.DELTA or state is not State.GONE
+                }.values()
+            )
             own = lists.setdefault(service, {})
             if kind is ListKind.FULL:
                 own.clear()
@@ -90,7 +99,10 @@
             known.update({server.name: server.state for server in one.event.servers})
         draining = {name for own in lists.values() for name, state in own.items() if state is State.DRAINING}
         for name, own in lists.items():
-            expected = {server: State.DRAINING if server in draining else state
-                        for server, state in own.items() if state is not State.GONE}
+            expected = {
+                server: State.DRAINING if server in draining else state
+                for server, state in own.items()
+                if state is not State.GONE
+            }
             seen = {server: state for server, state in told[name].items() if state is not State.GONE}
             assert seen == expected
--- a/tests/services/test_reader.py
+++ b/tests/services/test_reader.py
@@ -17,32 +17,43 @@
     return a, await Town(settings_of(a.entry(**more))).start()
 
 
-@pytest.mark.parametrize(("lines", "status"), [
-    (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 200),
-    (("GET / HTTP/1.1", "Host: A.Example.ORG.:8080", "X-Qos: look"), 200),
-    (("GET http://a.example.org/ HTTP/1.1", "Host: b.example.org", "X-Qos: look"), 200),
-    (("GET / HTTP/1.1", "X-Qos: look"), 400),
-    (("GET / HTTP/1.1", "Host: a.example.org", "Host: a.example.org", "X-Qos: look"), 400),
-    (("GET / HTTP/1.1", "Host: a b", "X-Qos: look"), 400),
-    (("GET / HTTP/1.1", "Host:", "X-Qos: look"), 400),
-    (("GET http://b.example.org/ HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 404),
-    (("GET http://a.example.org/ HTTP/1.1", "Host: a b", "X-Qos: look"), 400),
-    (("GET / HTTP/1.1", "Host: b.example.org", "X-Qos: look"), 404),
-    (("GET / HTTP/1.1", "Host: a.example.org"), 400),
-    (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: fly"), 404),
-    (("GET /../x HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 400),
-    (("POST / HTTP/1.1", "Host: a.example.org", "X-Qos: look", "Content-Length: 0"), 405),
-    (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: charge"), 405),
-    (("PUT / HTTP/1.1", "Host: a.example.org", "X-Qos: charge", "Content-Length: 0"), 200),
-    (("POST / HTTP/1.1", "Host: a.example.org", "X-Qos: book", "Content-Length: 0"), 400),
-    (("POST / HTTP/1.1", "Host: a.example.org", "X-Qos: book", "Content-Length: 0", "Idempotency-Key: 1"),
-     200),
-    (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Expires-In: 0"), 400),
-    (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Expires-In: soon"), 400),
-    (("OPTIONS * HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 400),
-    (("GET /up HTTP/1.1", "Host: a.example.org"), 200),
-    (("GET /up HTTP/1.1", "Host: nobody.example.org"), 200),
-])
+@pytest.mark.parametrize(
+    ("lines", "status"),
+    [
+        (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 200),
+        (("GET / HTTP/1.1", "Host: A.Example.ORG.:8080", "X-Qos: look"), 200),
+        (("GET http://a.example.org/ HTTP/1.1", "Host: b.example.org", "X-Qos: look"), 200),
+        (("GET / HTTP/1.1", "X-Qos: look"), 400),
+        (("GET / HTTP/1.1", "Host: a.example.org", "Host: a.example.org", "X-Qos: look"), 400),
+        (("GET / HTTP/1.1", "Host: a b", "X-Qos: look"), 400),
+        (("GET / HTTP/1.1", "Host:", "X-Qos: look"), 400),
+        (("GET http://b.example.org/ HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 404),
+        (("GET http://a.example.org/ HTTP/1.1", "Host: a b", "X-Qos: look"), 400),
+        (("GET / HTTP/1.1", "Host: b.example.org", "X-Qos: look"), 404),
+        (("GET / HTTP/1.1", "Host: a.example.org"), 400),
+        (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: fly"), 404),
+        (("GET /../x HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 400),
+        (("POST / HTTP/1.1", "Host: a.example.org", "X-Qos: look", "Content-Length: 0"), 405),
+        (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: charge"), 405),
+        (("PUT / HTTP/1.1", "Host: a.example.org", "X-Qos: charge", "Content-Length: 0"), 200),
+        (("POST / HTTP/1.1", "Host: a.example.org", "X-Qos: book", "Content-Length: 0"), 400),
+        (
+            (
+                "POST / HTTP/1.1",
+                "Host: a.example.org",
+                "X-Qos: book",
+                "Content-Length: 0",
+                "Idempotency-Key: 1",
+            ),
+            200,
+        ),
+        (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Expires-In: 0"), 400),
+        (("GET / HTTP/1.1", "Host: a.example.org", "X-Qos: look", "X-Expires-In: soon"), 400),
+        (("OPTIONS * HTTP/1.1", "Host: a.example.org", "X-Qos: look"), 400),
+        (("GET /up HTTP/1.1", "Host: a.example.org"), 200),
+        (("GET /up HTTP/1.1", "Host: nobody.example.org"), 200),
+    ],
+)
 def test_what_is_not_well_said_is_turned_away(lines: tuple[str, ...], status: int) -> None:
     async def test() -> None:
         a, town = await lone()
@@ -65,8 +76,10 @@
 
 def test_a_route_that_says_the_class_needs_none_in_the_request() -> None:
     async def test() -> None:
-        routes = [{"host": "a.example.org", "class": "look"},
-                  {"host": "a.example.org", "path": "/pay", "class": "charge"}]
+        routes = [
+            {"host": "a.example.org", "class": "look"},
+            {"host": "a.example.org", "path": "/pay", "class": "charge"},
+        ]
         _, town = await lone(routes=routes)
         assert await town.status("GET /x HTTP/1.1", "Host: a.example.org") == 200
         assert await town.status("POST /pay HTTP/1.1", "Host: a.example.org", "Content-Length: 0") == 200
@@ -92,19 +105,29 @@
     run(test)
 
 
-@pytest.mark.parametrize(("status", "headers", "answers", "seen"), [
-    (200, (), "any", 200), (201, (), "any", 201), (404, ("X-Own: 1",), "any", 404), (302, (), "any", 302),
-    (500, (), "any", 502), (429, (), "any", 502), (404, (), "platform", 502)])
+@pytest.mark.parametrize(
+    ("status", "headers", "answers", "seen"),
+    [
+        (200, (), "any", 200),
+        (201, (), "any", 201),
+        (404, ("X-Own: 1",), "any", 404),
+        (302, (), "any", 302),
+        (500, (), "any", 502),
+        (429, (), "any", 502),
+        (404, (), "platform", 502),
+    ],
+)
 def test_a_servers_own_answer_is_passed_on_unless_it_is_a_fault(
-        status: int, headers: tuple[str, ...], answers: str, seen: int) -> None:
+    status: int, headers: tuple[str, ...], answers: str, seen: int
+) -> None:
     async def test() -> None:
         server, a = await FakeServer().start(), Place("a")
         classes = {"charge": CLASSES["charge"]}
-        entry = a.entry(classes=classes, answers=answers,
-                        servers=[{"name": "s", "address": server.address}])
+        entry = a.entry(classes=classes, answers=answers, servers=[{"name": "s", "address": server.address}])
         town = await Town(settings_of(entry)).start()
-        asked = asyncio.ensure_future(town.ask(
-            "POST /x HTTP/1.1", "Host: a.example.org", "Content-Length: 0"))
+        asked = asyncio.ensure_future(
+            town.ask("POST /x HTTP/1.1", "Host: a.example.org", "Content-Length: 0")
+        )
         (await server.next()).reply(status, b"own words", *headers)
         answer = await asked
         assert answer.startswith(b"HTTP/1.1 %d " % seen)
--- a/tests/services/test_routes.py
+++ b/tests/services/test_routes.py
@@ -29,19 +29,21 @@
     return Route(service, read_host_pattern(host), read_path_prefix(path), cls, service)
 
 
-TABLE = Routes([
-    route("search", "search.example.org"),
-    route("search-v2", "search.example.org", "/v2"),
-    route("search-v2-x", "search.example.org", "/v2/x"),
-    route("partner", "*.example.org"),
-    route("deep", "*.deep.example.org"),
-    route("pay", "pay.example.org", "/do", "charge"),
-    route("book", "pay.example.org", "/do", "book"),
-    route("rest", "pay.example.org", "/only", "charge"),
-    route("mixed", "mixed.example.org", "/", "charge"),
-    route("mixed-any", "mixed.example.org", "/"),
-    route("default", "", "/open"),
-])
+TABLE = Routes(
+    [
+        route("search", "search.example.org"),
+        route("search-v2", "search.example.org", "/v2"),
+        route("search-v2-x", "search.example.org", "/v2/x"),
+        route("partner", "*.example.org"),
+        route("deep", "*.deep.example.org"),
+        route("pay", "pay.example.org", "/do", "charge"),
+        route("book", "pay.example.org", "/do", "book"),
+        route("rest", "pay.example.org", "/only", "charge"),
+        route("mixed", "mixed.example.org", "/", "charge"),
+        route("mixed-any", "mixed.example.org", "/"),
+        route("default", "", "/open"),
+    ]
+)
 
 
 def found(host: str, path: str, cls: str | None = None) -> str | int:
@@ -51,52 +53,95 @@
         return problem.status
 
 
-@pytest.mark.parametrize(("host", "path", "cls", "service"), [
-    ("search.example.org", "/", None, "search"),
-    ("SEARCH.Example.ORG:8080", "/any/thing", None, "search"),
-    ("search.example.org.", "/v1", None, "search"),
-    ("search.example.org:", "/", None, "search"),
-    ("search.example.org", "/v2", None, "search-v2"),
-    ("search.example.org", "/v2/", None, "search-v2"),
-    ("search.example.org", "/v2/x/y", None, "search-v2-x"),
-    ("search.example.org", "/v22", None, "search"),
-    ("search.example.org", "/%762", None, "search-v2"),  # an escape that was needless
-    ("a.example.org", "/", None, "partner"),
-    ("a.b.example.org", "/", None, "partner"),
-    ("a.deep.example.org", "/", None, "deep"),
-    ("deep.example.org", "/", None, "partner"),  # a wildcard stands for one label at the least
-    ("example.org", "/open/x", None, "default"),
-    ("[::1]:80", "/open", None, "default"),
-    ("127.0.0.1", "/open", None, "default"),
-    ("xn--bcher-kva.example.org", "/", None, "partner"),
-    ("pay.example.org", "/do/1", "charge", "pay"),
-    ("pay.example.org", "/do/1", "book", "book"),
-    ("pay.example.org", "/only", None, "rest"),
-    ("mixed.example.org", "/", "charge", "mixed"),
-    ("mixed.example.org", "/", "look", "mixed-any"),
-    ("mixed.example.org", "/", None, "mixed-any"),
-    # Each step is final: what is named more closely does not fall back.
-    ("pay.example.org", "/", None, 404),
-    ("pay.example.org", "/do/1", "look", 404),
-    ("pay.example.org", "/do/1", None, 400),
-    ("elsewhere.org", "/", None, 404),
-    ("elsewhere.org", "/opened", None, 404),
-])
+@pytest.mark.parametrize(
+    ("host", "path", "cls", "service"),
+    [
+        ("search.example.org", "/", None, "search"),
+        ("SEARCH.Example.ORG:8080", "/any/thing", None, "search"),
+        ("search.example.org.", "/v1", None, "search"),
+        ("search.example.org:", "/", None, "search"),
+        ("search.example.org", "/v2", None, "search-v2"),
+        ("search.example.org", "/v2/", None, "search-v2"),
+        ("search.example.org", "/v2/x/y", None, "search-v2-x"),
+        ("search.example.org", "/v22", None, "search"),
+        ("search.example.org", "/%762", None, "search-v2"),  # an escape that was needless
+        ("a.example.org", "/", None, "partner"),
+        ("a.b.example.org", "/", None, "partner"),
+        ("a.deep.example.org", "/", None, "deep"),
+        ("deep.example.org", "/", None, "partner"),  # a wildcard stands for one label at the least
+        ("example.org", "/open/x", None, "default"),
+        ("[::1]:80", "/open", None, "default"),
+        ("127.0.0.1", "/open", None, "default"),
+        ("xn--bcher-kva.example.org", "/", None, "partner"),
+        ("pay.example.org", "/do/1", "charge", "pay"),
+        ("pay.example.org", "/do/1", "book", "book"),
+        ("pay.example.org", "/only", None, "rest"),
+        ("mixed.example.org", "/", "charge", "mixed"),
+        ("mixed.example.org", "/", "look", "mixed-any"),
+        ("mixed.example.org", "/", None, "mixed-any"),
+        # Each step is final: what is named more closely does not fall back.
+        ("pay.example.org", "/", None, 404),
+        ("pay.example.org", "/do/1", "look", 404),
+        ("pay.example.org", "/do/1", None, 400),
+        ("elsewhere.org", "/", None, 404),
+        ("elsewhere.org", "/opened", None, 404),
+    ],
+)
 def test_the_closest_route_has_the_request(host: str, path: str, cls: str | None, service: str | int) -> None:
     assert found(host, path, cls) == service
 
 
-@pytest.mark.parametrize("host", [
-    "", ".", "a..b", "a b", "a/b", "user@a", "a:b", "a:99999", "a:1:2", "[::1", "::1", "a%41", "bücher.de",
-    "-a.org", "a" * 64 + ".org", "a." * 127 + "org", "a\tb", "a,b", "[zz]"])
+@pytest.mark.parametrize(
+    "host",
+    [
+        "",
+        ".",
+        "a..b",
+        "a b",
+        "a/b",
+        "user@a",
+        "a:b",
+        "a:99999",
+        "a:1:2",
+        "[::1",
+        "::1",
+        "a%41",
+        "bücher.de",
+        "-a.org",
+        "a" * 64 + ".org",
+        "a." * 127 + "org",
+        "a\tb",
+        "a,b",
+        "[zz]",
+    ],
+)
 def test_a_malformed_host_is_400(host: str) -> None:
     assert found(host, "/open") == 400
 
 
-@pytest.mark.parametrize("path", [
-    "/v2/../v1", "/v2/%2e%2e/v1", "/v2/.%2E/v1", "/.", "/v2/./x", "/v2%2f..%2f..", "/v2%2Fx", "//v2",
-    "/v2//x", "/v2\\x", "/v2%5Cx", "/v2;a=1/x", "/x/..;/v2", "/%zz", "/v2%", "/v2%2", "/%00/..;/",
-    "/%76%32%2f%78"])
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/v2/../v1",
+        "/v2/%2e%2e/v1",
+        "/v2/.%2E/v1",
+        "/.",
+        "/v2/./x",
+        "/v2%2f..%2f..",
+        "/v2%2Fx",
+        "//v2",
+        "/v2//x",
+        "/v2\\x",
+        "/v2%5Cx",
+        "/v2;a=1/x",
+        "/x/..;/v2",
+        "/%zz",
+        "/v2%",
+        "/v2%2",
+        "/%00/..;/",
+        "/%76%32%2f%78",
+    ],
+)
 def test_no_path_steps_from_one_route_into_another(path: str) -> None:
     """Refused, or read in the one way that is as good for a strict server as for a careless one."""
     got = found("search.example.org", path)
@@ -109,8 +154,10 @@
 
 
 NAMES = st.text(string.ascii_lowercase, min_size=1, max_size=2)
-PIECES = st.lists(st.sampled_from(["a", "b", "/", "..", ".", "%2f", "%2F", "%2e", "%61", ";x", "\\", "%5c",
-                                   "%"]), max_size=8).map("".join)
+PIECES = st.lists(
+    st.sampled_from(["a", "b", "/", "..", ".", "%2f", "%2F", "%2e", "%61", ";x", "\\", "%5c", "%"]),
+    max_size=8,
+).map("".join)
 
 
 @given(PIECES)
@@ -147,9 +194,11 @@
 
 @given(st.lists(NAMES, max_size=4), st.lists(st.lists(NAMES, max_size=3), max_size=6))
 def test_the_longest_prefix_by_segments_wins(path: list[str], prefixes: list[list[str]]) -> None:
-    routes = {"/" + "/".join(prefix): route("/" + "/".join(prefix), "", "/" + "/".join(prefix))
-              for prefix in prefixes}
-    fitting = [prefix for prefix in prefixes if path[:len(prefix)] == prefix]
+    routes = {
+        "/" + "/".join(prefix): route("/" + "/".join(prefix), "", "/" + "/".join(prefix))
+        for prefix in prefixes
+    }
+    fitting = [prefix for prefix in prefixes if path[: len(prefix)] == prefix]
     try:
         got = Routes(routes.values()).find(b"h", b"/" + "/".join(path).encode(), None).service
     except Unroutable as problem:
@@ -170,16 +219,23 @@
         read_host_pattern(text)
 
 
-@pytest.mark.parametrize("text", ["", "a", "/a?b", "/a#b", "/a b", "/a/../b", "/a%2fb", "/a;b", "/a//b", "/é",
-                                  "/a%"])
+@pytest.mark.parametrize(
+    "text", ["", "a", "/a?b", "/a#b", "/a b", "/a/../b", "/a%2fb", "/a;b", "/a//b", "/é", "/a%"]
+)
 def test_a_path_prefix_that_can_be_read_in_two_ways_is_refused(text: str) -> None:
     with pytest.raises(BadPattern):
         read_path_prefix(text)
 
 
-@pytest.mark.parametrize(("target", "authority", "origin"), [
-    (b"/a?b", None, b"/a?b"), (b"http://h:1/a?b", b"h:1", b"/a?b"), (b"HTTPS://h", b"h", b"/"),
-    (b"http://h?x", b"h", b"/?x")])
+@pytest.mark.parametrize(
+    ("target", "authority", "origin"),
+    [
+        (b"/a?b", None, b"/a?b"),
+        (b"http://h:1/a?b", b"h:1", b"/a?b"),
+        (b"HTTPS://h", b"h", b"/"),
+        (b"http://h?x", b"h", b"/?x"),
+    ],
+)
 def test_targets_in_origin_and_absolute_form(target: bytes, authority: bytes | None, origin: bytes) -> None:
     assert split_target(target) == (authority, origin)
 
--- a/tests/services/test_serve.py
+++ b/tests/services/test_serve.py
@@ -24,8 +24,14 @@
 
 
 def command(*words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "cometdoor", *words], cwd=ROOT, capture_output=True,
-                          text=True, timeout=60, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "cometdoor", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
 
 
 def hang_up(proxy: ProxyProcess) -> None:
@@ -45,7 +51,9 @@
     done = command(word, str(file))
     assert done.returncode == 2 and done.stdout == ""
     assert sorted(done.stderr.splitlines()) == [
-        f"{file}: service: a list is needed, not a number", f"{file}: sockets: expected int >= 64; it is 1"]
+        f"{file}: service: a list is needed, not a number",
+        f"{file}: sockets: expected int >= 64; it is 1",
+    ]
 
 
 @pytest.mark.parametrize("words", [("fly",), ("check",), ("serve", "a", "b")])
@@ -56,11 +64,13 @@
 
 def test_the_platforms_proxy_imports_nothing_of_the_operators(tmp_path: Path) -> None:
     """Memory is scarce there."""
-    text = ("import sys; import cometdoor.__main__, cometdoor.discovery.program; "
-            "print([name for name in sys.modules "
-            "if name.split('.')[0] in ('msgspec', 'rich', 'tomllib', 'argparse', 'standins') "
-            "or name.startswith(('cometdoor.services', 'cometdoor.services.settings', 'cometdoor.cli', "
-            "'cometdoor.planning', 'cometdoor.core.schema'))])")
+    text = (
+        "import sys; import cometdoor.__main__, cometdoor.discovery.program; "
+        "print([name for name in sys.modules "
+        "if name.split('.')[0] in ('msgspec', 'rich', 'tomllib', 'argparse', 'standins') "
+        "or name.startswith(('cometdoor.services', 'cometdoor.services.settings', 'cometdoor.cli', "
+        "'cometdoor.planning', 'cometdoor.core.schema'))])"
+    )
     done = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
 
@@ -164,8 +174,9 @@
 def test_the_demo_shows_one_service_fail_alone() -> None:
     done = command("demo", "--seconds", "3", "--plain")
     assert done.returncode == 0, done.stdout + done.stderr
-    rows = [line.split() for line in done.stdout.splitlines()
-            if line.split()[:1] in (["search"], ["reserve"])]
+    rows = [
+        line.split() for line in done.stdout.splitlines() if line.split()[:1] in (["search"], ["reserve"])
+    ]
     search, search_frozen, reserve, reserve_frozen = rows
     search_frozen, reserve_frozen = search_frozen[1:], reserve_frozen[1:]  # named in two words
     assert (search[0], search[-1], reserve[0], reserve[-1]) == ("search", "kept", "reserve", "kept")
--- a/tests/services/test_settings_file.py
+++ b/tests/services/test_settings_file.py
@@ -29,8 +29,9 @@
 def problems(text: str | bytes) -> dict[str, str]:
     with pytest.raises(BadSettings) as caught:
         read_settings(text.encode() if isinstance(text, str) else text, "f.toml")
-    assert all(problem.file == "f.toml" and str(problem).startswith("f.toml: ")
-               for problem in caught.value.problems)
+    assert all(
+        problem.file == "f.toml" and str(problem).startswith("f.toml: ") for problem in caught.value.problems
+    )
     return {problem.path: problem.text for problem in caught.value.problems}
 
 
@@ -110,17 +111,37 @@
 [service.classes]
 """)
     assert set(found) == {
-        "fleet.place", "listener.0.address", "listener.1.address", "service.0.classes.look.aim_ms",
-        "service.0.classes.look.key_ttl_ms", "service.0.classes.charge.key_ttl_ms", "service.0.servers.1",
-        "service.0.servers.2.address", "service.0.routes.2.class", "service.0.routes.2", "service.1.name",
-        "service.1", "service.1.classes", "service.1.routes.0", "sockets"}
+        "fleet.place",
+        "listener.0.address",
+        "listener.1.address",
+        "service.0.classes.look.aim_ms",
+        "service.0.classes.look.key_ttl_ms",
+        "service.0.classes.charge.key_ttl_ms",
+        "service.0.servers.1",
+        "service.0.servers.2.address",
+        "service.0.routes.2.class",
+        "service.0.routes.2",
+        "service.1.name",
+        "service.1",
+        "service.1.classes",
+        "service.1.routes.0",
+        "sockets",
+    }
     assert found["service.1.routes.0"] == (
-        "x.org / to a has the same right as service.0.routes.0, x.org / to a; one of the two must say more")
+        "x.org / to a has the same right as service.0.routes.0, x.org / to a; one of the two must say more"
+    )
     assert "500" in found["sockets"] and found["service.0.routes.2.class"].endswith("it has look, charge")
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("a = [", "no TOML: "), ("a = 1\na = 2", "no TOML: "), (b"\xff", "byte 0 is not UTF-8"), ("", "missing")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("a = [", "no TOML: "),
+        ("a = 1\na = 2", "no TOML: "),
+        (b"\xff", "byte 0 is not UTF-8"),
+        ("", "missing"),
+    ],
+)
 def test_what_is_no_toml_is_one_error_with_its_place(text: str | bytes, said: str) -> None:
     assert all(value.startswith(said) for value in problems(text).values())
 
@@ -131,20 +152,33 @@
     assert caught.value.problems == (Problem(str(tmp_path / "none.toml"), "", "No such file or directory"),)
 
 
-@pytest.mark.parametrize(("change", "path"), [
-    ('routes = [{host = "a.org"}]', "service.0.routes"), ('host = "a.org"', "service.0.routes.0.host"),
-    ('servers = [{name = "a1", address = "127.0.0.1:1"}]', "service.0")])
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ('routes = [{host = "a.org"}]', "service.0.routes"),
+        ('host = "a.org"', "service.0.routes.0.host"),
+        ('servers = [{name = "a1", address = "127.0.0.1:1"}]', "service.0"),
+    ],
+)
 def test_each_part_is_needed(change: str, path: str) -> None:
-    replaced = {"service.0.routes": "routes = []", "service.0.routes.0.host": 'host = "a:1"',
-                "service.0": 'discovery = "h:1"\n' + change}[path]
+    replaced = {
+        "service.0.routes": "routes = []",
+        "service.0.routes.0.host": 'host = "a:1"',
+        "service.0": 'discovery = "h:1"\n' + change,
+    }[path]
     assert path in problems(GOOD.replace(change, replaced))
 
 
-@given(st.recursive(
-    st.one_of(st.integers(-5, 5), st.booleans(), st.sampled_from(["a", "safe", "/x", "h:1"])),
-    lambda inner: st.one_of(st.lists(inner, max_size=3).map(lambda parts: f"[{', '.join(map(str, parts))}]"),
-                            st.dictionaries(st.sampled_from(["name", "routes", "classes", "servers"]),
-                                            inner, max_size=3)), max_leaves=6))
+@given(
+    st.recursive(
+        st.one_of(st.integers(-5, 5), st.booleans(), st.sampled_from(["a", "safe", "/x", "h:1"])),
+        lambda inner: st.one_of(
+            st.lists(inner, max_size=3).map(lambda parts: f"[{', '.join(map(str, parts))}]"),
+            st.dictionaries(st.sampled_from(["name", "routes", "classes", "servers"]), inner, max_size=3),
+        ),
+        max_leaves=6,
+    )
+)
 def test_nothing_that_toml_can_say_raises_anything_else(value: object) -> None:
     def text(part: object) -> str:
         if isinstance(part, dict):
--- a/tests/services/test_witnesses.py
+++ b/tests/services/test_witnesses.py
@@ -22,11 +22,17 @@
     with urllib3.HTTPConnectionPool("127.0.0.1", port, maxsize=1, retries=False, timeout=5.0) as pool:
         statuses = []
         for method, host, body in (
-                ("GET", "a.example.org", None), ("GET", "b.example.org:8080", None),
-                ("POST", "pay.a.org", b"x"), ("POST", "pay.a.org", pieces()), ("DELETE", "pay.a.org", None),
-                ("GET", "nobody.org", None), ("GET", "a.example.org", None)):
+            ("GET", "a.example.org", None),
+            ("GET", "b.example.org:8080", None),
+            ("POST", "pay.a.org", b"x"),
+            ("POST", "pay.a.org", pieces()),
+            ("DELETE", "pay.a.org", None),
+            ("GET", "nobody.org", None),
+            ("GET", "a.example.org", None),
+        ):
             answer = pool.request(
-                method, "/x/1?q=1", headers={"Host": host}, body=body, chunked=body is not None)
+                method, "/x/1?q=1", headers={"Host": host}, body=body, chunked=body is not None
+            )
             assert answer.status != 200 or answer.data == b"ok"
             statuses.append(answer.status)
         return statuses
@@ -36,9 +42,13 @@
     async def test() -> None:
         a, b, pay = await Place("a").add(1), await Place("b").add(1), await Place("pay").add(1)
         look, charge = {"look": CLASSES["look"]}, {"charge": CLASSES["charge"]}
-        town = await Town(settings_of(
-            a.entry(classes=look), b.entry(classes=look),
-            pay.entry(classes=charge, routes=[{"host": "pay.a.org"}]))).start()
+        town = await Town(
+            settings_of(
+                a.entry(classes=look),
+                b.entry(classes=look),
+                pay.entry(classes=charge, routes=[{"host": "pay.a.org"}]),
+            )
+        ).start()
         with ThreadPoolExecutor(1) as threads:
             statuses = await asyncio.get_running_loop().run_in_executor(threads, ask, town.address[1])
         assert statuses == [200, 200, 200, 200, 200, 404, 200]
--- a/tests/services/town.py
+++ b/tests/services/town.py
@@ -16,8 +16,13 @@
 
 CLASSES = {
     "look": {"effect": "safe", "aim_ms": 300.0, "deadline_ms": 1000.0},
-    "book": {"effect": "keyed", "aim_ms": 300.0, "deadline_ms": 1000.0, "worth": 10.0,
-             "key_ttl_ms": 30_000.0},
+    "book": {
+        "effect": "keyed",
+        "aim_ms": 300.0,
+        "deadline_ms": 1000.0,
+        "worth": 10.0,
+        "key_ttl_ms": 30_000.0,
+    },
     "charge": {"effect": "unsafe", "aim_ms": 300.0, "deadline_ms": 1000.0, "worth": 10.0},
 }
 
@@ -48,12 +53,24 @@
         self.keys = KeyStore()
         self.servers: list[StandIn] = []
 
-    async def add(self, count: int, *, seconds: float = 0.002, cold: Cold | None = None,
-                  started_at: float = float("-inf"), **behaviour: Any) -> Place:
+    async def add(
+        self,
+        count: int,
+        *,
+        seconds: float = 0.002,
+        cold: Cold | None = None,
+        started_at: float = float("-inf"),
+        **behaviour: Any,
+    ) -> Place:
         for _ in range(count):
-            model = ServerModel(f"{self.name}-{len(self.servers)}", self.ledger, keys=self.keys, cold=cold,
-                                behaviour=Behaviour(latency=exponential(seconds), **behaviour),
-                                started_at=started_at)
+            model = ServerModel(
+                f"{self.name}-{len(self.servers)}",
+                self.ledger,
+                keys=self.keys,
+                cold=cold,
+                behaviour=Behaviour(latency=exponential(seconds), **behaviour),
+                started_at=started_at,
+            )
             self.servers.append(await StandIn(model).start())
         return self
 
@@ -74,14 +91,23 @@
 
     def entry(self, **more: Any) -> dict[str, Any]:
         """The service's part of an operators' file: routed by host, all classes."""
-        entry = {"name": self.name, "classes": CLASSES, "routes": [{"host": f"{self.name}.example.org"}],
-                 "servers": self.listed(), **more}
+        entry = {
+            "name": self.name,
+            "classes": CLASSES,
+            "routes": [{"host": f"{self.name}.example.org"}],
+            "servers": self.listed(),
+            **more,
+        }
         return {key: value for key, value in entry.items() if value is not None}
 
     def load(self, *rates: float) -> list[ClassLoad]:
         """Of the classes look, book and charge, requests a second."""
-        return [ClassLoad(self.name, name, str(CLASSES[name]["effect"]), rate, f"{self.name}.example.org",
-                          f"/{name}/1") for name, rate in zip(CLASSES, rates, strict=False)]
+        return [
+            ClassLoad(
+                self.name, name, str(CLASSES[name]["effect"]), rate, f"{self.name}.example.org", f"/{name}/1"
+            )
+            for name, rate in zip(CLASSES, rates, strict=False)
+        ]
 
 
 def settings_of(*entries: dict[str, Any], **more: Any) -> Settings:
--- a/tests/standins/test_model.py
+++ b/tests/standins/test_model.py
@@ -74,9 +74,15 @@
     assert server.advance(6.0) == [(call, Reply(200, b"ok"))]
 
 
-@pytest.mark.parametrize(("share", "status", "ran"), [
-    ("error_share", 500, True), ("turn_away_share", 503, False), ("reset_before_share", 0, False),
-    ("reset_after_share", 0, True)])
+@pytest.mark.parametrize(
+    ("share", "status", "ran"),
+    [
+        ("error_share", 500, True),
+        ("turn_away_share", 503, False),
+        ("reset_before_share", 0, False),
+        ("reset_after_share", 0, True),
+    ],
+)
 def test_each_fault_leaves_its_mark(share: str, status: int, ran: bool) -> None:
     server = model(**{share: 1.0})
     _, reply = server.arrive(0.0, "r", "", 0.0)
@@ -141,16 +147,34 @@
     assert both.of("s") == both.entries and both.of("t") == []
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["arrive", "advance", "give up", "freeze", "thaw", "restart"]),
-                           st.floats(0.0, 2.0), st.integers(0, 5)), max_size=80)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "advance", "give up", "freeze", "thaw", "restart"]),
+        st.floats(0.0, 2.0),
+        st.integers(0, 5),
+    ),
+    max_size=80,
+)
 
 
 @given(STEPS, st.integers(1, 3), st.integers(0, 2))
 def test_each_request_ends_once_and_takes_effect_once_at_most(
-        steps: list[tuple[str, float, int]], slots: int, queue: int) -> None:
-    server = ServerModel("s", Ledger(), behaviour=Behaviour(
-        latency=exponential(0.5), slots=slots, queue=queue, error_share=0.2, reset_after_share=0.1,
-        turn_away_share=0.1), cold=COLD, started_at=0.0)
+    steps: list[tuple[str, float, int]], slots: int, queue: int
+) -> None:
+    server = ServerModel(
+        "s",
+        Ledger(),
+        behaviour=Behaviour(
+            latency=exponential(0.5),
+            slots=slots,
+            queue=queue,
+            error_share=0.2,
+            reset_after_share=0.1,
+            turn_away_share=0.1,
+        ),
+        cold=COLD,
+        started_at=0.0,
+    )
     now, out, ended = 0.0, list[Call](), set[str]()
     for number, (what, wait, choice) in enumerate(steps):
         now += wait
@@ -174,5 +198,7 @@
             out.remove(call)
         assert server.held() == len(out)
         assert len([entry for entry in server.ledger.entries if entry.fate is Fate.RUNNING]) <= slots
-        assert all((entry.ended_at is None) == any(call.entry is entry for call in out)
-                   for entry in server.ledger.entries)
+        assert all(
+            (entry.ended_at is None) == any(call.entry is entry for call in out)
+            for entry in server.ledger.entries
+        )
--- a/tests/standins/test_rules.py
+++ b/tests/standins/test_rules.py
@@ -30,18 +30,25 @@
     assert check(Book([refused, again]), Ledger([replace(RAN, request="c-2")])) == []
 
 
-@pytest.mark.parametrize(("book", "ledger", "rule"), [
-    ([replace(SERVED, end=End.LOST)], [RAN], 1),
-    ([replace(SERVED, end=End.GAVE_UP)], [RAN], 1),
-    ([replace(SERVED, end=End.OPEN)], [RAN], 1),
-    ([SERVED], [RAN, replace(RAN, ran_at=None, first_byte_at=10.3)], 1),
-    ([replace(SERVED, sent_again_at=10.2, ended_at=10.4)], [RAN], 1),
-    ([], [RAN], 1),
-    ([SERVED], [RAN, replace(RAN, server="s2")], 2),
-    ([replace(SERVED, effect="keyed")], [RAN, replace(RAN, server="s2", cell=1)], 2),
-    ([replace(SERVED, status=503)], [RAN], 2),
-    ([replace(SERVED, status=503), replace(SERVED, request="c-2")], [RAN, replace(RAN, request="c-2")], 2),
-])
+@pytest.mark.parametrize(
+    ("book", "ledger", "rule"),
+    [
+        ([replace(SERVED, end=End.LOST)], [RAN], 1),
+        ([replace(SERVED, end=End.GAVE_UP)], [RAN], 1),
+        ([replace(SERVED, end=End.OPEN)], [RAN], 1),
+        ([SERVED], [RAN, replace(RAN, ran_at=None, first_byte_at=10.3)], 1),
+        ([replace(SERVED, sent_again_at=10.2, ended_at=10.4)], [RAN], 1),
+        ([], [RAN], 1),
+        ([SERVED], [RAN, replace(RAN, server="s2")], 2),
+        ([replace(SERVED, effect="keyed")], [RAN, replace(RAN, server="s2", cell=1)], 2),
+        ([replace(SERVED, status=503)], [RAN], 2),
+        (
+            [replace(SERVED, status=503), replace(SERVED, request="c-2")],
+            [RAN, replace(RAN, request="c-2")],
+            2,
+        ),
+    ],
+)
 def test_each_breach_of_the_first_two_rules_is_seen(book: list[Try], ledger: list[Entry], rule: int) -> None:
     assert rule in rules(check(Book(book), Ledger(ledger)))
 
--- a/tests/standins/test_sick.py
+++ b/tests/standins/test_sick.py
@@ -6,8 +6,14 @@
 
 from standins.sick import CASES, Size, Ward
 
-NOBODY = ["nothing", "short hiccups", "two in a hundred reset everywhere", "a third reset everywhere",
-          "all are slow", "lists back and forth"]
+NOBODY = [
+    "nothing",
+    "short hiccups",
+    "two in a hundred reset everywhere",
+    "a third reset everywhere",
+    "all are slow",
+    "lists back and forth",
+]
 
 
 @pytest.mark.parametrize("case", CASES)
--- a/tests/standins/test_simulation.py
+++ b/tests/standins/test_simulation.py
@@ -43,18 +43,19 @@
     """As if nothing that was sent had ever run."""
 
 
-
-
 def keeps_its_caller(self: Any, live: Any) -> Any:
     self._by_caller.pop(live.caller, None)
     return live.caller
 
 
-@pytest.mark.parametrize(("owner", "name", "broken", "said"), [
-    (Request, "may_have_run", sends_charges_again, "rule 2"),
-    (Membership, "_effective", lambda self, server, address: server, "drains or is not listed"),
-    (Host, "_release", keeps_its_caller, "a second final answer"),
-])
+@pytest.mark.parametrize(
+    ("owner", "name", "broken", "said"),
+    [
+        (Request, "may_have_run", sends_charges_again, "rule 2"),
+        (Membership, "_effective", lambda self, server, address: server, "drains or is not listed"),
+        (Host, "_release", keeps_its_caller, "a second final answer"),
+    ],
+)
 def test_a_broken_part_is_seen(owner: type[Any], name: str, broken: Callable[..., Any], said: str) -> None:
     with mock.patch.object(owner, name, broken):
         for seed in range(1, 300):
--- a/tests/standins/test_sockets.py
+++ b/tests/standins/test_sockets.py
@@ -48,10 +48,17 @@
     run(test)
 
 
-@pytest.mark.parametrize(("behaviour", "end", "status"), [
-    ({"error_share": 1.0}, End.ANSWERED, 500), ({"reset_after_share": 1.0}, End.LOST, 0),
-    ({"reset_before_share": 1.0}, End.LOST, 0), ({"turn_away_share": 1.0}, End.ANSWERED, 503),
-    ({"connections": 0}, End.LOST, 0), ({"latency": fixed(60.0)}, End.GAVE_UP, 0)])
+@pytest.mark.parametrize(
+    ("behaviour", "end", "status"),
+    [
+        ({"error_share": 1.0}, End.ANSWERED, 500),
+        ({"reset_after_share": 1.0}, End.LOST, 0),
+        ({"reset_before_share": 1.0}, End.LOST, 0),
+        ({"turn_away_share": 1.0}, End.ANSWERED, 503),
+        ({"connections": 0}, End.LOST, 0),
+        ({"latency": fixed(60.0)}, End.GAVE_UP, 0),
+    ],
+)
 def test_each_fault_is_booked_by_the_client(behaviour: dict[str, object], end: End, status: int) -> None:
     async def test() -> None:
         server = await serve(**behaviour)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -30,7 +30,8 @@
         path.write_text(config)
         environment["NODE_CONFIG"] = str(path)
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cometdoor", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "cometdoor", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
+    )
 
 
 async def until_serving(process: asyncio.subprocess.Process) -> None:
@@ -41,11 +42,14 @@
     raise AssertionError("the program ended")
 
 
-BROKEN = {"no variable": None, "no JSON": "{", "no settings": "{}",
-          "a bad address": json.dumps(make_config("here", "127.0.0.1:1")),
-          "an unknown effect": json.dumps(make_config("127.0.0.1:1", "127.0.0.1:1")).replace(
-              "fragile", "brittle"),
-          "a senseless setting": json.dumps(make_config("127.0.0.1:1", "127.0.0.1:1", position=9))}
+BROKEN = {
+    "no variable": None,
+    "no JSON": "{",
+    "no settings": "{}",
+    "a bad address": json.dumps(make_config("here", "127.0.0.1:1")),
+    "an unknown effect": json.dumps(make_config("127.0.0.1:1", "127.0.0.1:1")).replace("fragile", "brittle"),
+    "a senseless setting": json.dumps(make_config("127.0.0.1:1", "127.0.0.1:1", position=9)),
+}
 
 
 @pytest.mark.parametrize("name", BROKEN)
@@ -64,8 +68,12 @@
     async def test() -> None:
         backend = await FakeServer().start()
         port = free_port()
-        process = await launch(json.dumps(make_config(
-            f"127.0.0.1:{port}", "127.0.0.1:1", member("s1", backend.address), group_size=1)), tmp_path)
+        process = await launch(
+            json.dumps(
+                make_config(f"127.0.0.1:{port}", "127.0.0.1:1", member("s1", backend.address), group_size=1)
+            ),
+            tmp_path,
+        )
         await until_serving(process)
 
         async def connect() -> Caller:
@@ -96,6 +104,7 @@
 
 def test_what_is_still_out_before_the_kill_fails_and_half_a_request_holds_nothing_up(tmp_path: Path) -> None:
     """SIGKILL finds nothing unanswered: with a longest deadline of 0.2 s it comes 0.9 s after SIGTERM."""
+
     async def test() -> None:
         backend = await FakeServer().start()
         port = free_port()
@@ -118,11 +127,18 @@
 
 def test_sighup_moves_to_the_discovery_that_the_configuration_now_names(tmp_path: Path) -> None:
     """A file that can't be read, or the same again, changes nothing; requests in hand go on untouched."""
+
     async def test() -> None:
         old, new, backend = await FakeServer().start(), await FakeServer().start(), await FakeServer().start()
         port = free_port()
-        config = make_config(f"127.0.0.1:{port}", old.address, member("s1", backend.address), group_size=1,
-                             discovery_mode="subscribe", obligations={"ask_within_ms": 10.0})
+        config = make_config(
+            f"127.0.0.1:{port}",
+            old.address,
+            member("s1", backend.address),
+            group_size=1,
+            discovery_mode="subscribe",
+            obligations={"ask_within_ms": 10.0},
+        )
         process = await launch(json.dumps(config), tmp_path)
         await until_serving(process)
         before = await old.next()
@@ -131,9 +147,13 @@
         caller.ask()
         call = await backend.next()
         path = tmp_path / "config.json"
-        for text, word in (("{", b"stays as it was"),
-                           (json.dumps({**config, "discovery": new.address, "listen": "127.0.0.1:1"}),
-                            b"after a restart: listen")):
+        for text, word in (
+            ("{", b"stays as it was"),
+            (
+                json.dumps({**config, "discovery": new.address, "listen": "127.0.0.1:1"}),
+                b"after a restart: listen",
+            ),
+        ):
             path.write_text(text)
             process.send_signal(signal.SIGHUP)
             assert process.stderr is not None
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -13,11 +13,13 @@
 
 def test_the_example_runs_as_written() -> None:
     (example,) = re.findall(r"```python\n(.*?)```", (ROOT / "docs/design/module.md").read_text(), re.DOTALL)
-    result = subprocess.run([sys.executable, "-c", example], capture_output=True, text=True, cwd=ROOT,
-                            timeout=60, check=False)
+    result = subprocess.run(
+        [sys.executable, "-c", example], capture_output=True, text=True, cwd=ROOT, timeout=60, check=False
+    )
     assert result.returncode == 0, result.stderr
-    assert re.fullmatch(r"send r1 to (ada|bob|cyd), call back in 250 ms\ncancel attempt 0 of r1\n",
-                        result.stdout)
+    assert re.fullmatch(
+        r"send r1 to (ada|bob|cyd), call back in 250 ms\ncancel attempt 0 of r1\n", result.stdout
+    )
 
 
 def test_ci_runs_the_test_command_that_the_readme_gives() -> None:
