--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -21,14 +21,14 @@
 
 from benchmarks import news
 from benchmarks.report import report, say
-from cometdoor.control.consensus import Identity, Promise, Stored
-from cometdoor.control.vault import BLOCK, Vault, read_folder
+from cometdoor.control.durable import HardState, Identity, LogEntries
+from cometdoor.control.write_ahead_log import BLOCK, WriteAheadLog, read_folder
 from cometdoor.wire.messages import Claim, Entry
 from lab import exhaustive
-from lab.core import Broken, Core, schedule
 from lab.defects import DEFECTS, shows
 from lab.exhaustive import Limits, World, explore, firsts, symmetric_key, walk
 from lab.histories import watched_schedule
+from lab.replica_group import Broken, ReplicaGroup, schedule
 
 MEMBERS = 3
 LOAD_PER_S = 154  # claims, as many as the busier of the users' sites orders
@@ -86,7 +86,7 @@
 
 def election_s(seed: int) -> float:
     """From the loss of a leader until another may accept."""
-    core = Core(seed, MEMBERS)
+    core = ReplicaGroup(seed, MEMBERS)
     core.run_until_led()
     core.run(1.0 + core.chance.random())
     leader = core.leader()
@@ -97,7 +97,7 @@
 
 def commits_and_syncs(seed: int) -> tuple[int, int]:
     """Under load, at the leader's disk."""
-    core = Core(seed, MEMBERS)
+    core = ReplicaGroup(seed, MEMBERS)
     core.run_until_led()
     core.run(1.0)
     leader = core.leader()
@@ -118,14 +118,14 @@
     """A member's file cut at each block, at each third also inside: tried, and found as far as synced."""
     with TemporaryDirectory() as name:
         folder = Path(name)
-        vault = Vault(folder)
-        vault.open()
-        vault.begin([Identity("me"), Promise(1, "me")])
-        sizes = [vault.size]
+        log_file = WriteAheadLog(folder)
+        log_file.open()
+        log_file.begin([Identity("me"), HardState(1, "me")])
+        sizes = [log_file.size]
         for index in range(1, 121):
-            vault.put([Stored([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
-            sizes.append(vault.size)
-        vault.close()
+            log_file.put([LogEntries([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
+            sizes.append(log_file.size)
+        log_file.close()
         path = next(folder.glob("*.dat"))
         whole = path.read_bytes()
         tried = recovered = 0
@@ -149,14 +149,14 @@
     a loss of power leaves, or without an entry that was not written."""
     with TemporaryDirectory() as name:
         folder = Path(name)
-        vault = Vault(folder)
-        vault.open()
-        vault.begin([Identity("me"), Promise(1, "me")])
+        log_file = WriteAheadLog(folder)
+        log_file.open()
+        log_file.begin([Identity("me"), HardState(1, "me")])
         places = [0]
         for index in range(1, 121):
-            places.append(vault.size)
-            vault.put([Stored([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
-        vault.close()
+            places.append(log_file.size)
+            log_file.put([LogEntries([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
+        log_file.close()
         path = next(folder.glob("*.dat"))
         whole = path.read_bytes()
         tried = told = 0
--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -16,8 +16,8 @@
 from benchmarks.report import report, say
 from lab import budget
 from lab.claims import WAY_S, WAYS, Cost, cost
-from lab.core import Broken
 from lab.keys import keyed_schedule
+from lab.replica_group import Broken
 
 CLAIMS_PER_S = 154.0  # as many as the busier of the users' sites orders
 EMPTY_MS = 2 * WAY_S * 1000.0  # to a member in another zone, and back
--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -8,8 +8,8 @@
 import structlog
 
 from cometdoor.configuration.document import parse
-from cometdoor.control.core import Core
-from cometdoor.control.state import Verdict
+from cometdoor.control.driver import ReplicaDriver
+from cometdoor.control.state_machine import Verdict
 from cometdoor.core.schema import BadSettings
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.calls import JSON, problem, segments
@@ -54,9 +54,9 @@
 
     ready = True
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, core: Core) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, driver: ReplicaDriver) -> None:
         self._loop = loop
-        self._core = core
+        self._driver = driver
 
     def take(self, connection: ClientConnection, request: ClientRequest) -> None:
         match (request.method, segments(request)):
@@ -77,17 +77,17 @@
         pass  # what was ordered stays ordered
 
     def describe_core(self) -> dict[str, object]:
-        consensus = self._core.consensus
+        replica = self._driver.replica
         return {
-            "id": consensus.me.id,
-            "role": consensus.role.value,
-            "term": consensus.term,
-            "leader": consensus.leader,
-            "committed": consensus.committed,
-            "last": consensus.last_index,
-            "revision": self._core.state.revision,
-            "keys": len(self._core.state.keys),
-            "keys-closed": self._core.state.is_closed,
+            "id": replica.me.id,
+            "role": replica.role.value,
+            "term": replica.term,
+            "leader": replica.leader,
+            "committed": replica.committed,
+            "last": replica.log.last_index,
+            "revision": self._driver.state.revision,
+            "keys": len(self._driver.state.keys),
+            "keys-closed": self._driver.state.is_closed,
             "members": [
                 {
                     "id": member.id,
@@ -95,23 +95,23 @@
                     "control-plane": member.control,
                     "internal": member.address,
                 }
-                for member in consensus.members
+                for member in replica.members
             ],
         }
 
     def describe_log(self, after: int) -> dict[str, object]:
         """The entries behind that index, as this member holds them."""
-        consensus = self._core.consensus
-        entries = consensus.entries[max(after - consensus.base, 0) :][:LOG_PAGE]
+        replica = self._driver.replica
+        entries = replica.log.entries[max(after - replica.log.base, 0) :][:LOG_PAGE]
         return {
-            "snapshot-index": consensus.base,
-            "committed": consensus.committed,
-            "last": consensus.last_index,
+            "snapshot-index": replica.log.base,
+            "committed": replica.committed,
+            "last": replica.log.last_index,
             "entries": [
                 {
                     "index": entry.index,
                     "term": entry.term,
-                    "committed": entry.index <= consensus.committed,
+                    "committed": entry.index <= replica.committed,
                     **describe(entry.change),
                 }
                 for entry in entries
@@ -122,14 +122,14 @@
         self, connection: ClientConnection, request: ClientRequest, call: object, until: float | None = None
     ) -> None:
         """Here if this one leads, at the leader if another does; waits a moment while nobody does."""
-        core = self._core
+        driver = self._driver
         if connection.request is not request:
             return  # its caller has gone
-        if core.leads and core.consensus.may_accept():
+        if driver.leads and driver.replica.may_accept():
             call(connection, request)  # type: ignore[operator]
             return
-        leader = core.leader()
-        if leader is not None and leader.id != core.consensus.me.id:
+        leader = driver.leader()
+        if leader is not None and leader.id != driver.replica.me.id:
             place = b"http://%s%s" % (leader.control.encode(), request.target)
             connection.answer(307, [(b"Location", place)], b"")
             return
@@ -167,7 +167,7 @@
             else:
                 problem(412, f"version {verdict.revision} is in force, not {base}", connection)
 
-        self._core.propose(Configure(base, document.revision, request.body), ordered)
+        self._driver.propose(Configure(base, document.revision, request.body), ordered)
 
     def _describe(self, connection: ClientConnection, request: ClientRequest) -> None:
         def confirmed(is_newest: bool) -> None:
@@ -175,9 +175,9 @@
                 return
             if not is_newest:
                 problem(503, "the lead could not be confirmed", connection, 0.2)
-            elif not self._core.state.revision:
+            elif not self._driver.state.revision:
                 problem(404, "there is no configuration yet", connection)
             else:
-                connection.answer(200, JSON, self._core.state.body)
+                connection.answer(200, JSON, self._driver.state.body)
 
-        self._core.read(confirmed)
+        self._driver.read(confirmed)
--- a/cometdoor/control/core.py
+++ b/cometdoor/control/driver.py
@@ -1,6 +1,6 @@
-"""One member of the core as a process has it: consensus, its disk and lines, the tables, and who waits.
+"""One member of the core as a process has it: replica, its disk and lines, the tables, and who waits.
 
-All decisions are in `consensus` and `state`; here are the loop, the thread that writes, and the lines.
+All decisions are in `replica` and `state`; here are the loop, the thread that writes, and the lines.
 """
 
 from __future__ import annotations
@@ -16,9 +16,10 @@
 import structlog
 
 from cometdoor.budget.pool import Pool
-from cometdoor.control.consensus import Consensus, Role
-from cometdoor.control.state import State, Verdict
-from cometdoor.control.vault import DiskError, Vault
+from cometdoor.control.replica import Replica
+from cometdoor.control.roles import Role
+from cometdoor.control.state_machine import StateMachine, Verdict
+from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
 from cometdoor.wire.lines import Line, Lines
 from cometdoor.wire.messages import (
     Append,
@@ -55,7 +56,7 @@
 Waiter = Callable[[Verdict | None], None]  # None: what became of it is not known here
 
 
-class Core:
+class ReplicaDriver:
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -71,11 +72,11 @@
     ) -> None:
         """`budget`: a pool at the moment at which it is the leader's to give out. `seeds`: internal addresses
         of members; `founds`: it begins the core if its disk is empty."""
-        self.state = State(window_s)
+        self.state = StateMachine(window_s)
         self.changed: Callable[[], None] = lambda: None  # the configuration or the lead
         self._loop = loop
         self._lines = lines
-        self.vault = Vault(folder)
+        self.log_file = WriteAheadLog(folder)
         self._thread = ThreadPoolExecutor(1, "disk")
         self._seeds = seeds
         self._me = me
@@ -91,40 +92,40 @@
         self._new_pool = budget
         self._pool: Pool | None = None  # while it leads
         self._begin = False  # the next write begins a new file
-        found = self.vault.open()
+        found = self.log_file.open()
         if found.is_damaged:
             log.error("the disk lost what it had promised: it counts as empty", step="open", peer=str(folder))
-            self.vault.clear()
+            self.log_file.clear()
             found = type(found)()
         fresh = not found.held.id
         if fresh:
             found.held = type(found.held)()
             found.held.id = secrets.token_hex(6)
         self._me = Member(found.held.id, me.address, me.control, me.node)
-        self.consensus = Consensus(found.held, self._me, random.Random(secrets.randbits(64)), loop.time())
-        self.consensus.state_of = self.state.image
-        self.consensus.least_members = least_members
+        self.replica = Replica(found.held, self._me, random.Random(secrets.randbits(64)), loop.time())
+        self.replica.state_of = self.state.image
+        self.replica.least_members = least_members
         if found.held.snapshot is not None:
             self.state.load(found.held.snapshot.state)
-            self.consensus.is_established = self.state.revision > 0
+            self.replica.is_established = self.state.revision > 0
         # A file is written by one life only. Until it is begun, the one before it stands.
-        self._first = self.consensus.compact()
+        self._first = self.replica.compact()
         self._is_begun = False
         log.info(
             "core member",
             id=found.held.id,
             fresh=fresh,
             founds=founds and fresh,
-            last=self.consensus.last_index,
-            term=self.consensus.term,
+            last=self.replica.log.last_index,
+            term=self.replica.term,
         )
         if fresh and founds:
-            self.consensus.bootstrap()
+            self.replica.bootstrap()
 
     def start(self) -> None:
         # Like all writes tried again until it succeeds: a full or slow disk must not keep a member away.
         self._writing = True
-        self._put(partial(self.vault.begin, self._first), 0)
+        self._put(partial(self.log_file.begin, self._first), 0)
         self._tick()
 
     def stop(self) -> None:
@@ -136,37 +137,37 @@
 
     @property
     def leads(self) -> bool:
-        return self.consensus.leads and self.consensus.applied >= self.consensus.committed
+        return self.replica.leads and self.replica.applied >= self.replica.committed
 
     def leader(self) -> Member | None:
         """Who leads as far as is known here."""
-        return self.consensus.leader_member()
+        return self.replica.leader_member()
 
     def propose(self, change: Change, waiter: Waiter) -> None:
-        if not self.consensus.may_accept():
+        if not self.replica.may_accept():
             waiter(None)
             return
-        index = self.consensus.propose(change)
-        self._waiters[index] = self.consensus.term, waiter
+        index = self.replica.propose(change)
+        self._waiters[index] = self.replica.term, waiter
         self._wake()
 
     def read(self, done: Callable[[bool], None], timeout_s: float = 0.8) -> None:
         """`done(True)`: what stands in the tables is the newest that was acknowledged before the call."""
-        if not self.consensus.leads:
+        if not self.replica.leads:
             done(False)
             return
-        self._reads.append((self.consensus.begin_round(), self._loop.time() + timeout_s, done))
+        self._reads.append((self.replica.begin_round(), self._loop.time() + timeout_s, done))
         self._wake()
 
     def leave(self) -> None:
         """Planned: hand over the lead, and ask to be taken out if another has come in its place."""
         self._leaving = True
-        if self.consensus.role is Role.LEADER:
-            self.consensus.hand_over()
+        if self.replica.role is Role.LEADER:
+            self.replica.hand_over()
         self._wake()
 
     def hand_over(self) -> None:
-        self.consensus.hand_over()
+        self.replica.hand_over()
         self._wake()
 
     # --- lines ---
@@ -174,7 +175,7 @@
     def receive(self, message: Message, line: Line, number: int) -> bool:
         match message:
             case AskVote() | Vote() | Append() | Appended() | Install() | TakeOver() | Join() | Leave():
-                self.consensus.receive(message, self._loop.time())
+                self.replica.receive(message, self._loop.time())
                 self._wake()
             case AskLeader():
                 leader = self.leader()
@@ -182,14 +183,14 @@
                     number,
                     LeaderIs(
                         leader.address if leader else "",
-                        [member.address for member in self.consensus.members],
+                        [member.address for member in self.replica.members],
                     ),
                 )
             case Claims():
                 self._claim(message.claims, line, number)
             case AskShares():
                 now = self._loop.time()
-                if self._pool is None or not self.consensus.may_accept():
+                if self._pool is None or not self.replica.may_accept():
                     leader = self.leader()
                     line.respond(number, Refusal("another leads", leader.address if leader else ""))
                 else:
@@ -202,7 +203,7 @@
         return True
 
     def _claim(self, claims: list[Claim], line: Line, number: int) -> None:
-        if not self.consensus.may_accept():
+        if not self.replica.may_accept():
             leader = self.leader()
             other = leader.address if leader and leader != self._me else ""
             line.respond(number, Refusal("another leads", other))
@@ -225,8 +226,8 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
-        consensus = self.consensus
-        consensus.tick(now)
+        replica = self.replica
+        replica.tick(now)
         self._pass_time(now)
         self._seek(now)
         for read in [read for read in self._reads if read[1] < now]:
@@ -236,28 +237,28 @@
         self._tick_timer = self._loop.call_later(TICK_S, self._tick)
 
     def _pass_time(self, now: float) -> None:
-        if not self.consensus.leads:
+        if not self.replica.leads:
             self._passed_at = None
         elif self._passed_at is None:
             self._passed_at = now
         elif now - self._passed_at >= PASSED_EVERY_S:
-            self.consensus.propose(Passed(int((now - self._passed_at) * 1000)))
+            self.replica.propose(Passed(int((now - self._passed_at) * 1000)))
             self._passed_at = now
 
     def _seek(self, now: float) -> None:
         """Who is no member, or hears no leader, asks to be taken in; who leaves asks to be let go."""
-        consensus = self.consensus
-        if now < self._join_at or consensus.role is Role.LEADER or not self._is_begun:
+        replica = self.replica
+        if now < self._join_at or replica.role is Role.LEADER or not self._is_begun:
             return
         self._join_at = now + JOIN_EVERY_S
-        is_member = any(member.id == self._me.id for member in consensus.members)
+        is_member = any(member.id == self._me.id for member in replica.members)
         if self._leaving:
             message: Leave | Join = Leave(self._me.id)
-        elif not is_member or now - consensus.heard_leader_at > LEADERLESS_S:
+        elif not is_member or now - replica.elections.leader_heard_at > LEADERLESS_S:
             message = Join(self._me)
         else:
             return
-        known = [*self._seeds, *(member.address for member in consensus.members)]
+        known = [*self._seeds, *(member.address for member in replica.members)]
         for address in dict.fromkeys(known):
             if address != self._me.address:
                 self._lines.send(address, message)
@@ -274,44 +275,43 @@
 
     def _settle(self) -> None:
         self._due = False
-        consensus = self.consensus
-        consensus.flush()
+        replica = self.replica
+        replica.flush()
         self._apply()
-        outbox, consensus.outbox = consensus.outbox, []
-        for address, message in outbox:
-            self._lines.send(address, message)  # type: ignore[arg-type]
+        outbox, replica.outbox = replica.outbox, []
+        for outgoing in outbox:
+            self._lines.send(outgoing.address, outgoing.message)  # type: ignore[arg-type]
         self._write()
-        for read in [read for read in self._reads if consensus.round_is_confirmed(read[0])]:
+        for read in [read for read in self._reads if replica.round_is_confirmed(read[0])]:
             self._reads.remove(read)
             read[2](True)
-        if consensus.leads != self._was_leading:
-            self._was_leading = consensus.leads
-            self._pool = self._new_pool(self._loop.time()) if consensus.leads else None
-            log.info("lead", leads=consensus.leads, term=consensus.term, id=self._me.id)
+        if replica.leads != self._was_leading:
+            self._was_leading = replica.leads
+            self._pool = self._new_pool(self._loop.time()) if replica.leads else None
+            log.info("lead", leads=replica.leads, term=replica.term, id=self._me.id)
             self.changed()
-        if consensus.role is not Role.LEADER and self._waiters:
+        if replica.role is not Role.LEADER and self._waiters:
             waiters, self._waiters = self._waiters, {}
             for _, waiter in waiters.values():
                 waiter(None)
 
     def _apply(self) -> None:
-        consensus = self.consensus
-        if consensus.installed is not None:
-            self.state.load(consensus.installed.state)
-            consensus.applied = consensus.installed.last_index
-            consensus.installed = None
-            consensus.is_established = self.state.revision > 0
+        replica = self.replica
+        if replica.installed is not None:
+            self.state.load(replica.installed.state)
+            replica.loaded()
+            replica.is_established = self.state.revision > 0
             self.changed()
         revision = self.state.revision
-        while consensus.applied < consensus.committed:
-            consensus.applied += 1
-            entry = consensus.entry(consensus.applied)
+        while replica.applied < replica.committed:
+            replica.applied += 1
+            entry = replica.log.entry(replica.applied)
             verdict = self.state.apply(entry.change)
-            term, waiter = self._waiters.pop(consensus.applied, (0, None))
+            term, waiter = self._waiters.pop(replica.applied, (0, None))
             if waiter is not None:
                 waiter(verdict if term == entry.term else None)
         if self.state.revision != revision:
-            consensus.is_established = True
+            replica.is_established = True
             self.changed()
 
     # --- the disk ---
@@ -319,15 +319,15 @@
     def _write(self) -> None:
         if self._writing:
             return
-        writes = self.consensus.take_writes(self._loop.time())
+        writes = self.replica.take_writes(self._loop.time())
         if not writes:
             return
         self._writing = True
-        if self.vault.size > COMPACT_BYTES or len(self.consensus.entries) > COMPACT_ENTRIES:
+        if self.log_file.size > COMPACT_BYTES or len(self.replica.log.entries) > COMPACT_ENTRIES:
             # All that stands, the new writes too, begins a new file.
-            work = partial(self.vault.begin, self.consensus.compact())
+            work = partial(self.log_file.begin, self.replica.compact())
         else:
-            work = partial(self.vault.put, writes)
+            work = partial(self.log_file.put, writes)
         self._put(work, len(writes))
 
     def _put(self, work: Callable[[], None], count: int) -> None:
@@ -346,5 +346,5 @@
             log.error("the disk's thread failed", error=repr(problem))
             raise problem
         self._writing, self._is_begun = False, True
-        self.consensus.written(count, self._loop.time())
+        self.replica.written(count, self._loop.time())
         self._settle()
--- /dev/null
+++ b/cometdoor/control/durable.py
@@ -0,0 +1,83 @@
+"""What a replica keeps on its disk: typed records, and the state that they add up to when read in order.
+
+The one-letter tags are the format on disk and never change; a record of an unknown tag makes the value that
+holds it unreadable (see `write_ahead_log`).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from cometdoor.wire.messages import Entry, Member
+
+
+class Identity(msgspec.Struct, tag="i", array_like=True, frozen=True):
+    """The replica's id. It belongs to the disk: a replica on an empty disk draws a new one."""
+
+    id: str
+
+
+class HardState(msgspec.Struct, tag="p", array_like=True, frozen=True):
+    """The current term and the vote in it (Raft, figure 2); on disk before any message that rests on it."""
+
+    term: int
+    voted_for: str
+
+
+class LogEntries(msgspec.Struct, tag="s", array_like=True, frozen=True):
+    """Entries appended to the log; whatever stood from the first one's index on is replaced."""
+
+    entries: list[Entry]
+
+
+class Snapshot(msgspec.Struct, tag="n", array_like=True, frozen=True):
+    """The state machine as of `last_index`. `alone`: the whole log is dropped, also what lies behind it."""
+
+    last_index: int
+    last_term: int
+    members: tuple[Member, ...]
+    state: bytes
+    alone: bool = False
+
+
+class CommitIndex(msgspec.Struct, tag="k", array_like=True, frozen=True):
+    """Up to where the log was known to be committed. Written along with other records; only what a restarted
+    replica may tell before it hears of a leader rests on it."""
+
+    committed: int
+
+
+Record = Identity | HardState | LogEntries | Snapshot | CommitIndex
+
+
+@dataclass
+class DurableState:
+    """All that a disk holds, read from its records in order."""
+
+    id: str = ""
+    term: int = 0
+    voted_for: str = ""
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = field(default_factory=list)  # those after the snapshot
+    committed: int = 0  # known to be
+
+    def take(self, record: Record) -> None:
+        """Apply the next record."""
+        match record:
+            case Identity():
+                self.id = record.id
+            case HardState():
+                self.term, self.voted_for = record.term, record.voted_for
+            case Snapshot():
+                self.snapshot = record
+                self.entries = [
+                    entry for entry in self.entries if entry.index > record.last_index and not record.alone
+                ]
+            case LogEntries() if record.entries:
+                first = record.entries[0].index
+                self.entries = [entry for entry in self.entries if entry.index < first]
+                self.entries += record.entries
+            case CommitIndex():
+                self.committed = record.committed
--- /dev/null
+++ b/cometdoor/control/elections.py
@@ -0,0 +1,165 @@
+"""Terms and votes: who may lead (Raft, 5.2 and 5.4.1; Ongaro's dissertation, 9.6 for prevote).
+
+A replica that missed its leader asks first whether it would be elected (prevote), so that one which was cut
+off does not depose a working leader when it returns.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cometdoor.control.durable import HardState
+from cometdoor.control.roles import Role
+from cometdoor.wire.messages import AskVote, Member, TakeOver, Vote
+
+if TYPE_CHECKING:
+    from cometdoor.control.replica import Replica
+
+# A leader is missed after three to six heartbeats; all that is keyed waits meanwhile.
+ELECTION_LEAST_S, ELECTION_MOST_S = 0.4, 0.8
+# Until it has heard any leader in this life: where all power was gone nobody leads, and all wait. Where
+# somebody does, the prevote is denied and nothing comes of it.
+FIRST_LEAST_S, FIRST_MOST_S = 0.06, 0.25
+
+
+class Elections:
+    def __init__(self, replica: Replica, now: float) -> None:
+        self._replica = replica
+        self.leader_heard_at = -1e9
+        self._deadline = now + replica.chance.uniform(FIRST_LEAST_S, FIRST_MOST_S)
+        self._votes: set[str] = set()
+
+    def copy_for(self, replica: Replica) -> Elections:
+        """The same state as part of another replica."""
+        other = Elections.__new__(Elections)
+        vars(other).update(vars(self))
+        other._replica = replica
+        other._votes = self._votes.copy()
+        return other
+
+    # --- time ---
+
+    def tick(self) -> None:
+        replica = self._replica
+        if replica.now < self._deadline:
+            return
+        self.postpone()
+        if replica.is_member(replica.me.id) and not replica.storage.is_slow(replica.now):
+            self.stand(trial=True)
+
+    def postpone(self) -> None:
+        """A new election timeout, drawn at random."""
+        least, most = ELECTION_LEAST_S, ELECTION_MOST_S
+        if self.leader_heard_at < 0.0 and self._replica.role is not Role.CANDIDATE:
+            least, most = FIRST_LEAST_S, FIRST_MOST_S
+        self._deadline = self._replica.now + self._replica.chance.uniform(least, most)
+
+    def heard_leader(self) -> None:
+        self.leader_heard_at = self._replica.now
+        self.postpone()
+
+    # --- candidates ---
+
+    def stand(self, trial: bool, handed: bool = False) -> None:
+        """Ask for votes. `trial`: for a prevote only; `handed`: the leader has named this replica."""
+        replica = self._replica
+        replica.role = Role.TRIAL if trial else Role.CANDIDATE
+        self._votes = {replica.me.id}
+        if not trial:
+            replica.term += 1
+            replica.voted_for, replica.leader = replica.me.id, ""
+            replica.persist(HardState(replica.term, replica.me.id))
+        ask = AskVote(
+            replica.term + 1 if trial else replica.term,
+            replica.me.id,
+            replica.log.last_index,
+            replica.log.last_term,
+            trial,
+            replica.me.address,
+            handed,
+        )
+        for member in replica.other_members():
+            replica.send(member.address, ask, after_writes=not trial)
+        self.count_votes()
+
+    def count_votes(self) -> None:
+        replica = self._replica
+        if sum(replica.is_member(voter) for voter in self._votes) < replica.majority():
+            return
+        if replica.role is Role.TRIAL:
+            self.stand(trial=False)
+        elif replica.role is Role.CANDIDATE and replica.storage.is_drained():
+            replica.lead()
+
+    def on_vote(self, vote: Vote) -> None:
+        replica = self._replica
+        if vote.term > replica.term and not vote.trial:
+            replica.step_down(vote.term)
+            return
+        if vote.trial and not vote.granted:
+            if vote.term > replica.term:
+                replica.step_down(vote.term)
+            return
+        answers_trial = replica.role is Role.TRIAL
+        if vote.granted and vote.trial == answers_trial and vote.term == replica.term + vote.trial:
+            self._votes.add(vote.voter)
+            if replica.role in (Role.TRIAL, Role.CANDIDATE):
+                self.count_votes()
+
+    def on_take_over(self, message: TakeOver) -> None:
+        replica = self._replica
+        is_able = replica.is_member(replica.me.id) and not replica.storage.is_slow(replica.now)
+        if message.term == replica.term and is_able:
+            self.stand(trial=False, handed=True)
+
+    # --- voters ---
+
+    def on_ask_vote(self, ask: AskVote) -> None:
+        replica = self._replica
+        has_leader = self._has_leader() and not ask.handed
+        if ask.trial:
+            self._answer_prevote(ask, has_leader)
+            return
+        if ask.term > replica.term:
+            if has_leader:
+                return  # it can't have been told by a majority that there is none
+            replica.step_down(ask.term)
+        granted = (
+            ask.term == replica.term
+            and self._is_current(ask)
+            and replica.voted_for in ("", ask.candidate)
+            and replica.role is Role.FOLLOWER
+            and bool(replica.members)
+        )
+        if granted and not replica.voted_for:
+            replica.voted_for = ask.candidate
+            replica.persist(HardState(replica.term, ask.candidate))
+            self.postpone()
+        replica.send(ask.address, Vote(replica.term, replica.me.id, granted, trial=False), after_writes=True)
+
+    def _answer_prevote(self, ask: AskVote, has_leader: bool) -> None:
+        replica = self._replica
+        granted = (
+            ask.term > replica.term
+            and self._is_current(ask)
+            and not has_leader
+            and not replica.storage.is_slow(replica.now)
+        )
+        term = ask.term if granted else replica.term
+        replica.send(ask.address, Vote(term, replica.me.id, granted, trial=True))
+
+    def _has_leader(self) -> bool:
+        replica = self._replica
+        return replica.role is Role.LEADER or replica.now - self.leader_heard_at < ELECTION_LEAST_S
+
+    def _is_current(self, ask: AskVote) -> bool:
+        """Whether the candidate's log has all that this one has (Raft, 5.4.1)."""
+        log = self._replica.log
+        return (ask.last_term, ask.last_index) >= (log.last_term, log.last_index)
+
+    # --- leaders ---
+
+    def hand_over_to(self, heir: Member) -> None:
+        """The heir stands for election at once (dissertation, 3.10)."""
+        replica = self._replica
+        replica.send(heir.address, TakeOver(replica.term, replica.me.id))
--- a/cometdoor/control/offline.py
+++ b/cometdoor/control/offline.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from cometdoor.control.consensus import Held
-from cometdoor.control.state import State
-from cometdoor.control.vault import files, read_folder
+from cometdoor.control.durable import DurableState
+from cometdoor.control.state_machine import StateMachine
+from cometdoor.control.write_ahead_log import files, read_folder
 from cometdoor.wire.messages import Configure, Entry, Members
 
 
@@ -15,8 +15,8 @@
 class Holding:
     """`state`: as of the last entry that is known to be committed. `faults`: why it can't be trusted."""
 
-    held: Held
-    state: State
+    held: DurableState
+    state: StateMachine
     members: tuple[str, ...]
     last_index: int
     file: str
@@ -37,7 +37,7 @@
     if not folder.is_dir():
         raise NotADirectoryError(f"{folder}: no such directory")
     found, newest = read_folder(folder)
-    held, state = found.held, State(window_s)
+    held, state = found.held, StateMachine(window_s)
     base, members = 0, ""
     if held.snapshot is not None:
         base = held.snapshot.last_index
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -12,7 +12,7 @@
 
 from cometdoor.budget.pool import Pool
 from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls
-from cometdoor.control.core import Core
+from cometdoor.control.driver import ReplicaDriver
 from cometdoor.core.boot import Boot
 from cometdoor.core.listening import listen_all
 from cometdoor.core.shares import Descriptors
@@ -37,7 +37,7 @@
         self.lines = Lines(loop, self._receive)
         here = boot.internal(ROLE)
         seeds = boot.seeds_internal()
-        self.core = Core(
+        self.driver = ReplicaDriver(
             loop,
             self.lines,
             Path(boot.data_directory),
@@ -53,7 +53,7 @@
             founds=boot.initial_start and bool(boot.seed_nodes) and control == min(boot.seed_nodes),
             least_members=min(3, max(len(boot.seed_nodes), 1)),
         )
-        self.core.changed = self._changed
+        self.driver.changed = self._changed
         record = Record(boot.node_name, here, ROLE, boot.zone, secrets.token_hex(4), 1, control=control)
         self.directory = Directory(record, seeds, random.Random(secrets.randbits(64)), loop.time())
         self.directory.changed = self._heard
@@ -62,7 +62,7 @@
             loop,
             PathReader(MAX_CONFIGURATION),
             Descriptors(boot.limits.file_descriptors),
-            OperatorCalls(loop, self.core),
+            OperatorCalls(loop, self.driver),
             Bounds(body_bytes=MAX_CONFIGURATION),
         )
 
@@ -76,26 +76,26 @@
                 "listen to operators": (self.front.listen, control),
             }
         )
-        self.core.start()
+        self.driver.start()
         self.exchange.start()
 
     def reloaded(self, boot: Boot) -> None:
         """The settings file was read again: its seeds are used from now on, all else from the next start."""
         self.directory.seeds = boot.seeds_internal()
-        self.core.knows(boot.seeds_internal())
+        self.driver.knows(boot.seeds_internal())
 
     def _receive(self, message: Message, line: Line, number: int) -> None:
-        if not self.core.receive(message, line, number):
+        if not self.driver.receive(message, line, number):
             self.exchange.receive(message, line, number)
 
     def _heard(self, record: Record) -> None:
         if record.role == ROLE:
-            self.core.knows([record.address])
+            self.driver.knows([record.address])
 
     def _changed(self) -> None:
         """The configuration in force, or the lead."""
-        self.exchange.configured(self.core.state.revision, self.core.state.body)
-        state = "leading" if self.core.consensus.leads else "up"
+        self.exchange.configured(self.driver.state.revision, self.driver.state.body)
+        state = "leading" if self.driver.replica.leads else "up"
         if state != self.directory.own.state and self.directory.own.state != "leaving":
             self.directory.say(msgspec.structs.replace(self.directory.own, state=state))
             self.exchange.flush()
@@ -103,14 +103,14 @@
     async def end(self, grace_s: float) -> None:
         self.directory.say(msgspec.structs.replace(self.directory.own, state="leaving"))
         self.exchange.flush()
-        self.core.leave()
+        self.driver.leave()
         until = self._loop.time() + min(LEAVE_S, grace_s / 2)
-        while self._loop.time() < until and self.core.consensus.leads:
+        while self._loop.time() < until and self.driver.replica.leads:
             await asyncio.sleep(0.03)
         self.front.closing = True
         self.front.close_idle()
         await asyncio.sleep(max(until - self._loop.time(), 0.0))
         self.front.stop_listening()
-        self.core.stop()
+        self.driver.stop()
         self.exchange.stop()
         self.lines.close()
--- a/cometdoor/control/rebuild.py
+++ b/cometdoor/control/rebuild.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from cometdoor.control.consensus import Identity, Promise, Snapshot
+from cometdoor.control.durable import HardState, Identity, Snapshot
 from cometdoor.control.offline import Holding, read_holding
-from cometdoor.control.vault import Vault, files
+from cometdoor.control.write_ahead_log import WriteAheadLog, files
 from cometdoor.wire.messages import Configure, Member
 
 
@@ -45,7 +45,7 @@
 
 
 def rebuild(sources: Sequence[Path], target: Path, me: Member, window_s: float) -> Rebuilt:
-    """Write a data directory of a core with one member, `me`, into `target`.
+    """Record a data directory of a core with one member, `me`, into `target`.
 
     Raises CannotRebuild, DiskError, NotADirectoryError.
     """
@@ -68,12 +68,12 @@
             unsure.append(entry.change.revision)
     state.close_keys()
     new = Member(secrets.token_hex(6), me.address, me.control, me.node)
-    vault = Vault(target)
+    vault = WriteAheadLog(target)
     vault.open()
     vault.begin(
         [
             Identity(new.id),
-            Promise(max(holding.held.term for _, holding in read) + 1, ""),
+            HardState(max(holding.held.term for _, holding in read) + 1, ""),
             Snapshot(last, term, (new,), state.image(), alone=True),
         ]
     )
--- /dev/null
+++ b/cometdoor/control/replication.py
@@ -0,0 +1,217 @@
+"""The leader's log on the others' disks: appends, their answers, commits, and reads that a majority confirms
+(Raft, 5.3 and 5.4.2; Ongaro's dissertation, 6.4 for the read index)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cometdoor.control.durable import LogEntries
+from cometdoor.control.roles import Role
+from cometdoor.wire.messages import Append, Appended, Entry, Member
+
+if TYPE_CHECKING:
+    from cometdoor.control.replica import Replica
+
+HEARTBEAT_S = 0.1
+QUORUM_S = 1.0  # a leader that heard no majority for so long steps down
+RESEND_S = 0.25  # an append without an answer is taken for lost
+MAX_ENTRIES = 400  # in one append
+NEVER = -1e9
+
+
+@dataclass
+class Progress:
+    """A follower as the leader sees it."""
+
+    next: int  # the entry to be sent to it
+    match: int = 0  # up to where its disk is known to agree with the leader's log
+    sent_at: float = NEVER  # of an append that is not answered yet; long ago: none is
+    heard_at: float = NEVER
+    round: int = 0  # of the last heartbeat that it answered
+
+    def has_append_under_way(self, now: float) -> bool:
+        return now - self.sent_at <= RESEND_S
+
+
+class Replication:
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self.progress: dict[str, Progress] = {}  # by the follower's id
+        self.round = 0  # of heartbeats
+        self._heartbeat_at = 0.0
+
+    def copy_for(self, replica: Replica) -> Replication:
+        """The same state as part of another replica."""
+        other = Replication.__new__(Replication)
+        vars(other).update(vars(self))
+        other._replica = replica
+        other.progress = {
+            id: Progress(one.next, one.match, one.sent_at, one.heard_at, one.round)
+            for id, one in self.progress.items()
+        }
+        return other
+
+    # --- the leader ---
+
+    def begin_term(self) -> None:
+        replica = self._replica
+        self.progress = {
+            member.id: Progress(replica.log.last_index + 1, heard_at=replica.now)
+            for member in replica.other_members()
+        }
+
+    def follow(self, member: Member, next_index: int) -> Progress:
+        """Its progress, from `next_index` on if it is new."""
+        return self.progress.setdefault(member.id, Progress(next_index, heard_at=self._replica.now))
+
+    def voters(self) -> list[Progress]:
+        """Of all other members that are known here."""
+        members = self._replica.other_members()
+        return [self.progress[member.id] for member in members if member.id in self.progress]
+
+    def hears_majority(self) -> bool:
+        """Check-quorum: whether enough followers were heard lately for this leader to go on."""
+        replica = self._replica
+        heard = sum(replica.now - one.heard_at < QUORUM_S for one in self.voters())
+        return heard + replica.is_member(replica.me.id) >= replica.majority()
+
+    def tick(self) -> None:
+        if self._replica.now >= self._heartbeat_at:
+            self.broadcast()
+
+    def flush(self) -> None:
+        """Send what was added to the log since."""
+        for member in self._replica.other_members():
+            self.append_to(member)
+
+    def broadcast(self) -> None:
+        """A heartbeat to all, which begins a new round."""
+        self.round += 1
+        self._heartbeat_at = self._replica.now + HEARTBEAT_S
+        for member in self._replica.other_members():
+            self.append_to(member, heartbeat=True)
+
+    def append_to(self, member: Member, heartbeat: bool = False) -> None:
+        replica, log = self._replica, self._replica.log
+        progress = self.follow(member, log.last_index + 1)
+        is_free = not progress.has_append_under_way(replica.now)
+        if not heartbeat and (not is_free or progress.next > log.last_index):
+            return
+        if is_free and progress.next <= log.base:
+            replica.snapshots.send_to(member, progress)
+            return
+        previous = progress.next - 1
+        previous_term = log.term_at(previous)
+        entries: list[Entry] = []
+        if previous_term is None:  # it is being sent the snapshot
+            previous, previous_term = log.base, log.term_at(log.base) or 0
+        elif is_free and progress.next <= log.last_index:
+            entries = log.after(previous, MAX_ENTRIES)
+            progress.sent_at = replica.now
+        append = Append(
+            replica.term,
+            replica.me.id,
+            replica.me.address,
+            previous,
+            previous_term,
+            entries,
+            replica.committed,
+            self.round,
+        )
+        replica.send(member.address, append)
+
+    def on_appended(self, appended: Appended) -> None:
+        replica = self._replica
+        if appended.term > replica.term:
+            replica.step_down(appended.term)
+            return
+        progress = self.progress.get(appended.follower)
+        if replica.role is not Role.LEADER or appended.term < replica.term or progress is None:
+            return
+        progress.heard_at = replica.now
+        progress.round = max(progress.round, appended.round)
+        if appended.success:
+            if appended.index >= progress.next or appended.index > progress.match:
+                progress.sent_at = NEVER
+            progress.match = max(progress.match, appended.index)
+            progress.next = max(progress.next, progress.match + 1)
+            self.advance_commit()
+        else:
+            progress.sent_at = NEVER
+            progress.next = max(min(appended.index, progress.next), progress.match + 1, 1)
+        member = replica.member(appended.follower)
+        if member is not None:
+            self.append_to(member)
+
+    def advance_commit(self) -> None:
+        """Commit what a majority has on disk, if it is of this term (Raft, 5.4.2)."""
+        replica = self._replica
+        if replica.role is not Role.LEADER:
+            return
+        marks = [self.progress[member.id].match for member in replica.other_members()]
+        if replica.is_member(replica.me.id):
+            marks.append(replica.storage.durable_index)
+        marks.sort(reverse=True)
+        majority = replica.majority()
+        index = marks[majority - 1] if len(marks) >= majority else 0
+        if index > replica.committed and replica.log.term_at(index) == replica.term:
+            replica.committed = index
+
+    # --- reads ---
+
+    def begin_round(self) -> int:
+        """A heartbeat to all; once `round_is_confirmed`, this was still the leader when it began."""
+        self.broadcast()
+        return self.round
+
+    def round_is_confirmed(self, round: int) -> bool:
+        replica = self._replica
+        heard = sum(one.round >= round for one in self.voters()) + replica.is_member(replica.me.id)
+        return replica.leads and heard >= replica.majority()
+
+    # --- followers ---
+
+    def on_append(self, append: Append) -> None:
+        replica, log = self._replica, self._replica.log
+        if append.term < replica.term:
+            self.answer(append.address, False, 0, append.round)
+            return
+        replica.follow(append.term, append.leader)
+        if append.previous_index < log.base:
+            # What the snapshot holds is committed, so it is as the leader has it.
+            append.entries = [entry for entry in append.entries if entry.index > log.base]
+            append.previous_index, append.previous_term = log.base, log.term_at(log.base) or 0
+        have = log.term_at(append.previous_index)
+        if have != append.previous_term:
+            self.answer(append.address, False, self._retry_from(append.previous_index, have), append.round)
+            return
+        self._store_new(append.entries)
+        known = append.previous_index + len(append.entries)
+        replica.committed = max(replica.committed, min(append.committed, known))
+        # A heartbeat without news speaks of nothing that is not on disk already.
+        needs_disk = known > replica.storage.durable_index
+        self.answer(append.address, True, known, append.round, after_writes=needs_disk)
+
+    def _retry_from(self, previous: int, have: int | None) -> int:
+        """Back to where the conflicting term began, at once."""
+        log = self._replica.log
+        retry = min(previous, log.last_index + 1)
+        while retry - 1 > log.base and have is not None and log.term_at(retry - 1) == have:
+            retry -= 1
+        return max(retry, 1)
+
+    def _store_new(self, entries: list[Entry]) -> None:
+        replica, log = self._replica, self._replica.log
+        fresh = next((at for at, one in enumerate(entries) if log.term_at(one.index) != one.term), None)
+        if fresh is None:
+            return
+        entries = entries[fresh:]
+        log.replace_from(entries)
+        replica.storage.truncate(entries[0].index - 1)
+        replica.persist(LogEntries(entries))
+
+    def answer(self, address: str, success: bool, index: int, round: int, after_writes: bool = False) -> None:
+        replica = self._replica
+        appended = Appended(replica.term, replica.me.id, success, index, round)
+        replica.send(address, appended, after_writes)
--- a/cometdoor/control/state.py
+++ b/cometdoor/control/state_machine.py
@@ -43,7 +43,7 @@
     claim: str = ""
 
 
-class State:
+class StateMachine:
     def __init__(self, window_s: float) -> None:
         self._window_ms = int(window_s * 1000) + WINDOW_SLACK_MS
         self.revision = 0
--- a/cometdoor/control/vault.py
+++ b/cometdoor/control/write_ahead_log.py
@@ -27,7 +27,7 @@
 
 import msgspec
 
-from cometdoor.control.consensus import Held, Write
+from cometdoor.control.durable import DurableState, Record
 
 MAGIC = b"CDL1"
 HEAD = struct.Struct(">4sIIQQ")  # magic, CRC-32 of what follows it, length of the body, number, last synced
@@ -35,7 +35,7 @@
 NAME = "log-"
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list[Write])
+_decoder = msgspec.msgpack.Decoder(list[Record])
 
 
 class DiskError(OSError):
@@ -48,11 +48,11 @@
 class Value:
     number: int
     synced: int  # the last number that was on disk when this was written
-    writes: list[Write]
+    writes: list[Record]
     offset: int
 
 
-def pack(number: int, synced: int, writes: Sequence[Write]) -> bytes:
+def pack(number: int, synced: int, writes: Sequence[Record]) -> bytes:
     body = _encoder.encode(writes)
     rest = struct.pack(">IQQ", len(body), number, synced) + body
     return MAGIC + struct.pack(">I", zlib.crc32(rest)) + rest
@@ -79,7 +79,7 @@
 class Found:
     """What one file holds."""
 
-    held: Held = field(default_factory=Held)
+    held: DurableState = field(default_factory=DurableState)
     last: int = 0  # number of the last value that counts
     is_damaged: bool = False
     ignored: int = 0  # whole values behind a gap
@@ -127,7 +127,7 @@
     return Found(), newest
 
 
-class Vault:
+class WriteAheadLog:
     """The file of this life. All methods block; they run on a thread of their own, one at a time."""
 
     def __init__(self, folder: Path) -> None:
@@ -146,7 +146,7 @@
         found, self._file = read_folder(self.folder)
         return found
 
-    def begin(self, writes: Sequence[Write]) -> None:
+    def begin(self, writes: Sequence[Record]) -> None:
         """A new file that begins with all that stands; older ones go. Raises DiskError."""
         number = self._file + 1
         self._file = number
@@ -167,14 +167,14 @@
             self._db.close()
             self._db = None
 
-    def put(self, writes: Sequence[Write]) -> None:
+    def put(self, writes: Sequence[Record]) -> None:
         """On disk when it returns. Raises DiskError: then it may be or not, and may be tried again."""
         try:
             self._put(writes)
         except OSError as problem:
             raise DiskError("write", str(self._path), problem.strerror or str(problem)) from problem
 
-    def _put(self, writes: Sequence[Write]) -> None:
+    def _put(self, writes: Sequence[Record]) -> None:
         self._tries += 1
         value = pack(self._number + 1, self._synced, writes)
         # A key of its own for each try: an old one would be overwritten in place.
--- a/lab/defects.py
+++ b/lab/defects.py
@@ -7,18 +7,24 @@
 from typing import Any
 from unittest import mock
 
-from cometdoor.control import consensus as module
-from cometdoor.control.consensus import Consensus, Held, Promise, Role
+from cometdoor.control import replication
+from cometdoor.control.durable import DurableState, HardState, Identity, LogEntries, Record
+from cometdoor.control.elections import Elections
+from cometdoor.control.replica import Replica
+from cometdoor.control.replication import Replication
+from cometdoor.control.roles import Role
+from cometdoor.control.storage import Outgoing
+from cometdoor.wire.messages import AskVote
 from lab.exhaustive import Broken, Limits, Step, World, walk
 
 
 def _votes_before_its_disk() -> AbstractContextManager[Any]:
     """A promise leaves before the write that it rests on."""
 
-    def send(self: Consensus, address: str, message: object, after_writes: bool = False) -> None:
-        self.outbox.append((address, message))
+    def send(self: Replica, address: str, message: object, after_writes: bool = False) -> None:
+        self.outbox.append(Outgoing(address, message))
 
-    return mock.patch.object(Consensus, "_send", send)
+    return mock.patch.object(Replica, "send", send)
 
 
 def _wiped_is_the_old_one() -> AbstractContextManager[Any]:
@@ -30,9 +36,9 @@
         wipe(self, place)
         self.nodes[place].id = id
         members = next(
-            write for write in World.of(len(self.nodes)).nodes[0].disk if isinstance(write, module.Stored)
+            write for write in World.of(len(self.nodes)).nodes[0].disk if isinstance(write, LogEntries)
         )
-        self.nodes[place].disk = (module.Identity(id), members)
+        self.nodes[place].disk = (Identity(id), members)
 
     return mock.patch.object(World, "_wipe", wipe_and_keep_the_id)
 
@@ -41,49 +47,57 @@
 def _commits_an_older_terms_entry() -> Iterator[None]:
     """An entry of an earlier term counts as committed once a majority has it (Raft, figure 8)."""
 
-    def advance(self: Consensus) -> None:
-        if self.role is Role.LEADER:
-            marks = sorted([self._on_disk, *(self.peers[member.id].match for member in self._others())])
-            self.committed = max(self.committed, marks[len(marks) - self._majority()])
+    def advance(self: Replication) -> None:
+        replica = self._replica
+        if replica.role is Role.LEADER:
+            marks = sorted([replica.storage.durable_index, *_matches(self)])
+            replica.committed = max(replica.committed, marks[len(marks) - replica.majority()])
 
     with ExitStack() as stack:
-        stack.enter_context(mock.patch.object(Consensus, "_advance", advance))
-        stack.enter_context(mock.patch.object(module, "BATCH", 1))
+        stack.enter_context(mock.patch.object(Replication, "advance_commit", advance))
+        stack.enter_context(mock.patch.object(replication, "MAX_ENTRIES", 1))
         yield
 
 
 def _leader_counts_itself_at_once() -> AbstractContextManager[Any]:
     """Its own log counts before it is on its disk."""
 
-    def advance(self: Consensus) -> None:
-        if self.role is Role.LEADER:
-            marks = sorted([self.last_index, *(self.peers[member.id].match for member in self._others())])
-            index = marks[len(marks) - self._majority()]
-            if index > self.committed and self.term_at(index) == self.term:
-                self.committed = index
+    def advance(self: Replication) -> None:
+        replica = self._replica
+        if replica.role is Role.LEADER:
+            marks = sorted([replica.log.last_index, *_matches(self)])
+            index = marks[len(marks) - replica.majority()]
+            if index > replica.committed and replica.log.term_at(index) == replica.term:
+                replica.committed = index
 
-    return mock.patch.object(Consensus, "_advance", advance)
+    return mock.patch.object(Replication, "advance_commit", advance)
+
+
+def _matches(of: Replication) -> list[int]:
+    """Up to where each other member's disk is known to agree with the leader's log."""
+    others = of._replica.other_members()
+    return [of.progress[member.id].match for member in others]
 
 
 def _forgets_its_vote() -> AbstractContextManager[Any]:
     """Whom it voted for is not read from its disk again."""
-    take = Held.take
+    take = DurableState.take
 
-    def take_but_the_vote(self: Held, write: module.Write) -> None:
-        take(self, Promise(write.term, "") if isinstance(write, Promise) else write)
+    def take_but_the_vote(self: DurableState, write: Record) -> None:
+        take(self, HardState(write.term, "") if isinstance(write, HardState) else write)
 
-    return mock.patch.object(Held, "take", take_but_the_vote)
+    return mock.patch.object(DurableState, "take", take_but_the_vote)
 
 
 def _votes_for_a_shorter_log() -> AbstractContextManager[Any]:
     """Any candidate of a newer term will do."""
-    ask = Consensus._on_ask_vote
+    ask_vote = Elections.on_ask_vote
 
-    def grant(self: Consensus, message: Any, address: str) -> None:
+    def grant(self: Elections, message: AskVote) -> None:
         message.last_term, message.last_index = 1 << 30, 1 << 30
-        ask(self, message, address)
+        ask_vote(self, message)
 
-    return mock.patch.object(Consensus, "_on_ask_vote", grant)
+    return mock.patch.object(Elections, "on_ask_vote", grant)
 
 
 DEFECTS: dict[str, Callable[[], AbstractContextManager[Any]]] = {
--- a/lab/exhaustive.py
+++ b/lab/exhaustive.py
@@ -31,7 +31,10 @@
 
 import msgspec
 
-from cometdoor.control.consensus import Consensus, Held, Identity, Peer, Promise, Role, Stored, Write
+from cometdoor.control.durable import DurableState, HardState, Identity, LogEntries, Record
+from cometdoor.control.replica import Replica
+from cometdoor.control.roles import Role
+from cometdoor.control.storage import Outgoing
 from cometdoor.wire.messages import (
     Append,
     Appended,
@@ -80,8 +83,8 @@
 @dataclass
 class Node:
     id: str
-    disk: tuple[Write, ...]  # what is synced
-    consensus: Consensus | None = None
+    disk: tuple[Record, ...]  # what is synced
+    replica: Replica | None = None
     lives: int = 1
 
 
@@ -104,7 +107,7 @@
         all_members = tuple(Member(f"m{place}", f"a{place}", "") for place in range(members))
         world = World([], limits or Limits())
         for member in all_members:
-            disk = (Identity(member.id), Promise(1, ""), Stored([Entry(1, 1, Members(all_members))]))
+            disk = (Identity(member.id), HardState(1, ""), LogEntries([Entry(1, 1, Members(all_members))]))
             world.nodes.append(Node(member.id, disk))
         for place in range(members):
             world._start(place)
@@ -117,53 +120,56 @@
             committed=dict(self.committed),
             leaders=dict(self.leaders),
             committed_in=dict(self.committed_in),
-            nodes=[Node(node.id, node.disk, _clone(node.consensus), node.lives) for node in self.nodes],
+            nodes=[
+                Node(node.id, node.disk, node.replica and node.replica.copy(), node.lives)
+                for node in self.nodes
+            ],
         )
 
     def _start(self, place: int) -> None:
         node = self.nodes[place]
-        held = Held(id=node.id)
+        held = DurableState(id=node.id)
         for write in node.disk:
             held.take(write)
-        node.consensus = Consensus(held, Member(node.id, f"a{place}", ""), random.Random(place), self.now)
-        node.consensus.is_established = True
+        node.replica = Replica(held, Member(node.id, f"a{place}", ""), random.Random(place), self.now)
+        node.replica.is_established = True
 
     # --- when ---
 
     def choices(self, fine: bool = False) -> Iterator[Step]:
         """All steps that may come next. `fine`: an election in its two halves and a single append as well."""
-        up = [place for place, node in enumerate(self.nodes) if node.consensus is not None]
+        up = [place for place, node in enumerate(self.nodes) if node.replica is not None]
         for who in up:
-            consensus = self.nodes[who].consensus
-            assert consensus is not None
+            replica = self.nodes[who].replica
+            assert replica is not None
             others = [place for place in up if place != who]
-            is_member = any(member.id == consensus.me.id for member in consensus.members)
+            is_member = any(member.id == replica.me.id for member in replica.members)
             for reached in _subsets(others):
                 for hangs in (-1, who, *sorted(reached)):
                     if is_member and reached:
                         yield Step("elect", who, reached, hangs)
                         if fine:
                             yield Step("trial", who, reached, hangs)
-                    if consensus.role is Role.LEADER and reached:
+                    if replica.role is Role.LEADER and reached:
                         yield Step("send", who, reached, hangs)
                         if fine:
                             yield Step("send once", who, reached, hangs)
-                    if fine and reached and consensus.role is Role.CANDIDATE and consensus.outbox:
+                    if fine and reached and replica.role is Role.CANDIDATE and replica.outbox:
                         yield Step("stand", who, reached, hangs)
-            if consensus.role is Role.LEADER and consensus.leads:
+            if replica.role is Role.LEADER and replica.leads:
                 if self.left.changes:
                     yield Step("order", who)
                     yield Step("order", who, hangs=who)
                 for place in others:
                     node = self.nodes[place]
-                    if not any(member.id == node.id for member in consensus.members):
+                    if not any(member.id == node.id for member in replica.members):
                         yield Step("admit", who, frozenset([place]))
             if self.left.crashes:
                 yield Step("crash", who)
             if self.left.wipes:
                 yield Step("wipe", who)
         for place, node in enumerate(self.nodes):
-            if node.consensus is None:
+            if node.replica is None:
                 yield Step("start", place)
 
     def take(self, step: Step) -> World:
@@ -172,9 +178,9 @@
         world.steps = (*self.steps, step)
         world.now += APART_S
         before = {
-            place: node.consensus.entries
+            place: node.replica.log.entries
             for place, node in enumerate(self.nodes)
-            if node.consensus is not None and node.consensus.role is Role.LEADER
+            if node.replica is not None and node.replica.role is Role.LEADER
         }
         world._do(step)
         world._check(before, self)
@@ -185,35 +191,35 @@
         if step.what == "start":
             self._start(step.who)
         elif step.what == "crash":
-            node.consensus = None
+            node.replica = None
             self.left.crashes -= 1
         elif step.what == "wipe":
             self._wipe(step.who)
         else:
-            consensus = node.consensus
-            assert consensus is not None
+            replica = node.replica
+            assert replica is not None
             if step.what in ("elect", "trial"):
-                consensus.tick(self.now)  # who led has heard nobody for long
-                consensus.tick(self.now + 1.0)
+                replica.tick(self.now)  # who led has heard nobody for long
+                replica.tick(self.now + 1.0)
                 self._exchange(step, VOTING)
                 return
-            consensus._now = self.now
+            replica.now = self.now
             if step.what == "stand":
                 self._exchange(step, VOTING)
                 return
             if step.what == "order":
                 self.ordered += 1
                 self.left.changes -= 1
-                consensus.propose(Claim(f"k{self.ordered}", f"c{self.ordered}", "h"))
+                replica.propose(Claim(f"k{self.ordered}", f"c{self.ordered}", "h"))
             elif step.what == "admit":
                 place = next(iter(step.reached))
-                consensus.join(Member(self.nodes[place].id, f"a{place}", ""))
-                consensus._next_members()
+                replica.membership.join(Member(self.nodes[place].id, f"a{place}", ""))
+                replica.membership.tick()
             elif step.what in ("send", "send once"):
-                consensus.begin_round()
+                replica.begin_round()
                 self._exchange(step, SENDING, 1 if step.what == "send once" else ROUNDS)
                 return
-            consensus.outbox.clear()
+            replica.outbox.clear()
             self._sync(step, step.who)
 
     def _wipe(self, place: int) -> None:
@@ -223,25 +229,26 @@
         node.lives += 1
         node.id = f"m{place}.{node.lives}"
         node.disk = (Identity(node.id),)
-        node.consensus = None
+        node.replica = None
 
     def _exchange(self, step: Step, kinds: tuple[type, ...], rounds: int = ROUNDS) -> None:
         """Messages of these kinds between the one and those it reaches, until nobody has any; others are
         lost, but for the candidate's own calls for votes after a trial alone."""
         among = {step.who, *step.reached}
-        kept: list[tuple[str, object]] = []
+        kept: list[Outgoing] = []
         for _ in range(rounds):
             moved = False
             for place in sorted(among):
-                consensus = self.nodes[place].consensus
-                assert consensus is not None
+                replica = self.nodes[place].replica
+                assert replica is not None
                 self._sync(step, place)
-                outbox, consensus.outbox = consensus.outbox, []
-                for address, message in outbox:
-                    to = int(address[1:])
-                    target = self.nodes[to].consensus
+                outbox, replica.outbox = replica.outbox, []
+                for outgoing in outbox:
+                    message = outgoing.message
+                    to = int(outgoing.address[1:])
+                    target = self.nodes[to].replica
                     if step.what == "trial" and isinstance(message, AskVote) and not message.trial:
-                        kept.append((address, message))
+                        kept.append(outgoing)
                     elif (
                         to in among
                         and step.who in (place, to)
@@ -253,59 +260,60 @@
             if not moved:
                 break
         for place in among:
-            consensus = self.nodes[place].consensus
-            assert consensus is not None
-            consensus.outbox = kept if place == step.who else []
+            replica = self.nodes[place].replica
+            assert replica is not None
+            replica.outbox = kept if place == step.who else []
 
     def _sync(self, step: Step, place: int) -> None:
         """All that waits goes to the disk, unless that hangs."""
         node = self.nodes[place]
-        consensus = node.consensus
-        assert consensus is not None
-        consensus.flush()
-        while place != step.hangs and (writes := consensus.take_writes(self.now)):
+        replica = node.replica
+        assert replica is not None
+        replica.flush()
+        while place != step.hangs and (writes := replica.take_writes(self.now)):
             node.disk = (*node.disk, *writes)
-            consensus.written(len(writes), self.now)
+            replica.written(len(writes), self.now)
 
     # --- then ---
 
     def _check(self, led: dict[int, list[Entry]], before: World) -> None:
-        logs = [
-            (place, node.consensus) for place, node in enumerate(self.nodes) if node.consensus is not None
-        ]
-        for place, consensus in logs:
-            if consensus.role is Role.LEADER:
-                first = self.leaders.setdefault(consensus.term, consensus.me.id)
-                if first != consensus.me.id:
-                    self._broken(f"term {consensus.term} has two leaders")
-                earlier = before.nodes[place].consensus
+        logs = [(place, node.replica) for place, node in enumerate(self.nodes) if node.replica is not None]
+        for place, replica in logs:
+            if replica.role is Role.LEADER:
+                first = self.leaders.setdefault(replica.term, replica.me.id)
+                if first != replica.me.id:
+                    self._broken(f"term {replica.term} has two leaders")
+                earlier = before.nodes[place].replica
                 if (
                     place in led
                     and earlier is not None
-                    and earlier.term == consensus.term
-                    and consensus.entries[: len(led[place])] != led[place]
+                    and earlier.term == replica.term
+                    and replica.log.entries[: len(led[place])] != led[place]
                 ):
                     self._broken(f"leader {place} changed its own log")
-        for place, consensus in logs:
-            for index in range(consensus.base + 1, consensus.committed + 1):
-                entry = consensus.entry(index)
-                self.committed_in.setdefault(index, consensus.term)
+        for place, replica in logs:
+            for index in range(replica.log.base + 1, replica.committed + 1):
+                entry = replica.log.entry(index)
+                self.committed_in.setdefault(index, replica.term)
                 if self.committed.setdefault(index, (entry.term, entry.change)) != (entry.term, entry.change):
                     self._broken(f"entry {index} was committed twice, unlike")
             for other, another in logs[:place]:
-                self._check_match(place, consensus, other, another)
-        for place, consensus in logs:
-            if consensus.role is Role.LEADER:
+                self._check_match(place, replica, other, another)
+        for place, replica in logs:
+            if replica.role is Role.LEADER:
                 for index, (term, change) in self.committed.items():
-                    if consensus.term > self.committed_in[index] and (
-                        consensus.term_at(index) != term or consensus.entry(index).change != change
+                    if replica.term > self.committed_in[index] and (
+                        replica.log.term_at(index) != term or replica.log.entry(index).change != change
                     ):
                         self._broken(f"leader {place} lacks entry {index}, which was committed")
 
-    def _check_match(self, place: int, one: Consensus, other: int, another: Consensus) -> None:
-        for index in range(min(one.last_index, another.last_index), max(one.base, another.base), -1):
-            if one.term_at(index) == another.term_at(index):
-                if one.entries[: index - one.base] != another.entries[: index - another.base]:
+    def _check_match(self, place: int, one: Replica, other: int, another: Replica) -> None:
+        logs = one.log, another.log
+        lowest = max(log.base for log in logs)
+        for index in range(min(log.last_index for log in logs), lowest, -1):
+            if logs[0].term_at(index) == logs[1].term_at(index):
+                shared = [log.entries[: index - log.base] for log in logs]
+                if shared[0] != shared[1]:
                     self._broken(f"logs of {place} and {other} differ below entry {index}")
                 return
 
@@ -318,21 +326,23 @@
             (self.left.changes, self.left.crashes, self.left.wipes, sorted(self.committed_in.items()))
         ]
         for node in self.nodes:
-            consensus = node.consensus
+            replica = node.replica
             parts.append((node.id, node.disk))
-            if consensus is not None:
+            if replica is not None:
                 parts.append(
                     (
-                        consensus.term,
-                        consensus.voted_for,
-                        consensus.role.value,
-                        consensus.leader,
-                        consensus.committed,
-                        consensus.entries,
-                        consensus._writes,
-                        consensus._on_disk,
-                        len(consensus.outbox),
-                        sorted((id, peer.next, peer.match) for id, peer in consensus.peers.items()),
+                        replica.term,
+                        replica.voted_for,
+                        replica.role.value,
+                        replica.leader,
+                        replica.committed,
+                        replica.log.entries,
+                        replica.storage.pending,
+                        replica.storage.durable_index,
+                        len(replica.outbox),
+                        sorted(
+                            (id, peer.next, peer.match) for id, peer in replica.replication.progress.items()
+                        ),
                     )
                 )
         return msgspec.msgpack.encode(parts)
@@ -345,7 +355,7 @@
     header, rest = parts[0], parts[1:]
     nodes: list[Any] = []
     for node in world.nodes:
-        nodes.append(rest[: 1 if node.consensus is None else 2])
+        nodes.append(rest[: 1 if node.replica is None else 2])
         rest = rest[len(nodes[-1]) :]
     looks = [
         msgspec.msgpack.encode(_renamed(node, {str(place): "me"}, "?")) for place, node in enumerate(nodes)
@@ -391,23 +401,6 @@
     return msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=type(message))
 
 
-def _clone(consensus: Consensus | None) -> Consensus | None:
-    """Entries and writes are never changed, only lists of them are."""
-    if consensus is None:
-        return None
-    # By hand: a third of all the time went into `copy`'s ways of finding out what it has.
-    one = Consensus.__new__(Consensus)
-    vars(one).update(
-        (name, value.copy() if type(value) in (list, dict, set) else value)
-        for name, value in vars(consensus).items()
-    )
-    one.peers = {
-        id: Peer(peer.next, peer.match, peer.sent_at, peer.heard_at, peer.round)
-        for id, peer in consensus.peers.items()
-    }
-    return one
-
-
 def explore(
     members: int,
     depth: int,
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -26,7 +26,7 @@
 import cometdoor.http.caller
 import cometdoor.http.upstream
 from cometdoor.control.process import ControlPlane
-from cometdoor.control.vault import Vault
+from cometdoor.control.write_ahead_log import WriteAheadLog
 from cometdoor.core.boot import read_boot
 from cometdoor.dataplane.process import DataPlane
 from lab.loop import Listener, Process, VirtualLoop
@@ -49,7 +49,7 @@
         }
         self._processes: dict[str, Process] = {}  # programs by address
         self._applications: dict[str, Process] = {}
-        self.vaults: list[Vault] = []  # of all lives
+        self.log_files: list[WriteAheadLog] = []  # of all lives
         loop.set_exception_handler(
             lambda loop, context: self.ledger.broken.append(
                 f"{context['message']}: {context.get('exception')!r}"
@@ -82,7 +82,7 @@
             program = DataPlane(boot, self.loop) if role == "dataplane" else ControlPlane(boot, self.loop)
             self.programs[address] = program
             if isinstance(program, ControlPlane):
-                self.vaults.append(program.core.vault)
+                self.log_files.append(program.driver.log_file)
             return program.start()
 
         self.loop.begin(process, begin)
@@ -100,7 +100,7 @@
             if self._processes[address].is_alive
             and (program := self.programs[address])
             and isinstance(program, ControlPlane)
-            and program.core.leads
+            and program.driver.leads
         )
 
     def kill(self, address: str, silent: bool = False) -> None:
@@ -174,6 +174,6 @@
         finally:
             for process in [*town._processes.values(), *town._applications.values()]:
                 loop.kill(process, silent=True)
-            for vault in town.vaults:
-                vault.close()
+            for log_file in town.log_files:
+                log_file.close()
             loop.close()
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -14,10 +14,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from cometdoor.control.consensus import Role
-from cometdoor.control.state import Verdict
+from cometdoor.control.roles import Role
+from cometdoor.control.state_machine import Verdict
 from cometdoor.wire.messages import Change, Configure
-from lab.core import LOSSES, Broken, Core
+from lab.replica_group import LOSSES, Broken, ReplicaGroup
 
 PATIENCE_S = 1.0  # of a client
 CLIENTS = 4
@@ -86,7 +86,7 @@
         self.life = 0
 
 
-class Watched(Core):
+class Watched(ReplicaGroup):
     """A core with clients whose calls are kept."""
 
     def __init__(self, seed: int, machines: int = 3, confirms_reads: bool = True) -> None:
@@ -114,25 +114,25 @@
         leading = [
             place
             for place, machine in enumerate(self.machines)
-            if machine.consensus is not None and machine.consensus.role is Role.LEADER
+            if machine.replica is not None and machine.replica.role is Role.LEADER
         ]
         reads = self.chance.random() < 0.5
         if reads and not self._confirms_reads:
-            leading = [place for place, machine in enumerate(self.machines) if machine.consensus is not None]
+            leading = [place for place, machine in enumerate(self.machines) if machine.replica is not None]
         if not leading:
             return
         place = client.at = self.chance.choice(leading)
         machine = self.machines[place]
-        consensus = machine.consensus
-        assert consensus is not None
+        replica = machine.replica
+        assert replica is not None
         client.life = machine.life
         if reads:
             if self._confirms_reads:
-                if not consensus.leads or consensus.applied < consensus.committed:
+                if not replica.leads or replica.applied < replica.committed:
                     return
-                client.round = consensus.begin_round()
+                client.round = replica.begin_round()
             client.operation = Operation(self.now)
-        elif consensus.may_accept():
+        elif replica.may_accept():
             self._given += 1
             client.operation = Operation(self.now, client.known, max(self._given, client.known + 1))
             self._given = client.operation.revision
@@ -144,10 +144,10 @@
 
     def _look(self, client: Client) -> None:
         machine = self.machines[client.at]
-        consensus = machine.consensus
-        if consensus is None or machine.life != client.life:
+        replica = machine.replica
+        if replica is None or machine.life != client.life:
             return
-        if not self._confirms_reads or consensus.round_is_confirmed(client.round):
+        if not self._confirms_reads or replica.round_is_confirmed(client.round):
             client.known = machine.state.revision
             self._end(client, machine.state.revision)
 
@@ -182,8 +182,8 @@
         how, leader = chance.choice([*LOSSES, "hand over"]), core.leader()
         if how != "hand over":
             core.lose(how, core.someone())
-        elif leader is not None and (consensus := core.machines[leader].consensus) is not None:
-            consensus.hand_over()
+        elif leader is not None and (replica := core.machines[leader].replica) is not None:
+            replica.hand_over()
         core.run(chance.uniform(0.1, 1.5))
         core.restore()
         core.run(chance.uniform(2.5, 4.0))  # a machine counts as lost for some time after its return
--- a/lab/keys.py
+++ b/lab/keys.py
@@ -1,6 +1,6 @@
 """Keyed operations over proxies and a core that fail, in virtual time.
 
-`Operations` at each proxy, `Consensus` and `State` at each member of the core, disks and lines as in
+`Operations` at each proxy, `Replica` and `StateMachine` at each member of the core, disks and lines as in
 `lab/core.py`. Clients ask for each key several times, at any proxy; backends run what they are sent, lose
 answers, or turn it away. A schedule is right if no key runs twice within the window, all who are answered for
 a key get the same answer, and nobody is told that it did not run where it did and no try of it goes on.
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cometdoor.control.state import Verdict
+from cometdoor.control.state_machine import Verdict
 from cometdoor.keys.operations import (
     Answer,
     AtWork,
@@ -24,7 +24,7 @@
     Unknown,
 )
 from cometdoor.wire.messages import Change, Claim, OperationIs, Ran
-from lab.core import LOSSES, STEP_S, Broken, Core
+from lab.replica_group import LOSSES, STEP_S, Broken, ReplicaGroup
 
 WAY_S = 0.002
 CLAIM_PATIENCE_S, CLAIM_AGAIN_S, CLAIM_CALL_S = 3.0, 0.06, 0.7  # as keys/claims.py
@@ -104,7 +104,7 @@
     ends: dict[str, int] = field(default_factory=dict)
 
 
-class Town(Core):
+class Town(ReplicaGroup):
     def __init__(self, seed: int, proxies: int = 4, machines: int = 3) -> None:
         self._due: list[tuple[float, int, Callable[[], object]]] = []
         self._claims: dict[int, Waiting] = {}  # by the change's identity
--- a/lab/core.py
+++ b/lab/replica_group.py
@@ -1,9 +1,9 @@
-"""A core in virtual time: real `Consensus` and `State` over disks that lose power and lines that are cut.
+"""A core in virtual time: real `Replica` and `StateMachine` over disks that lose power and lines that are cut.
 
 One seed is one schedule. After every step it is checked that no term has two leaders, that all members agree
 on what is committed, and that nothing acknowledged is missing from what a leader has committed.
 
-    python -m lab.core [SCHEDULES]   as many random schedules of crashes, wipes, cuts and slow disks
+    python -m lab.replica_group [SCHEDULES]   as many random schedules of crashes, wipes, cuts and slow disks
 """
 
 from __future__ import annotations
@@ -15,9 +15,11 @@
 
 import msgspec
 
-from cometdoor.control.consensus import Consensus, Held, Role, Write
-from cometdoor.control.state import State, Verdict
-from cometdoor.control.vault import pack, read_values, scan
+from cometdoor.control.durable import DurableState, Record
+from cometdoor.control.replica import Replica
+from cometdoor.control.roles import Role
+from cometdoor.control.state_machine import StateMachine, Verdict
+from cometdoor.control.write_ahead_log import pack, read_values, scan
 from cometdoor.wire.messages import Change, Claim, Configure, Frame, Join, Member, encode
 from cometdoor.wire.messages import Splitter as _Splitter
 
@@ -42,12 +44,12 @@
     numbers: int = 0
     wiped: int = 0
 
-    def put(self, writes: list[Write]) -> None:
+    def put(self, writes: list[Record]) -> None:
         self.numbers += 1
         value = pack(self.numbers, self.numbers - 1, writes)
         self.data += value + b"\0" * (-len(value) % 512)
 
-    def held(self) -> Held:
+    def held(self) -> DurableState:
         found = read_values(list(scan(self.data)))
         if found.is_damaged:
             raise Broken("a disk that was not harmed counts as damaged")
@@ -58,19 +60,19 @@
 class Machine:
     address: str
     disk: Disk = field(default_factory=Disk)
-    consensus: Consensus | None = None
-    state: State = field(default_factory=lambda: State(60.0))
-    writing: tuple[float, list[Write]] | None = None
+    replica: Replica | None = None
+    state: StateMachine = field(default_factory=lambda: StateMachine(60.0))
+    writing: tuple[float, list[Record]] | None = None
     sync_s: float = SYNC_S
     join_at: float = 0.0
     life: int = 0
 
     @property
     def is_up(self) -> bool:
-        return self.consensus is not None
+        return self.replica is not None
 
 
-class Core:
+class ReplicaGroup:
     def __init__(self, seed: int, machines: int = 3) -> None:
         self.seed = seed
         self.chance = random.Random(seed)
@@ -95,27 +97,27 @@
         held = machine.disk.held()
         if not held.id:
             self._ids += 1
-            held = Held(id=f"m{self._ids}")
+            held = DurableState(id=f"m{self._ids}")
         me = Member(held.id, machine.address, machine.address)
-        machine.consensus = Consensus(held, me, random.Random(self.chance.getrandbits(32)), self.now)
-        machine.state = State(60.0)
-        machine.consensus.state_of = machine.state.image
-        machine.consensus.least_members = min(3, len(self.machines))
+        machine.replica = Replica(held, me, random.Random(self.chance.getrandbits(32)), self.now)
+        machine.state = StateMachine(60.0)
+        machine.replica.state_of = machine.state.image
+        machine.replica.least_members = min(3, len(self.machines))
         if held.snapshot is not None:
             machine.state.load(held.snapshot.state)
-            machine.consensus.is_established = machine.state.revision > 0
+            machine.replica.is_established = machine.state.revision > 0
         machine.life += 1
         machine.writing = None
         machine.join_at = 0.0
         machine.disk = Disk(wiped=machine.disk.wiped)
-        machine.disk.put(machine.consensus.compact())  # a file is written by one life only
+        machine.disk.put(machine.replica.compact())  # a file is written by one life only
         if founds and machine.life == 1:
-            machine.consensus.bootstrap()
+            machine.replica.bootstrap()
 
     def kill(self, place: int) -> None:
         """What is not synced is gone, as after a loss of power."""
         machine = self.machines[place]
-        machine.consensus = None
+        machine.replica = None
         machine.writing = None
 
     def wipe(self, place: int) -> None:
@@ -168,7 +170,7 @@
     def leader(self) -> int | None:
         """The place of one that leads and may accept."""
         for place, machine in enumerate(self.machines):
-            if machine.consensus is not None and machine.consensus.may_accept():
+            if machine.replica is not None and machine.replica.may_accept():
                 return place
         return None
 
@@ -177,11 +179,11 @@
         if place is None:
             return False
         machine = self.machines[place]
-        consensus = machine.consensus
-        if consensus is None or not consensus.may_accept():
+        replica = machine.replica
+        if replica is None or not replica.may_accept():
             return False
-        index = consensus.propose(change)
-        self._waiting[place, machine.life, index] = consensus.term, change
+        index = replica.propose(change)
+        self._waiting[place, machine.life, index] = replica.term, change
         return True
 
     def configure(self) -> bool:
@@ -212,53 +214,55 @@
         due = [one for one in self._line if one[0] <= self.now]
         self._line = [one for one in self._line if one[0] > self.now]
         for _, _, sender, place, message in sorted(due, key=lambda one: one[:2]):
-            consensus = self.machines[place].consensus
-            if consensus is not None and (sender, place) not in self.cut:
-                consensus.receive(_through_wire(message), self.now)
+            replica = self.machines[place].replica
+            if replica is not None and (sender, place) not in self.cut:
+                replica.receive(_through_wire(message), self.now)
         for place, machine in enumerate(self.machines):
-            if machine.consensus is not None:
-                self._drive(place, machine, machine.consensus)
+            if machine.replica is not None:
+                self._drive(place, machine, machine.replica)
         self._check()
 
-    def _drive(self, place: int, machine: Machine, consensus: Consensus) -> None:
-        consensus.tick(self.now)
-        consensus.flush()
+    def _drive(self, place: int, machine: Machine, replica: Replica) -> None:
+        replica.tick(self.now)
+        replica.flush()
         if machine.writing is not None and machine.writing[0] <= self.now:
             writes = machine.writing[1]
             machine.writing = None
             machine.disk.put(writes)
-            consensus.written(len(writes), self.now)
-        if machine.writing is None and (writes := consensus.take_writes(self.now)):
+            replica.written(len(writes), self.now)
+        if machine.writing is None and (writes := replica.take_writes(self.now)):
             machine.writing = self.now + machine.sync_s, writes
-        if consensus.installed is not None:
-            machine.state.load(consensus.installed.state)
-            consensus.applied = consensus.installed.last_index
-            consensus.installed = None
-        while consensus.applied < consensus.committed:
-            consensus.applied += 1
-            entry = consensus.entry(consensus.applied)
+        if replica.installed is not None:
+            machine.state.load(replica.installed.state)
+            replica.loaded()
+        while replica.applied < replica.committed:
+            replica.applied += 1
+            entry = replica.log.entry(replica.applied)
             verdict = machine.state.apply(entry.change)
-            consensus.is_established = machine.state.revision > 0
+            replica.is_established = machine.state.revision > 0
             waited = self._waiting.pop((place, machine.life, entry.index), None)
             if waited is not None and waited[0] == entry.term:
                 self._ordered(entry.index, waited[1], verdict)
-        is_member = any(member.id == consensus.me.id for member in consensus.members)
+        is_member = any(member.id == replica.me.id for member in replica.members)
         if (
-            consensus.role is not Role.LEADER
+            replica.role is not Role.LEADER
             and self.now >= machine.join_at
-            and (not is_member or self.now - consensus.heard_leader_at > 1.5)
+            and (not is_member or self.now - replica.elections.leader_heard_at > 1.5)
         ):
             machine.join_at = self.now + JOIN_EVERY_S
             for other in self.machines:
                 if other is not machine:
-                    consensus.outbox.append((other.address, Join(consensus.me)))
-        outbox, consensus.outbox = consensus.outbox, []
-        for address, message in outbox:
-            to = next((at for at, other in enumerate(self.machines) if other.address == address), None)
+                    replica.send(other.address, Join(replica.me))
+        outbox, replica.outbox = replica.outbox, []
+        for outgoing in outbox:
+            to = self._place_of(outgoing.address)
             if to is not None and (place, to) not in self.cut:
                 self._order += 1
                 delay = DELAY_S * self.chance.uniform(0.5, 3.0)
-                self._line.append((self.now + delay, self._order, place, to, message))
+                self._line.append((self.now + delay, self._order, place, to, outgoing.message))
+
+    def _place_of(self, address: str) -> int | None:
+        return next((at for at, other in enumerate(self.machines) if other.address == address), None)
 
     def _ordered(self, index: int, change: Change, verdict: Verdict) -> None:
         """Who proposed it is told what became of it."""
@@ -268,15 +272,15 @@
 
     def _check(self) -> None:
         for machine in self.machines:
-            consensus = machine.consensus
-            if consensus is None:
+            replica = machine.replica
+            if replica is None:
                 continue
-            if consensus.role is Role.LEADER:
-                first = self._leaders.setdefault(consensus.term, consensus.me.id)
-                if first != consensus.me.id:
-                    raise Broken(f"seed {self.seed}: term {consensus.term} has two leaders")
-            for index in range(max(consensus.base, consensus.committed - 50) + 1, consensus.committed + 1):
-                entry = consensus.entry(index)
+            if replica.role is Role.LEADER:
+                first = self._leaders.setdefault(replica.term, replica.me.id)
+                if first != replica.me.id:
+                    raise Broken(f"seed {self.seed}: term {replica.term} has two leaders")
+            for index in range(max(replica.log.base, replica.committed - 50) + 1, replica.committed + 1):
+                entry = replica.log.entry(index)
                 seen = self._committed.setdefault(index, (entry.term, entry.change))
                 if seen != (entry.term, entry.change):
                     raise Broken(f"seed {self.seed}: entry {index} was committed twice, unlike")
@@ -315,9 +319,9 @@
     return _Splitter().feed(encode(Frame(0, False, message)))[0].message
 
 
-def schedule(seed: int, machines: int = 5, seconds: float = 12.0) -> Core:
+def schedule(seed: int, machines: int = 5, seconds: float = 12.0) -> ReplicaGroup:
     """Random losses, one machine at a time and now and then all power, with changes all the while."""
-    core = Core(seed, machines)
+    core = ReplicaGroup(seed, machines)
     core.run_until_led()
     chance = core.chance
     key = 0
--- a/stories/control/test_histories.py
+++ b/stories/control/test_histories.py
@@ -2,8 +2,8 @@
 
 from ward import each, raises, test
 
-from lab.core import Broken
 from lab.histories import Operation, is_linearizable, watched_schedule
+from lab.replica_group import Broken
 
 
 def read(began: float, ended: float, answer: int) -> Operation:
--- a/stories/control/test_offline.py
+++ b/stories/control/test_offline.py
@@ -8,9 +8,9 @@
 
 from ward import raises, test
 
-from cometdoor.control.consensus import Identity, Known, Promise, Stored
+from cometdoor.control.durable import CommitIndex, HardState, Identity, LogEntries
 from cometdoor.control.offline import read_holding
-from cometdoor.control.vault import BLOCK, Vault
+from cometdoor.control.write_ahead_log import BLOCK, WriteAheadLog
 from cometdoor.wire.messages import Configure, Entry, Member, Members
 
 BODY = b'{"revision": 3, "services": [], "hosts": []}'
@@ -18,13 +18,13 @@
 
 def a_directory(folder: Path) -> Path:
     """Given a member that knows of one configuration in force, and of a later one that may be."""
-    vault = Vault(folder)
-    vault.open()
-    vault.begin([Identity("me"), Promise(2, "me")])
-    vault.put([Stored([Entry(1, 1, Members((Member("me", "a", "c"),)))])])
-    vault.put([Stored([Entry(2, 2, Configure(0, 3, BODY))])])
-    vault.put([Stored([Entry(3, 2, Configure(3, 5, BODY))]), Known(2)])
-    vault.close()
+    log_file = WriteAheadLog(folder)
+    log_file.open()
+    log_file.begin([Identity("me"), HardState(2, "me")])
+    log_file.put([LogEntries([Entry(1, 1, Members((Member("me", "a", "c"),)))])])
+    log_file.put([LogEntries([Entry(2, 2, Configure(0, 3, BODY))])])
+    log_file.put([LogEntries([Entry(3, 2, Configure(3, 5, BODY))]), CommitIndex(2)])
+    log_file.close()
     return folder
 
 
@@ -88,9 +88,9 @@
     with TemporaryDirectory() as name:
         folder = Path(name)
         far = a_directory(folder / "far")
-        behind = Vault(folder / "behind")
+        behind = WriteAheadLog(folder / "behind")
         behind.open()
-        behind.begin([Identity("other"), Promise(7, "other"), Stored([Entry(1, 1, Members(()))])])
+        behind.begin([Identity("other"), HardState(7, "other"), LogEntries([Entry(1, 1, Members(()))])])
         behind.close()
         settings = str(settings_of(folder, folder / "new"))
         status, out, told = command("state", "rebuild", settings, str(folder / "behind"), str(far))
--- a/stories/control/test_consensus.py
+++ b/stories/control/test_replica.py
@@ -4,14 +4,16 @@
 
 from ward import each, raises, test
 
-from cometdoor.control.consensus import Consensus, Held, Role
+from cometdoor.control.durable import DurableState
+from cometdoor.control.replica import Replica
+from cometdoor.control.roles import Role
 from cometdoor.wire.messages import Claim, Configure
-from lab.core import Broken, Core, schedule
+from lab.replica_group import Broken, ReplicaGroup, schedule
 
 
-def a_core(seed: int = 1, machines: int = 5) -> Core:
+def a_core(seed: int = 1, machines: int = 5) -> ReplicaGroup:
     """Given a core that has taken a first configuration."""
-    core = Core(seed, machines)
+    core = ReplicaGroup(seed, machines)
     core.run_until_led()
     core.run(0.5)
     assert core.configure()
@@ -20,25 +22,25 @@
     return core
 
 
-def members(core: Core) -> set[str]:
+def members(core: ReplicaGroup) -> set[str]:
     place = core.leader()
     assert place is not None
-    consensus = core.machines[place].consensus
-    assert consensus is not None
-    return {member.address for member in consensus.members}
+    replica = core.machines[place].replica
+    assert replica is not None
+    return {member.address for member in replica.members}
 
 
 @test("all machines that start together become one core")
 def _() -> None:
-    core = Core(3, 5)
+    core = ReplicaGroup(3, 5)
     core.run(2.0)
     assert members(core) == {machine.address for machine in core.machines}
-    assert sum(one.consensus is not None and one.consensus.role is Role.LEADER for one in core.machines) == 1
+    assert sum(one.replica is not None and one.replica.role is Role.LEADER for one in core.machines) == 1
 
 
 @test("nothing is accepted before the core is large enough to bear a loss")
 def _() -> None:
-    core = Core(1, 3)
+    core = ReplicaGroup(1, 3)
     core.separate(0)
     core.run(2.0)
     assert core.leader() is None
@@ -79,12 +81,12 @@
     core = a_core(4, machines)
     leader = core.leader()
     assert leader is not None
-    before = core.machines[leader].consensus
+    before = core.machines[leader].replica
     assert before is not None
     core.wipe(leader)
     core.start(leader)
     core.run(4.0)
-    after = core.machines[leader].consensus
+    after = core.machines[leader].replica
     assert after is not None
     assert after.me.id != before.me.id  # another member, which the others have taken in
     assert len(members(core)) == machines
@@ -115,8 +117,8 @@
     core.separate(old)
     core.propose(Configure(1, 99, b"lost"), old)
     core.run(3.0)
-    consensus = core.machines[old].consensus
-    assert consensus is not None and consensus.role is not Role.LEADER
+    replica = core.machines[old].replica
+    assert replica is not None and replica.role is not Role.LEADER
     core.heal()
     core.run_until_led()
     core.run(1.0)
@@ -181,8 +183,8 @@
         core.propose(Claim(f"k{count}", "a", "one"))
         core.run(0.05)
     for machine in core.machines:
-        if machine.consensus is not None:
-            machine.disk.put(machine.consensus.compact())
+        if machine.replica is not None:
+            machine.disk.put(machine.replica.compact())
     core.start(late)
     core.run(2.0)
     assert len(core.machines[late].state.keys) == 20
@@ -196,14 +198,14 @@
 
 @test("the checker finds a member that acknowledges before its disk has it")
 def _() -> None:
-    real = Consensus._send
+    real = Replica.send
 
-    def hasty(self: Consensus, address: str, message: object, after_writes: bool = False) -> None:
+    def hasty(self: Replica, address: str, message: object, after_writes: bool = False) -> None:
         real(self, address, message, False)
 
-    with mock.patch.object(Consensus, "_send", hasty), raises(Broken) as broken:
+    with mock.patch.object(Replica, "send", hasty), raises(Broken) as broken:
         for seed in range(60):
-            core = Core(seed, 3)
+            core = ReplicaGroup(seed, 3)
             core.run_until_led()
             core.run(0.5)
             leader = core.leader()
@@ -228,15 +230,15 @@
 def _() -> None:
     with raises(Broken) as broken:
         for seed in range(60):
-            core = Core(seed, 3)
+            core = ReplicaGroup(seed, 3)
             core.run_until_led()
             core.run(0.5)
             leader = core.leader()
             assert leader is not None
             follower, other = [place for place in range(3) if place != leader]
-            consensus = core.machines[follower].consensus
-            assert consensus is not None
-            id = consensus.me.id
+            replica = core.machines[follower].replica
+            assert replica is not None
+            id = replica.me.id
             core.separate(other)
             core.configure()
             core.run(0.2)
@@ -245,13 +247,13 @@
             core.kill(leader)
             core.heal()
             with mock.patch.object(
-                type(core.machines[follower].disk), "held", lambda disk, id=id: Held(id=id)
+                type(core.machines[follower].disk), "held", lambda disk, id=id: DurableState(id=id)
             ):
                 core.start(follower)
-            wiped = core.machines[follower].consensus
-            ahead = core.machines[other].consensus
+            wiped = core.machines[follower].replica
+            ahead = core.machines[other].replica
             assert wiped is not None and ahead is not None
-            wiped._members = ahead.members  # as if it still were one of them
+            wiped.log.members = ahead.members  # as if it still were one of them
             core.run_until_led()
             core.check_nothing_lost()
     assert "committed twice" in str(broken.raised)
--- a/stories/keys/test_operations.py
+++ b/stories/keys/test_operations.py
@@ -2,7 +2,7 @@
 
 from ward import test
 
-from cometdoor.control.state import State
+from cometdoor.control.state_machine import StateMachine
 from cometdoor.keys.operations import Answer, AtWork, DoAsk, DoClaim, DoRun, Operations, Refuse, Unknown
 from cometdoor.wire.messages import Claim, OperationIs, Ran
 
@@ -13,7 +13,7 @@
     """Given some proxies and one table of claims; an ask is a text."""
 
     def __init__(self, *names: str) -> None:
-        self.state = State(60.0)
+        self.state = StateMachine(60.0)
         self.proxies = {name: Operations[str](name, 60.0) for name in names}
         self.runs: list[tuple[str, str]] = []  # proxy and ask
         self.ends: dict[str, str] = {}
--- a/stories/mesh/test_fleet.py
+++ b/stories/mesh/test_fleet.py
@@ -10,10 +10,10 @@
 import structlog
 from ward import each, raises, test
 
-from cometdoor.control.consensus import Write
+from cometdoor.control.durable import Record
 from cometdoor.control.process import ControlPlane
 from cometdoor.control.rebuild import rebuild
-from cometdoor.control.vault import DiskError, Vault
+from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
 from cometdoor.core.listening import ListenError
 from cometdoor.dataplane.process import DataPlane
 from cometdoor.wire.messages import Member
@@ -427,14 +427,14 @@
 
 @test("a member that starts while its disk is full is back once there is room, and has lost nothing")
 def _() -> None:
-    begin, is_full = Vault.begin, True
+    begin, is_full = WriteAheadLog.begin, True
 
-    def begin_if_room(vault: Vault, writes: Sequence[Write]) -> None:
+    def begin_if_room(log_file: WriteAheadLog, writes: Sequence[Record]) -> None:
         if is_full:
-            raise DiskError("begin", str(vault.folder), "no space left")
-        begin(vault, writes)
+            raise DiskError("begin", str(log_file.folder), "no space left")
+        begin(log_file, writes)
 
-    with fleet(seed=19) as town, mock.patch.object(Vault, "begin", begin_if_room):
+    with fleet(seed=19) as town, mock.patch.object(WriteAheadLog, "begin", begin_if_room):
         is_full = False
         town.run(town.begin())
         address = next(one for one in town.core if one != town.leader())
@@ -443,7 +443,7 @@
         town.restart(address)
         town.wait(1.0)
         program = town.programs[address]
-        assert isinstance(program, ControlPlane) and not program.core.consensus.leads
+        assert isinstance(program, ControlPlane) and not program.driver.replica.leads
         is_full = False
         town.wait(1.0)
         # Then it counts again: the other two can't do without each other, but with it they can
@@ -498,7 +498,7 @@
             town.wait(3.0)
         # Then it has three members, the configuration is there, and the next one is taken
         core = town.programs[town.leader()]
-        assert isinstance(core, ControlPlane) and len(core.core.consensus.members) == 3
+        assert isinstance(core, ControlPlane) and len(core.driver.replica.members) == 3
         assert town.run(town.configure(6, 4)) == 200
         # And until all lost claims are too old no new key is taken, and the others' requests are served
         before = len(town.ledger.runs_of_key)
