--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -1,6 +1,6 @@
-"""One member of the core as a process has it: replica, its disk and lines, the tables, and who waits.
+"""Drives one replica in its process: its disk, its connections, the state machine, and the calls that wait.
 
-All decisions are in `replica` and `state`; here are the loop, the thread that writes, and the lines.
+All decisions are in `replica` and `state_machine`; here are the loop and the thread that writes.
 """
 
 from __future__ import annotations
--- a/lab/replica_group.py
+++ b/lab/replica_group.py
@@ -1,4 +1,4 @@
-"""A core in virtual time: real `Replica` and `StateMachine` over disks that lose power and lines that are cut.
+"""A replica group in virtual time: the modules in service over disks that lose power and links that are cut.
 
 One seed is one schedule. After every step it is checked that no term has two leaders, that all members agree
 on what is committed, and that nothing acknowledged is missing from what a leader has committed.
