Calls on lines: what never left has not run, also when a caller is told before its attempts end

Cause: the module refuses a request first and cancels its attempts after. An attempt whose line was still being dialled therefore counted as one that may have run when its caller was told: 502 where 503 is true. The same held for the host's last word and for calls that lay in a line's queue when the line broke.

Change (data path): a turn takes back what has not left before it tells its caller; a line knows up to which call it has handed frames to its transport, says so in each PeerError, hands nothing to a transport that is closing, and ends on a reply to a call that has not left on it. `Broke` never concludes that nothing ran, whatever outcome it names (an unknown one raised before). A key's run that is not under way is neither served nor failed; a proxy that asks for a claim that turned out to be another's is told so, not left waiting.

--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/way.py
@@ -21,7 +21,7 @@
 from cometdoor.wire.lines import Call, Lines, PeerError
 from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
 from jasperhall import api
-from jasperhall.api import Effect, ListKind, Outcome, State
+from jasperhall.api import NEVER_RAN, Effect, ListKind, Outcome, State
 
 WARM_UP_MS = 3_000.0  # of a backend that has just started, where it says so
 COLD_FROM = 0.5
@@ -71,7 +71,7 @@
     backend's own failure is passed on, or it is said that nothing is known.
     """
 
-    __slots__ = ("caller", "failure", "may_have_run", "request", "throttle")
+    __slots__ = ("caller", "calls", "failure", "may_have_run", "request", "throttle")
 
     def __init__(self, caller: Caller[Ran], request: ClientRequest, throttle: Throttle) -> None:
         self.caller = caller
@@ -79,6 +79,7 @@
         self.throttle = throttle
         self.may_have_run = 0  # attempts that left, less those that are known not to have run
         self.failure: Ran | None = None  # the last one of a backend's own
+        self.calls: list[Call] = []  # of its attempts
 
     def ended(self, reading: Reading, answer: Ran | None) -> None:
         """One of its attempts."""
@@ -90,16 +91,30 @@
         self.throttle.placed(True, now_ms())
         self.caller.served(answer)
 
+    def _take_back(self) -> None:
+        """Guards against an attempt that counts as one that may have run while its line is still dialled: it
+        is given up before its caller is told, not after."""
+        if self.may_have_run:
+            self.may_have_run -= sum(call.cancel() for call in self.calls if not call.has_left())
+
     def refused(self, retry_after_ms: float) -> None:
         now = now_ms()
+        self._take_back()
         if self.may_have_run:
             self.throttle.placed(True, now)
-            self.failed()
+            self._failed()
             return
         self.throttle.placed(False, now)
         self.caller.refused(self.throttle.pause_ms(retry_after_ms, left_ms(self.request, now), now))
 
     def failed(self) -> None:
+        self._take_back()
+        if self.may_have_run or self.failure is not None:
+            self._failed()
+        else:
+            self.refused(0.0)
+
+    def _failed(self) -> None:
         if self.failure is not None:
             self.caller.served(self.failure)
         else:
@@ -121,7 +136,9 @@
         self.turn = turn
 
     def stage(self) -> Stage:
-        return Stage.WRITTEN if self.call.line.is_open else Stage.CONNECTING
+        if self.call.has_left():
+            return Stage.WRITTEN
+        return Stage.OPEN if self.call.line.is_open else Stage.CONNECTING
 
     def abort(self) -> None:
         self.turn.may_have_run -= self.call.cancel()
@@ -302,6 +319,7 @@
         if isinstance(call, PeerError):
             return Outcome.CONNECT_FAILED
         turn.may_have_run += 1
+        turn.calls.append(call)
         if run.further:
             self._share.further(now_ms() / 1000.0)
         return AtDoor(call, turn)
@@ -321,6 +339,12 @@
 OURS = frozenset({b"cometdoor-deadline-ms", b"cometdoor-expected-instance", b"cometdoor-caller-service"})
 
 
+# What a door may say of a request that reached its backend; whatever else it says, it may have run.
+BROKEN = {
+    outcome.value: outcome for outcome in Outcome if outcome is not Outcome.OK and outcome not in NEVER_RAN
+}
+
+
 def read(reply: Message | PeerError) -> tuple[Reading, Ran | None]:
     """What came of an attempt."""
     match reply:
@@ -330,7 +354,7 @@
         case NotRun():
             return answered(Outcome.FULL), None
         case Broke():
-            return Reading(Outcome(reply.outcome), reply.blame), None
+            return Reading(BROKEN.get(reply.outcome, Outcome.ERROR), reply.blame), None
         case PeerError():
             if reply.may_have_arrived:
                 return Reading(Outcome.RESET, 1.0, way=True), None
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -184,6 +184,9 @@
             self._tell(operation)
             return []
         operation.stage = Stage.FOREIGN
+        asked_by, operation.asked_by = operation.asked_by, []
+        for respond in asked_by:
+            respond(OperationIs("running"))  # as in `asked`
         return [DoAsk(key, holder, claim)]
 
     def told(self, key: str, claim: str, reply: OperationIs | None) -> list[Action[AskT]]:
@@ -211,7 +214,7 @@
 
     def served(self, key: str, answer: Ran) -> list[Action[AskT]]:
         operation = self._table.get(key)
-        if operation is None:
+        if operation is None or operation.stage is not Stage.RUNNING:
             return []
         ask, operation.runs_for = operation.runs_for, None
         first: list[Action[AskT]] = [Answer(ask, answer)] if ask is not None else []
@@ -240,7 +243,7 @@
 
     def failed(self, key: str) -> list[Action[AskT]]:
         operation = self._table.get(key)
-        if operation is None:
+        if operation is None or operation.stage is not Stage.RUNNING:
             return []
         operation.stage = Stage.UNKNOWN
         asks = [*([operation.runs_for] if operation.runs_for is not None else []), *operation.waiting]
--- a/cometdoor/wire/lines.py
+++ b/cometdoor/wire/lines.py
@@ -55,11 +55,15 @@
             return False
         self.done = None
         self.line.calls.pop(self.number, None)
-        if self.line.take_back(self.frame):
+        if not self.has_left() and self.line.take_back(self.frame):
             return True
         self.line.write(Frame(0, False, Cancel(self.number)))
         return False
 
+    def has_left(self) -> bool:
+        """Whether the peer may have read any of it."""
+        return self.line.has_left(self.number)
+
     def forget(self) -> None:
         """Nobody waits any more, and the peer needs not know."""
         self.done = None
@@ -78,6 +82,7 @@
         self._out: list[bytes] = []
         self._transport: asyncio.Transport | None = None
         self._flush_due = False
+        self._left = 0  # calls of higher numbers have not left on this line
         self.heard_at = self.used_at = lines.loop.time()
 
     # --- asyncio's calls ---
@@ -107,6 +112,10 @@
         for frame in frames:
             if self.is_over:
                 return
+            if frame.is_reply and not self.has_left(frame.call):
+                log.warning("reply never asked for", peer=self.peer, step="read", call=frame.call)
+                self.end("it replies to what it was not asked")
+                return
             self._take(frame)
 
     def connection_lost(self, problem: Exception | None) -> None:
@@ -156,10 +165,18 @@
                 return True
         return False
 
+    def has_left(self, number: int) -> bool:
+        """Of a call on this line: whether it was handed to the transport. How much of it lies there, and in
+        the machine's buffers, when the line is lost is not known: it counts as read by the peer."""
+        return number <= self._left
+
     def _flush(self) -> None:
         self._flush_due = False
         if self._out and self._transport is not None and not self.is_over:
+            if self._transport.is_closing():
+                return  # it takes nothing more: what lies here never leaves
             out, self._out = self._out, []
+            self._left = self._lines.last_call
             self._transport.write(out[0] if len(out) == 1 else b"".join(out))
 
     def unsent(self) -> int:
@@ -169,7 +186,7 @@
         if self.is_over:
             return
         self.is_over = True
-        arrived = self.is_open
+        was_open = self.is_open
         self._lines.forget(self)
         if self._transport is not None:
             self._transport.abort()
@@ -178,7 +195,9 @@
         for call in calls.values():
             done, call.done = call.done, None
             if done is not None:
-                done(PeerError(step if arrived else "connect", self.peer, reason, arrived))
+                done(
+                    PeerError(step if was_open else "connect", self.peer, reason, self.has_left(call.number))
+                )
         for stop in serving.values():
             stop()
 
@@ -193,7 +212,7 @@
         """`handler` gets what comes in: the message, its line, and the number to respond to (0: none)."""
         self.loop = loop
         self.handler = handler
-        self._last_call = 0
+        self.last_call = 0  # numbers of calls only rise, on all lines together
         self._dialled: dict[tuple[str, str], Line] = {}  # by peer and lane
         self._taken: dict[Line, None] = {}
         self._resting: dict[str, float] = {}  # peers that were not reached: until when
@@ -264,9 +283,9 @@
             return PeerError("connect", peer, "it was not reached just now", False)
         if line.unsent() > MAX_UNSENT:
             return PeerError("write", peer, "too much lies unsent", False)
-        self._last_call += 1
-        written = line.write(Frame(self._last_call, False, message))
-        call = line.calls[self._last_call] = Call(line, self._last_call, done, written)
+        self.last_call += 1
+        written = line.write(Frame(self.last_call, False, message))
+        call = line.calls[self.last_call] = Call(line, self.last_call, done, written)
         return call
 
     def _sweep(self) -> None:
--- /dev/null
+++ b/stories/dataplane/test_way.py
@@ -0,0 +1,124 @@
+"""What callers are told of attempts whose line never came up, or broke."""
+
+import asyncio
+import random
+import time
+from unittest import mock
+
+from ward import each, test
+
+from cometdoor.budget.share import Share
+from cometdoor.configuration.document import Route
+from cometdoor.dataplane.throttle import Throttle
+from cometdoor.dataplane.way import Listed, Turn, Way, read
+from cometdoor.http.messages import ClientRequest
+from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.messages import Backend, Broke, Message, Ran
+from jasperhall.api import NEVER_RAN, Outcome
+from lab.loop import Process, VirtualLoop
+
+
+class Waiting:
+    """A caller, and what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def served(self, answer: Ran) -> None:
+        self.told.append(f"served {answer.status}")
+
+    def refused(self, retry_after_ms: float) -> None:
+        self.told.append("refused")
+
+    def failed(self) -> None:
+        self.told.append("failed")
+
+
+class Hop:
+    """A way at machine `a` to one backend, whose door is at machine `b` and answers by `reply`."""
+
+    def __init__(self, reply: Message | None = None) -> None:
+        self.loop = VirtualLoop()
+        self.came: list[Message] = []
+        self.reply = reply
+        here, there = Process("a", "caller"), Process("b", "door")
+        lines = Lines(self.loop, lambda message, line, number: None)
+        self.door = Lines(self.loop, self._receive)
+        self.loop.begin(there, lambda: self.door.listen("b", 1))
+        self.way = Way(
+            "tents",
+            self.loop,
+            lines,
+            Share(0.2, 10.0, 10.0, 0.0),
+            caller_service="",
+            budget_ratio=0.2,
+            span_s=10.0,
+            seed=1,
+        )
+        backend = Backend("i-1", "tents", "b:80", "v1", 4, "ready")
+        self.way.know([Listed(backend, "b:1")])
+        self._here = here
+
+    def _receive(self, message: Message, line: Line, number: int) -> None:
+        self.came.append(message)
+        if self.reply is not None:
+            line.respond(number, self.reply)
+
+    def ask(self, route_type: str, left_ms: float) -> Waiting:
+        caller = Waiting()
+        route = Route("r", "/", route_type, 2.0, service="tents")
+        request = ClientRequest(b"GET", b"/", [], trace=b"t1", left_ms=left_ms)
+        request.route = route
+        request.arrived_at = time.monotonic()
+
+        def take() -> None:
+            self.way.take(caller, request, route)
+
+        self.loop.begin(self._here, take)
+        return caller
+
+    def wait(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+@test("{kind}: an attempt whose time was up while its line was still dialled has not run")
+def _(kind: str = each("idempotent", "non_idempotent")) -> None:
+    hop = Hop()
+    with mock.patch.object(time, "monotonic", hop.loop.time):
+        hop.loop.cuts = {("a", "b"), ("b", "a")}
+        caller = hop.ask(kind, left_ms=400.0)
+        hop.wait(0.39)
+        hop.loop.cuts = set()
+        hop.wait(1.0)
+    assert caller.told == ["refused"] and not hop.came
+
+
+@test("{kind}: an attempt that left and was never answered may have run")
+def _(kind: str = each("idempotent", "non_idempotent")) -> None:
+    hop = Hop()
+    with mock.patch.object(time, "monotonic", hop.loop.time):
+        caller = hop.ask(kind, left_ms=400.0)
+        hop.wait(1.0)
+    assert caller.told == ["failed"] and hop.came
+
+
+@test("a caller that is told while a line is still dialled hears that nothing ran, {how}")
+def _(how: str = each("refused", "failed")) -> None:
+    loop = VirtualLoop()
+    loop.cuts = {("a", "b"), ("b", "a")}
+    lines = Lines(loop, lambda message, line, number: None)
+    caller = Waiting()
+    request = ClientRequest(b"GET", b"/", [], left_ms=400.0)
+    turn = Turn(caller, request, Throttle(random.Random(1)))
+    loop.begin(Process("a", "caller"), lambda: turn.calls.append(lines.call("b:1", Ran(0, [], b""), print)))  # type: ignore[arg-type]
+    turn.may_have_run = 1
+    loop.run_until_complete(asyncio.sleep(0.1))
+    turn.refused(0.0) if how == "refused" else turn.failed()
+    assert caller.told == ["refused"]
+    loop.run_until_complete(asyncio.sleep(1.0))
+
+
+@test("a broken attempt may have run, whatever outcome is said of it")
+def _(outcome: str = each("full", "cut", "moot", "connect_failed", "ok", "what", "reset")) -> None:
+    reading, answer = read(Broke(outcome, 0.5))
+    assert reading.outcome not in NEVER_RAN and reading.outcome is not Outcome.OK and answer is None
