Connections to backends: an answer belongs by its id, and what is unclear carries nothing more

Change (data path): `core/exchange_table.py` has what may be concluded from each event in each state, and whether the connection is used again; `http/upstream.py` looks its cells up. An answer is this request's if it bears its id alone; a Content-Encoding, a success without a seal or one that says it has not run makes it unclear: 502, closed. A connection never carries an id again that failed on it. A request written in part may have run (for the mesh; the older proxy's table stays). A request whose backend is silent two seconds past its time is ended, its slot free. A look at the health takes no answer that bears an attempt's id, and the look before is closed.

--- a/cometdoor/core/evidence.py
+++ b/cometdoor/core/evidence.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from jasperhall.api import NEVER_RAN, Outcome
@@ -82,9 +82,20 @@
 }
 
 
-def read(stage: Stage, end: End, kept: bool = False) -> Reading:
-    """KeyError: there is no such end at that stage."""
-    return (KEPT if kept else FRESH)[stage, end]
+# Where a server may begin on part of a request: all ends of a half-written one count as of a written one.
+MAY_RUN_HALF = {
+    (Stage.HALF, End.BROKEN): Outcome.RESET,
+    (Stage.HALF, End.CLOSED): Outcome.RESET,
+    (Stage.HALF, End.SILENT): Outcome.TIMEOUT,
+}
+
+
+def read(stage: Stage, end: End, kept: bool = False, half_may_run: bool = False) -> Reading:
+    """KeyError: there is no such end at that stage. `half_may_run`: part of a request may have run."""
+    reading = (KEPT if kept else FRESH)[stage, end]
+    if half_may_run and (outcome := MAY_RUN_HALF.get((stage, end))) is not None:
+        return replace(reading, outcome=outcome)
+    return reading
 
 
 def answered(outcome: Outcome) -> Reading:
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -14,7 +14,7 @@
 from cometdoor.core.words import read_address
 from cometdoor.dataplane.places import Job, Kind, Places
 from cometdoor.http.messages import end_to_end
-from cometdoor.http.upstream import Answer, Exchange, Pool
+from cometdoor.http.upstream import Answer, Belongs, Exchange, Pool
 from cometdoor.wire.lines import Line
 from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
 from jasperhall.api import Outcome
@@ -27,10 +27,15 @@
 # Between looks at the health of a backend that took no connection: it may be back before its next beat, and
 # one that is gone for good is not worth many looks.
 PROBE_S, PROBE_MOST_S = 0.3, 5.0
+# A backend stops work when the request's time is up and says so. One that has not by so much later never
+# will: some never answer what they can't queue, nor anything further on that connection.
+SILENT_PAST_MS = 2_000.0
+SILENT_LOOK_S = 1.0  # between looks for those, while any request is at work
 NOT_EXECUTED = b"cometdoor-not-executed"
 SEAL = b"cometdoor-response-seal"
 ATTEMPT = b"cometdoor-attempt-id"
 INSTANCE = b"cometdoor-instance-id"
+ENCODING = b"content-encoding"
 log = structlog.get_logger()
 
 
@@ -38,12 +43,37 @@
     return next((value for other, value in answer.headers if other.lower() == name), b"")
 
 
+def is_success(status: int) -> bool:
+    return 200 <= status < 300
+
+
+def belongs(answer: Answer, attempt_id: bytes) -> Belongs:
+    """Whether an answer is the one to this attempt. Every answer of a backend bears its request's id once.
+
+    What bears none could be anybody's; what is encoded is not the backend's body; a success without its seal,
+    or one that says that it has not run, proves neither.
+    """
+    ids = {value for name, value in answer.headers if name.lower() == ATTEMPT}
+    if len(ids) != 1:
+        return Belongs.UNCLEAR
+    if attempt_id not in ids:
+        return Belongs.ELSEWHERE
+    if field_of(answer, ENCODING):
+        return Belongs.UNCLEAR
+    if is_success(answer.status) and (field_of(answer, NOT_EXECUTED) or not field_of(answer, SEAL)):
+        return Belongs.UNCLEAR
+    return Belongs.HERE
+
+
+def belongs_to_nobody(answer: Answer) -> Belongs:
+    """Whether an answer is the one to a look at the health: what bears an attempt's id is that one's."""
+    return Belongs.ELSEWHERE if field_of(answer, ATTEMPT) else Belongs.HERE
+
+
 def judge(answer: Answer) -> Outcome:
-    """What a backend says it did not run has not run; a success without its seal is none."""
+    """What a backend says it did not run has not run."""
     if field_of(answer, NOT_EXECUTED) or answer.status == 421:
         return Outcome.FULL
-    if 200 <= answer.status < 300:
-        return Outcome.OK if field_of(answer, SEAL) else Outcome.ERROR
     return Outcome.OK if answer.status < 500 else Outcome.ERROR
 
 
@@ -75,9 +105,8 @@
         lines.append(run.body)
         return b"".join(lines)
 
-    def is_mine(self, answer: Answer) -> bool:
-        attempt = field_of(answer, ATTEMPT)
-        return not attempt or attempt == self.run.attempt_id
+    def whose(self, answer: Answer) -> Belongs:
+        return belongs(answer, self.run.attempt_id)
 
 
 class Door:
@@ -89,14 +118,16 @@
         self.places = Places()
         self._loop = loop
         self._drain_s = drain_s
-        self._pool = Pool(loop, descriptors, IDLE_CLOSE_MS, CONNECT_MS, judge)
+        self._pool = Pool(loop, descriptors, IDLE_CLOSE_MS, CONNECT_MS, judge, half_may_run=True)
         self._address: Address = ("", 0)
         self._visits: dict[int, Visit] = {}  # those that wait, by job
         self._at_work: dict[Visit, None] = {}
         self._look: asyncio.TimerHandle | None = None
+        self._silent_look: asyncio.TimerHandle | None = None  # while any is at work
         self._closes_at = 0.0  # while draining: what waits then is turned away
         self._probe: asyncio.TimerHandle | None = None
         self._probe_s = PROBE_S
+        self._probed: Exchange | None = None  # the last look
         self._opened = 0  # connections, at the last report
         self.is_closing = False
 
@@ -165,7 +196,10 @@
             self.health_path.encode(),
             backend.address.encode(),
         )
-        self._pool.send(backend.instance, self._address, Exchange(lambda: payload, told))
+        if self._probed is not None:
+            self._probed.abort()  # it was not answered until now
+        self._probed = Exchange(lambda: payload, told, whose=belongs_to_nobody)
+        self._pool.send(backend.instance, self._address, self._probed)
         self._probe_s = min(2 * self._probe_s, PROBE_MOST_S)
         self._ensure_probe()
 
@@ -226,8 +260,13 @@
         assert backend is not None
         self._at_work[visit] = None
         visit.exchange = Exchange(
-            visit.payload, lambda reading, answer: self._done(visit, reading, answer), accepts=visit.is_mine
+            visit.payload,
+            lambda reading, answer: self._done(visit, reading, answer),
+            whose=visit.whose,
+            id=visit.run.attempt_id,
         )
+        if self._silent_look is None:
+            self._silent_look = self._loop.call_later(SILENT_LOOK_S, self._end_silent)
         if not self._pool.send(backend.instance, self._address, visit.exchange):
             self._end_work(visit, whole=False)
             self._finish(visit, NotRun("no descriptor is free"))
@@ -235,11 +274,7 @@
     def _done(self, visit: Visit, reading: Reading, answer: Answer | None) -> None:
         outcome = reading.outcome
         self._end_work(visit, whole=outcome is Outcome.OK)
-        if (
-            answer is not None
-            and outcome in (Outcome.OK, Outcome.ERROR)
-            and (answer.status >= 300 or outcome is Outcome.OK)
-        ):
+        if answer is not None and outcome in (Outcome.OK, Outcome.ERROR):
             self._finish(visit, Ran(answer.status, end_to_end(answer.headers), answer.body))
         elif reading.never_ran:
             if outcome is Outcome.CONNECT_FAILED:
@@ -250,6 +285,20 @@
             self._finish(visit, Broke(outcome.value, reading.blame if reading.blame is not None else 0.5))
         self._next()
 
+    def _end_silent(self) -> None:
+        """Guards against slots that are lost for good: what its backend never answers, or answers in part."""
+        self._silent_look = None
+        due = now_ms() - SILENT_PAST_MS
+        for visit in [one for one in self._at_work if one.until_ms < due]:
+            log.warning("no answer", step="answer", peer=visit.run.instance, service=visit.run.service)
+            if visit.exchange is not None:
+                visit.exchange.abort()
+            self._end_work(visit, whole=False)
+            self._finish(visit, Broke(Outcome.TIMEOUT.value, 1.0))
+            self._next()
+        if self._at_work:
+            self._silent_look = self._loop.call_later(SILENT_LOOK_S, self._end_silent)
+
     def _called_off(self, visit: Visit) -> None:
         """Nobody waits for it any more."""
         if visit.is_over:
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -11,11 +11,13 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import cast
 
 import httptools
 
 from cometdoor.core.evidence import End, Reading, Stage, answered, read
+from cometdoor.core.exchange_table import KEEPS, BackendEvent, BackendState
 from cometdoor.core.host import Address
 from cometdoor.core.keeping import Keepings
 from cometdoor.core.shares import Places
@@ -40,6 +42,10 @@
 NEVER_RAN_STATUS = (503, 504)
 BODILESS = (204, 304)  # RFC 9112, 6.3: they end with the head, whatever it says
 REFUSALS = (429, 503)
+# A connection keeps so many ids of requests that it carried and that may come again; with more it is closed.
+MAX_CARRIED = 128
+NONE_CARRIED: set[bytes] = set()  # shared, never added to
+LINE_ENDS = b"\r\n"
 
 
 @dataclass(slots=True)
@@ -53,6 +59,14 @@
     """What comes is no answer that can be passed on. The request may have run."""
 
 
+class Belongs(Enum):
+    """Whose an answer is, where answers say whose they are."""
+
+    HERE = "here"  # to the request that waits
+    ELSEWHERE = "elsewhere"  # to another one, by its id: this one's own may follow
+    UNCLEAR = "unclear"  # it can't be told, or what it says can't be true
+
+
 Done = Callable[[Reading, Answer | None], None]
 
 
@@ -106,18 +120,21 @@
 class Exchange:
     """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
 
-    __slots__ = ("accepts", "connection", "done", "hold_s", "payload")
+    __slots__ = ("connection", "done", "hold_s", "id", "payload", "whose")
 
     def __init__(
         self,
         payload: Callable[[], bytes],
         done: Done,
         hold_s: float = 0.0,
-        accepts: Callable[[Answer], bool] | None = None,
+        whose: Callable[[Answer], Belongs] | None = None,
+        id: bytes = b"",
     ) -> None:
         """`hold_s`: for so long at most its last byte may be held back; 0: all is written at once.
-        `accepts`: whether an answer is this one's, where answers say whose they are; None: any is."""
-        self.accepts = accepts
+        `whose`: to whom an answer belongs, where answers say so; None: any is this one's. `id`: what they say
+        it by; no connection carries one id twice, so a late answer to the first can't be the second's."""
+        self.whose = whose
+        self.id = id
         self.payload = payload  # made when it is written: it says how much time is left then
         self.done = done
         self.hold_s = hold_s
@@ -157,6 +174,7 @@
         "_written_at",
         "_wrote",
         "address",
+        "carried",
         "closed",
         "exchange",
         "idle_since",
@@ -175,6 +193,7 @@
         self.idle_since = 0.0
         self.closed = False
         self.is_retired = False  # its backend leaves, has moved or started anew: it is not used again
+        self.carried: set[bytes] = NONE_CARRIED  # ids of requests that failed here and may come again
         self._transport: asyncio.Transport | None = None
         self._opening: asyncio.Task[None] | None = None
         self._kept_for_s = 0.0  # it was idle for so long before this request; 0: it is fresh
@@ -276,6 +295,12 @@
             return Stage.WRITTEN
         return Stage.HALF if self._wrote or self._last_byte is not None else Stage.OPEN
 
+    def state(self) -> BackendState:
+        """Once an answer is in; the table has a row for each."""
+        if not self._is_written():
+            return BackendState.HALF
+        return BackendState.AFTER_ANOTHERS if self._surplus else BackendState.WRITTEN
+
     def _is_written(self) -> bool:
         return self._wrote and not self._paused
 
@@ -295,7 +320,7 @@
         self._raw_size += len(data)
         self.pool.held_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._answer is None:
                 self._end(End.TOO_LONG if self._too_long else End.SPOILT)
@@ -310,6 +335,17 @@
         elif self.timer is None:
             self.timer = self.pool.loop.call_later(ANSWER_S, self._stalled)
 
+    def _feed(self, data: bytes) -> None:
+        """The parser passes over line ends behind an answer without a word: the last one is fed by itself."""
+        assert self._parser is not None
+        if len(data) > 1 and data[-1] in LINE_ENDS:
+            self._parser.feed_data(data[:-1])
+            if self._answer is not None:
+                self._reusable = False
+                return
+            data = data[-1:]
+        self._parser.feed_data(data)
+
     def _stalled(self) -> None:
         """Guards against an answer that never ends. What came while the loop was busy is read first."""
         self.timer = self.pool.loop.call_later(REST_S, self._spoilt)
@@ -375,12 +411,16 @@
             return
         answer = Answer(status, self._headers, b"".join(self._body))
         exchange = self.exchange
-        if exchange is not None and exchange.accepts is not None and not exchange.accepts(answer):
-            # A surplus answer to an earlier request, late: this one's own may follow.
-            self._in_answer, self._size, self._surplus = False, 0, True
-            return
+        if exchange is not None and exchange.whose is not None:
+            belongs = exchange.whose(answer)
+            if belongs is Belongs.UNCLEAR:
+                raise BadAnswer("it can't be told whose it is")
+            if belongs is Belongs.ELSEWHERE:
+                # A surplus answer to an earlier request, late: this one's own may follow.
+                self._in_answer, self._size, self._surplus = False, 0, True
+                return
         self._answer = answer
-        self._reusable = self._parser.should_keep_alive() and not self._surplus
+        self._reusable = self._parser.should_keep_alive()
 
     def eof_received(self) -> None:
         self._broken(End.CLOSED)
@@ -398,7 +438,7 @@
         may have."""
         reading = Reading(Outcome.MOOT)  # nobody waits: what is said of it is heard by nobody
         if self.exchange is not None:
-            reading = read(self.stage(), end, kept=self._kept_for_s > 0.0)
+            reading = read(self.stage(), end, self._kept_for_s > 0.0, self.pool.half_may_run)
         self._finish(reading)
 
     def _finish(self, reading: Reading, answer: Answer | None = None) -> None:
@@ -415,13 +455,9 @@
         self._forget_last_byte()
         self._let_go()
         self._headers, self._body, self._answer = [], [], None
-        if (
-            answer is not None
-            and self._reusable
-            and self._is_written()
-            and not self.closed
-            and not self.is_retired
-        ):
+        if exchange is not None and exchange.id and reading.outcome is not Outcome.OK:
+            self.carried = self.carried | {exchange.id}
+        if answer is not None and self._may_be_kept(reading):
             self._wrote = False
             self.pool.keep(self)
         else:
@@ -430,6 +466,19 @@
             exchange.connection = None
             exchange.done(reading, answer)
 
+    def _may_be_kept(self, reading: Reading) -> bool:
+        """After a whole answer, by the table."""
+        if not self._reusable:
+            event = BackendEvent.ANSWERED_WITH_MORE
+        else:
+            event = BackendEvent.TURNED_AWAY if reading.never_ran else BackendEvent.ANSWERED
+        return (
+            (self.state(), event) in KEEPS
+            and not self.closed
+            and not self.is_retired
+            and len(self.carried) <= MAX_CARRIED
+        )
+
     # --- end ---
 
     def _forget_last_byte(self) -> None:
@@ -475,8 +524,11 @@
         connect_timeout_ms: float,
         outcome_of: Callable[[Answer], Outcome] = outcome_of,
         behind: Callable[[], int] = lambda: 0,
+        half_may_run: bool = False,
     ) -> None:
-        """`behind`: bytes of answers that callers have not read yet."""
+        """`behind`: bytes of answers that callers have not read yet. `half_may_run`: what was written in part
+        counts as one that may have run."""
+        self.half_may_run = half_may_run
         self.loop = loop
         self.outcome_of = outcome_of
         self.most: int | None = None  # connections that may be open at once, beside what `places` allow
@@ -496,7 +548,7 @@
 
     def send(self, server: str, address: Address, exchange: Exchange) -> bool:
         """False: no connection may be opened, and no byte will be written."""
-        if kept := self._take_kept(server, once=exchange.hold_s > 0.0):
+        if kept := self._take_kept(server, once=exchange.hold_s > 0.0, id=exchange.id):
             kept.start(exchange)
             return True
         if not self._take_place():
@@ -519,12 +571,13 @@
     def held(self) -> int:
         return self.held_bytes + self._behind()
 
-    def _take_kept(self, server: str, once: bool) -> Connection | None:
+    def _take_kept(self, server: str, once: bool, id: bytes) -> Connection | None:
         """Guards against a stray behind an answer that would be taken for the next request's. `once`: the
-        call may not be made again, should the connection have ended unseen."""
+        call may not be made again, should the connection have ended unseen. `id`: the request's; a connection
+        that carried it before is not its."""
         rested = self.loop.time() - REST_S
         for connection in reversed(list(self._idle.get(server, ()))):
-            if connection.idle_since > rested:
+            if connection.idle_since > rested or (connection.carried and id in connection.carried):
                 continue
             if connection.has_strays():
                 connection.abort()
