--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -18,6 +18,7 @@
 from cometdoor.budget.pool import Pool
 from cometdoor.control.replica import Replica
 from cometdoor.control.roles import Role
+from cometdoor.control.snapshots import is_due
 from cometdoor.control.state_machine import StateMachine, Verdict
 from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
 from cometdoor.wire.lines import Line, Lines
@@ -37,6 +38,8 @@
     Leave,
     Member,
     Message,
+    Part,
+    PartTaken,
     Passed,
     Refusal,
     SharesAre,
@@ -49,8 +52,6 @@
 RETRY_WRITE_S = 0.2
 JOIN_EVERY_S = 0.3
 LEADERLESS_S = 1.5  # a member that heard no leader for so long may have been taken out: it asks to join
-COMPACT_BYTES = 24 << 20  # a tenth of the disk: two files of that size lie there for a moment
-COMPACT_ENTRIES = 20_000
 log = structlog.get_logger()
 
 Waiter = Callable[[Verdict | None], None]  # None: what became of it is not known here
@@ -95,7 +96,7 @@
         found = self.log_file.open()
         if found.is_damaged:
             log.error("the disk lost what it had promised: it counts as empty", step="open", peer=str(folder))
-            self.log_file.clear()
+            # It is there until the new file is: else one before it, older still, could come back.
             found = type(found)()
         fresh = not found.held.id
         if fresh:
@@ -174,7 +175,18 @@
 
     def receive(self, message: Message, line: Line, number: int) -> bool:
         match message:
-            case AskVote() | Vote() | Append() | Appended() | Install() | TakeOver() | Join() | Leave():
+            case (
+                AskVote()
+                | Vote()
+                | Append()
+                | Appended()
+                | Install()
+                | Part()
+                | PartTaken()
+                | TakeOver()
+                | Join()
+                | Leave()
+            ):
                 self.replica.receive(message, self._loop.time())
                 self._wake()
             case AskLeader():
@@ -323,11 +335,12 @@
         if not writes:
             return
         self._writing = True
-        if self.log_file.size > COMPACT_BYTES or len(self.replica.log.entries) > COMPACT_ENTRIES:
+        log_file, replica = self.log_file, self.replica
+        if is_due(log_file.size, log_file.begun_size, replica.applied - replica.log.snapshot_index):
             # All that stands, the new writes too, begins a new file.
-            work = partial(self.log_file.begin, self.replica.compact())
+            work = partial(log_file.begin, replica.compact())
         else:
-            work = partial(self.log_file.put, writes)
+            work = partial(log_file.put, writes)
         self._put(work, len(writes))
 
     def _put(self, work: Callable[[], None], count: int) -> None:
--- a/cometdoor/control/log.py
+++ b/cometdoor/control/log.py
@@ -1,11 +1,27 @@
-"""A replica's log in memory: a snapshot, and the entries after it. No I/O."""
+"""A replica's log in memory: a snapshot, the entries after it, and some that the snapshot covers. No I/O."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
 from cometdoor.control.durable import Snapshot
-from cometdoor.wire.messages import Entry, Member, Members
+from cometdoor.wire.messages import Claim, Configure, Entry, Member, Members
+
+ENTRY_OVERHEAD = 64  # bytes: index, term, tag and lengths
+MEMBER_BYTES = 128  # an upper bound
+
+
+def entry_bytes(entry: Entry) -> int:
+    """About how long the entry is when encoded; never much less than it is."""
+    match entry.change:
+        case Configure(body=body):
+            return ENTRY_OVERHEAD + len(body)
+        case Claim() as claim:
+            texts = claim.key, claim.claim, claim.holder, claim.instead
+            return ENTRY_OVERHEAD + sum(map(len, texts))
+        case Members(members=members):
+            return ENTRY_OVERHEAD + MEMBER_BYTES * len(members)
+    return ENTRY_OVERHEAD
 
 
 def is_membership(entry: Entry) -> bool:
@@ -14,22 +30,29 @@
 
 
 class Log:
-    """Indices count from 1; `base` is the last index that only the snapshot covers (0 without one)."""
+    """Indices count from 1; `base` is the last index that only the snapshot covers (0 without one).
+
+    Entries in (base, snapshot_index] are in the snapshot too. They are kept in memory alone, for followers
+    that lack only a few; a restarted replica has none of them.
+    """
 
     def __init__(self, snapshot: Snapshot | None, entries: Sequence[Entry]) -> None:
         self.snapshot = snapshot
         self.entries = list(entries)
+        self.base = self.snapshot_index
+        self._base_term = snapshot.last_term if snapshot else 0
         self.members: tuple[Member, ...] = ()  # of the newest configuration of the group, committed or not
         self._find_members()
 
     def copy(self) -> Log:
         """Independent of this one; entries and snapshots are immutable and shared."""
         other = Log.__new__(Log)
-        other.snapshot, other.entries, other.members = self.snapshot, self.entries.copy(), self.members
+        vars(other).update(vars(self))
+        other.entries = self.entries.copy()
         return other
 
     @property
-    def base(self) -> int:
+    def snapshot_index(self) -> int:
         return self.snapshot.last_index if self.snapshot else 0
 
     @property
@@ -43,7 +66,7 @@
     def term_at(self, index: int) -> int | None:
         """None: the log has no such entry, or it lies inside the snapshot."""
         if index == self.base:
-            return self.snapshot.last_term if self.snapshot else 0
+            return self._base_term
         place = index - self.base - 1
         return self.entries[place].term if 0 <= place < len(self.entries) else None
 
@@ -51,10 +74,19 @@
         """IndexError: it is not here."""
         return self.entries[index - self.base - 1]
 
-    def after(self, index: int, limit: int | None = None) -> list[Entry]:
-        """Entries behind that index, which must not lie before `base`."""
+    def after(self, index: int, limit: int | None = None, limit_bytes: int | None = None) -> list[Entry]:
+        """Entries behind that index, which must not lie before `base`. With limits as many as both allow, but
+        at least one if there is one."""
         place = index - self.base
-        return self.entries[place : None if limit is None else place + limit]
+        entries = self.entries[place : None if limit is None else place + limit]
+        if limit_bytes is None:
+            return entries
+        size = 0
+        for count, entry in enumerate(entries):
+            size += entry_bytes(entry)
+            if size > limit_bytes and count:
+                return entries[:count]
+        return entries
 
     def append(self, entry: Entry) -> None:
         self.entries.append(entry)
@@ -71,19 +103,31 @@
         agrees = self.term_at(snapshot.last_index) == snapshot.last_term
         self.entries = [entry for entry in self.entries if agrees and entry.index > snapshot.last_index]
         self.snapshot = snapshot
+        self.base, self._base_term = snapshot.last_index, snapshot.last_term
         self._find_members()
 
-    def compact(self, index: int, state: bytes) -> None:
-        """Entries up to `index` go into a snapshot whose state machine is `state`."""
+    def compact(self, index: int, state: bytes, retain_bytes: int = 0) -> None:
+        """Entries up to `index` go into a snapshot whose state machine is `state`; the newest of them stay in
+        memory too, as far as `retain_bytes` go."""
         term = self.term_at(index)
         assert term is not None
-        dropped = self.entries[: index - self.base]
+        covered = self.entries[: index - self.base]
         members = self.snapshot.members if self.snapshot else ()
-        for entry in dropped:
+        for entry in covered:
             if isinstance(entry.change, Members):
                 members = entry.change.members
-        self.entries = self.entries[index - self.base :]
         self.snapshot = Snapshot(index, term, members, state)
+        self._drop(len(covered) - _count_within(covered, retain_bytes))
+
+    def entries_after_snapshot(self) -> list[Entry]:
+        """Those that a disk must hold beside the snapshot."""
+        return self.after(self.snapshot_index)
+
+    def _drop(self, count: int) -> None:
+        if count:
+            last = self.entries[count - 1]
+            self.base, self._base_term = last.index, last.term
+            self.entries = self.entries[count:]
 
     def _find_members(self) -> None:
         for entry in reversed(self.entries):
@@ -91,3 +135,13 @@
                 self.members = entry.change.members
                 return
         self.members = self.snapshot.members if self.snapshot else ()
+
+
+def _count_within(entries: Sequence[Entry], limit_bytes: int) -> int:
+    """How many of the last entries are no longer than that together."""
+    size = 0
+    for count, entry in enumerate(reversed(entries)):
+        size += entry_bytes(entry)
+        if size > limit_bytes:
+            return count
+    return len(entries)
--- a/cometdoor/control/replica.py
+++ b/cometdoor/control/replica.py
@@ -5,7 +5,7 @@
 address: an empty disk is a stranger, which neither votes nor counts until the members have taken it in
 (docs/design/mesh.md).
 
-`elections`, `replication`, `membership` and `snapshots` hold the parts of the protocol; `log` and `storage`
+`elections`, `replication`, `membership`, `snapshots` and `parts` hold the protocol; `log` and `storage`
 what they work on. Whoever drives the replica calls `tick` often, `receive` with what comes, takes what is to
 be written with `take_writes`, says with `written` when it is on disk, and sends what lies in `outbox`. No
 promise leaves before the write that it rests on.
@@ -20,6 +20,7 @@
 from cometdoor.control.elections import ELECTION_MOST_S, Elections
 from cometdoor.control.log import Log
 from cometdoor.control.membership import Membership
+from cometdoor.control.parts import Parts
 from cometdoor.control.replication import HEARTBEAT_S, NEVER, QUORUM_S, Replication
 from cometdoor.control.roles import Role
 from cometdoor.control.snapshots import Snapshots
@@ -36,6 +37,8 @@
     Member,
     Members,
     Noop,
+    Part,
+    PartTaken,
     TakeOver,
     Vote,
 )
@@ -66,6 +69,7 @@
         self.replication = Replication(self)
         self.membership = Membership(self)
         self.snapshots = Snapshots(self)
+        self.parts = Parts(self)
         self._first_of_term = 0  # the index of this term's first entry, while this one leads
         self._handed_over_at = NEVER
 
@@ -78,6 +82,7 @@
         other.replication = self.replication.copy_for(other)
         other.membership = self.membership.copy_for(other)
         other.snapshots = self.snapshots.copy_for(other)
+        other.parts = self.parts.copy_for(other)
         return other
 
     # --- members ---
@@ -153,6 +158,7 @@
         """A majority has voted for this one."""
         self.role, self.leader = Role.LEADER, self.me.id
         self.replication.begin_term()
+        self.parts.begin_term()
         self.membership.begin_term()
         self._handed_over_at = NEVER
         self._first_of_term = self.propose(Noop())
@@ -258,6 +264,10 @@
                 self.replication.on_appended(message)
             case Install():
                 self.snapshots.on_install(message)
+            case Part():
+                self.parts.on_part(message)
+            case PartTaken():
+                self.parts.on_taken(message)
             case TakeOver():
                 self.elections.on_take_over(message)
             case Join():
--- a/cometdoor/control/replication.py
+++ b/cometdoor/control/replication.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from cometdoor.control.durable import LogEntries
+from cometdoor.control.log import entry_bytes
+from cometdoor.control.parts import Whole, is_large, whole_of
 from cometdoor.control.roles import Role
 from cometdoor.wire.messages import Append, Appended, Entry, Member
 
@@ -17,6 +19,7 @@
 QUORUM_S = 1.0  # a leader that heard no majority for so long steps down
 RESEND_S = 0.25  # an append without an answer is taken for lost
 MAX_ENTRIES = 400  # in one append
+MAX_APPEND_BYTES = 1 << 20  # of entries in one append that has more than one
 NEVER = -1e9
 
 
@@ -40,6 +43,8 @@
         self.progress: dict[str, Progress] = {}  # by the follower's id
         self.round = 0  # of heartbeats
         self._heartbeat_at = 0.0
+        self._last_whole: Whole | None = None  # an append in parts, which several followers may need
+        self._last_whole_key = (0, 0, 0)  # its term, the index before it, its last index
 
     def copy_for(self, replica: Replica) -> Replication:
         """The same state as part of another replica."""
@@ -89,27 +94,43 @@
         """A heartbeat to all, which begins a new round."""
         self.round += 1
         self._heartbeat_at = self._replica.now + HEARTBEAT_S
+        self._replica.parts.keep_only(self._replica.other_members())
         for member in self._replica.other_members():
             self.append_to(member, heartbeat=True)
 
     def append_to(self, member: Member, heartbeat: bool = False) -> None:
         replica, log = self._replica, self._replica.log
         progress = self.follow(member, log.last_index + 1)
-        is_free = not progress.has_append_under_way(replica.now)
+        is_in_parts = replica.parts.is_sending_to(member.id)
+        if is_in_parts:
+            replica.parts.go_on(member)
+        is_free = not is_in_parts and not progress.has_append_under_way(replica.now)
         if not heartbeat and (not is_free or progress.next > log.last_index):
             return
-        if is_free and progress.next <= log.base:
+        if is_free and progress.next <= log.base and replica.parts.takes_parts(member.id) is not None:
             replica.snapshots.send_to(member, progress)
-            return
+            if not heartbeat:
+                return
+            is_free = False
         previous = progress.next - 1
         previous_term = log.term_at(previous)
         entries: list[Entry] = []
-        if previous_term is None:  # it is being sent the snapshot
+        if previous_term is None:  # it is being sent the snapshot, or is about to be
             previous, previous_term = log.base, log.term_at(log.base) or 0
         elif is_free and progress.next <= log.last_index:
-            entries = log.after(previous, MAX_ENTRIES)
-            progress.sent_at = replica.now
-        append = Append(
+            entries = log.after(previous, MAX_ENTRIES, MAX_APPEND_BYTES)
+            if self._go_in_parts(member, entries):
+                replica.parts.send_to(member, self._whole_append(previous, previous_term, entries))
+                if not heartbeat:
+                    return
+                entries = []
+            else:
+                progress.sent_at = replica.now
+        replica.send(member.address, self._append(previous, previous_term, entries, self.round))
+
+    def _append(self, previous: int, previous_term: int, entries: list[Entry], round: int) -> Append:
+        replica = self._replica
+        return Append(
             replica.term,
             replica.me.id,
             replica.me.address,
@@ -117,9 +138,21 @@
             previous_term,
             entries,
             replica.committed,
-            self.round,
+            round,
         )
-        replica.send(member.address, append)
+
+    def _go_in_parts(self, member: Member, entries: list[Entry]) -> bool:
+        takes_parts = self._replica.parts.takes_parts(member.id)
+        return bool(takes_parts) and is_large(sum(map(entry_bytes, entries)))
+
+    def _whole_append(self, previous: int, previous_term: int, entries: list[Entry]) -> Whole:
+        """Encoded once for all followers that are equally far."""
+        last = entries[-1]
+        key = self._replica.term, previous, last.index
+        if self._last_whole is None or self._last_whole_key != key:
+            append = self._append(previous, previous_term, entries, round=0)
+            self._last_whole, self._last_whole_key = whole_of(append, last.index, last.term), key
+        return self._last_whole
 
     def on_appended(self, appended: Appended) -> None:
         replica = self._replica
@@ -131,6 +164,8 @@
             return
         progress.heard_at = replica.now
         progress.round = max(progress.round, appended.round)
+        replica.parts.learn(appended.follower, appended.takes_parts)
+        replica.parts.on_appended(appended.follower, appended.success, appended.index)
         if appended.success:
             if appended.index >= progress.next or appended.index > progress.match:
                 progress.sent_at = NEVER
@@ -213,5 +248,5 @@
 
     def answer(self, address: str, success: bool, index: int, round: int, after_writes: bool = False) -> None:
         replica = self._replica
-        appended = Appended(replica.term, replica.me.id, success, index, round)
+        appended = Appended(replica.term, replica.me.id, success, index, round, takes_parts=True)
         replica.send(address, appended, after_writes)
--- a/cometdoor/control/snapshots.py
+++ b/cometdoor/control/snapshots.py
@@ -1,4 +1,8 @@
-"""Snapshots: compacting a replica's own log, and sending the state to a follower that is too far behind."""
+"""Snapshots: compacting a replica's own log, and sending the state to a follower that is too far behind.
+
+A snapshot goes in parts (see `parts`) and stays the one that was begun, also when the leader compacts its log
+meanwhile. The follower takes it at once when all of it is there, and tells so once it is on its disk.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,7 @@
     Record,
     Snapshot,
 )
+from cometdoor.control.parts import Whole, whole_of
 from cometdoor.control.replication import RESEND_S, Progress
 from cometdoor.wire.messages import Install, Member
 
@@ -21,12 +26,29 @@
     from cometdoor.control.replica import Replica
 
 INSTALL_S = 4 * RESEND_S  # added to the time after which an unanswered snapshot is sent again: it is large
+# A new file is begun once so much was written since the last one, and so many times what that began with: the
+# snapshot is written again each time. At the most, with 8 MB of configuration, two files of 40 MB lie there.
+COMPACT_BYTES = 8 << 20
+COMPACT_TIMES = 3
+COMPACT_ENTRIES = 20_000  # applied since the snapshot
+# Entries that the snapshot covers, kept for followers that were away for a moment.
+RETAIN_BYTES = 4 << 20
+# While a snapshot is on its way: what comes meanwhile follows it as entries.
+RETAIN_FOR_SNAPSHOT_BYTES = 16 << 20
+
+
+def is_due(file_bytes: int, begun_bytes: int, applied_since: int) -> bool:
+    """Whether the log is to be compacted; `begun_bytes`: of the file's first value."""
+    written = file_bytes - begun_bytes
+    return written > max(COMPACT_BYTES, COMPACT_TIMES * begun_bytes) or applied_since > COMPACT_ENTRIES
 
 
 class Snapshots:
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self.installed: Snapshot | None = None  # a leader's, for the driver to load into the state machine
+        self._whole: Whole | None = None  # the log's snapshot, as it goes to followers in a term
+        self._whole_key = (0, 0)  # that term and the snapshot's last index
 
     def copy_for(self, replica: Replica) -> Snapshots:
         """The same state as part of another replica."""
@@ -38,20 +60,36 @@
     # --- the leader ---
 
     def send_to(self, member: Member, progress: Progress) -> None:
+        replica = self._replica
+        if replica.parts.takes_parts(member.id):
+            replica.parts.send_to(member, self._encoded())
+            return
+        progress.sent_at = replica.now + INSTALL_S
+        replica.send(member.address, self._install(replica.replication.round))
+
+    def _install(self, round: int) -> Install:
         replica = self._replica
         snapshot = replica.log.snapshot
         assert snapshot is not None
-        progress.sent_at = replica.now + INSTALL_S
-        install = Install(
+        return Install(
             replica.term,
             replica.me.id,
             replica.me.address,
             snapshot.last_index,
             snapshot.last_term,
             msgspec.msgpack.encode(snapshot),
-            replica.replication.round,
+            round,
         )
-        replica.send(member.address, install)
+
+    def _encoded(self) -> Whole:
+        """Once for all followers."""
+        replica = self._replica
+        key = replica.term, replica.log.snapshot_index
+        if self._whole is None or self._whole_key != key:
+            install = self._install(round=0)
+            self._whole = whole_of(install, install.last_index, install.last_term)
+            self._whole_key = key
+        return self._whole
 
     # --- followers ---
 
@@ -68,26 +106,30 @@
 
     def _take(self, snapshot: Snapshot) -> None:
         replica = self._replica
+        agreed = replica.committed
         replica.log.install(snapshot)
         self.installed = snapshot
         replica.committed = snapshot.last_index
         records: list[Record] = [msgspec.structs.replace(snapshot, alone=True)]
         if replica.log.entries:
             records.append(LogEntries(list(replica.log.entries)))
-        replica.storage.replace_log(*records, last_index=replica.log.last_index)
+        replica.storage.replace_log(*records, last_index=replica.log.last_index, agreed=agreed)
 
     # --- compaction ---
 
     def compact(self) -> list[Record]:
         """Forget what is applied; returns all that a fresh file must begin with, in order."""
         replica, log = self._replica, self._replica.log
-        if replica.applied > log.base:
-            log.compact(replica.applied, replica.state_of())
+        if replica.applied > log.snapshot_index:
+            is_sending = replica.parts.is_sending_snapshot()
+            retained = RETAIN_FOR_SNAPSHOT_BYTES if is_sending else RETAIN_BYTES
+            log.compact(replica.applied, replica.state_of(), retained)
+            self._whole = None
         records: list[Record] = [Identity(replica.me.id), HardState(replica.term, replica.voted_for)]
         if log.snapshot is not None:
             records.append(log.snapshot)
-        if log.entries:
-            records.append(LogEntries(list(log.entries)))
-        if replica.committed > log.base:
+        if entries := log.entries_after_snapshot():
+            records.append(LogEntries(entries))
+        if replica.committed > log.snapshot_index:
             records.append(CommitIndex(replica.committed))
         return records
--- a/cometdoor/control/storage.py
+++ b/cometdoor/control/storage.py
@@ -73,9 +73,11 @@
         if any(isinstance(record, LogEntries) for record in records):
             self._marks.append(LogMark(self._requested, last_index))
 
-    def replace_log(self, *records: Record, last_index: int) -> None:
-        """As `add`, where the records begin the log anew: earlier marks mean nothing any more."""
+    def replace_log(self, *records: Record, last_index: int, agreed: int) -> None:
+        """As `add`, where the records begin the log anew: earlier marks mean nothing any more. Until they are
+        on disk, what lies there counts up to `agreed` only: up to where the old log is like the new one."""
         self._marks.clear()
+        self.durable_index = min(self.durable_index, agreed)
         self._pending += records
         self._requested += len(records)
         self._marks.append(LogMark(self._requested, last_index))
--- a/cometdoor/control/write_ahead_log.py
+++ b/cometdoor/control/write_ahead_log.py
@@ -10,8 +10,13 @@
 - a missing number that a later value says was on disk when it was written: the disk has lost what was
   promised (a flipped bit, a lost block). Then the disk counts as empty, and its owner as a stranger.
 
-A file is written to by one life only. The next one begins with all that stands in its first value, and older
-files go once that is on disk.
+A file is written to by one life only. The next one begins with all that stands in its first value. A loss of
+power may keep or lose each name that was made or removed without a sync of the folder, by itself. So the
+folder is synced twice: before older files go, so that one of the two is there whatever is lost; and after, so
+that none of them comes back once anybody was told of what only the new one holds.
+
+A write that failed is cut off again before the next try, and a file whose beginning failed is removed: tries
+that fail for hours take no room.
 """
 
 from __future__ import annotations
@@ -20,7 +25,8 @@
 import os
 import struct
 import zlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -127,6 +133,36 @@
     return Found(), newest
 
 
+# --- what is asked of the disk; simulated losses of power take these calls' place (lab/power_loss.py) ---
+
+
+def _with_descriptor(path: Path, flags: int, call: Callable[[int], None]) -> None:
+    descriptor = os.open(path, flags)
+    try:
+        call(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def sync_file(path: Path) -> None:
+    _with_descriptor(path, os.O_RDWR, os.fsync)
+
+
+def sync_folder(folder: Path) -> None:
+    """All names in it as they are now last."""
+    _with_descriptor(folder, os.O_RDONLY | os.O_DIRECTORY, os.fsync)
+
+
+def cut_file(path: Path, size: int) -> None:
+    _with_descriptor(path, os.O_RDWR, lambda descriptor: os.ftruncate(descriptor, size))
+
+
+def remove_file(path: Path) -> None:
+    """With the index beside it."""
+    for one in (path, path.with_suffix(".dir"), path.with_suffix(".bak")):
+        one.unlink(missing_ok=True)
+
+
 class WriteAheadLog:
     """The file of this life. All methods block; they run on a thread of their own, one at a time."""
 
@@ -135,7 +171,9 @@
         self._db: Any = None
         self._path = folder
         self._file = self._number = self._synced = self._tries = 0
-        self.size = 0
+        self._begun_with: Sequence[Record] | None = None  # while older files are still there
+        self.size = 0  # bytes of the file that count
+        self.begun_size = 0  # of its first value
 
     def open(self) -> Found:
         """Raises DiskError."""
@@ -147,25 +185,44 @@
         return found
 
     def begin(self, writes: Sequence[Record]) -> None:
-        """A new file that begins with all that stands; older ones go. Raises DiskError."""
-        number = self._file + 1
-        self._file = number
-        path = self.folder / f"{NAME}{number:06d}"
+        """A new file that begins with all that stands; older ones go.
+
+        Raises DiskError: then it is to be tried again with the same records, and nothing else is to be put
+        before it has succeeded.
+        """
+        try:
+            if self._begun_with is not writes:
+                self._begin_file(writes)
+                self._begun_with = writes
+            sync_folder(self.folder)
+            self._drop_older(self._file)
+            sync_folder(self.folder)
+            self._begun_with = None
+        except OSError as problem:
+            raise DiskError("begin", str(self._path), problem.strerror or str(problem)) from problem
+
+    def _begin_file(self, writes: Sequence[Record]) -> None:
+        self._file += 1
+        path = self.folder / f"{NAME}{self._file:06d}"
+        self._path = path.with_suffix(".dat")
+        self.size = self.begun_size = self._number = self._synced = 0
         try:
             self.close()  # else its index is written when it is collected, after its file has gone
             self._db = dbm.dumb.open(str(path), "n")  # noqa: SIM115 - it stays open for this life
-            self._path = path.with_suffix(".dat")
-            self._number = self._synced = self.size = 0
             self._put(writes)
-            self._drop_older(number)
-        except OSError as problem:
-            raise DiskError("begin", str(path), problem.strerror or str(problem)) from problem
+        except OSError:
+            with suppress(OSError):
+                self.close()
+            with suppress(OSError):
+                remove_file(self._path)
+            raise
+        self.begun_size = self.size
 
     def close(self) -> None:
         """Nothing rests on it: what was put is on disk. Raises OSError."""
         if self._db is not None:
-            self._db.close()
-            self._db = None
+            db, self._db = self._db, None
+            db.close()
 
     def put(self, writes: Sequence[Record]) -> None:
         """On disk when it returns. Raises DiskError: then it may be or not, and may be tried again."""
@@ -177,13 +234,11 @@
     def _put(self, writes: Sequence[Record]) -> None:
         self._tries += 1
         value = pack(self._number + 1, self._synced, writes)
-        # A key of its own for each try: an old one would be overwritten in place.
+        if self._path.stat().st_size > self.size:
+            cut_file(self._path, self.size)  # of a try that failed
+        # A key of its own for each try: an old one would be overwritten where it lies.
         self._db[f"{self._number + 1}.{self._tries}"] = value
-        descriptor = os.open(self._path, os.O_RDWR)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        sync_file(self._path)
         self._number += 1
         self._synced = self._number
         self.size += -(-len(value) // BLOCK) * BLOCK
@@ -191,12 +246,4 @@
     def _drop_older(self, newest: int) -> None:
         for number, path in files(self.folder):
             if number < newest:
-                for one in (path, path.with_suffix(".dir"), path.with_suffix(".bak")):
-                    one.unlink(missing_ok=True)
-
-    def clear(self) -> None:
-        """All that is there goes: it has lost what it had promised. Raises DiskError."""
-        try:
-            self._drop_older(self._file + 1)
-        except OSError as problem:
-            raise DiskError("clear", str(self.folder), problem.strerror or str(problem)) from problem
+                remove_file(path)
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -246,6 +246,7 @@
     success: bool
     index: int  # of the last entry that is on its disk; on failure: from where it may be tried again
     round: int
+    takes_parts: bool = False  # it knows `Part`; processes of earlier builds don't
 
 
 class Install(msgspec.Struct, tag="is", array_like=True):
@@ -258,6 +259,27 @@
     round: int
 
 
+class Part(msgspec.Struct, tag="pt", array_like=True):
+    """A piece of an `Append` or `Install` that is too large to go at once between two heartbeats."""
+
+    term: int
+    leader: str
+    address: str
+    digest: bytes  # SHA-256 of the whole
+    size: int  # of the whole, bytes
+    offset: int
+    data: bytes
+
+
+class PartTaken(msgspec.Struct, tag="pk", array_like=True):
+    """How much of that whole the follower holds now."""
+
+    term: int
+    follower: str
+    digest: bytes
+    held: int  # bytes, from the beginning on
+
+
 class TakeOver(msgspec.Struct, tag="to", array_like=True):
     """The leader's last word: the named one stands for election at once."""
 
@@ -355,6 +377,8 @@
     | Append
     | Appended
     | Install
+    | Part
+    | PartTaken
     | TakeOver
     | Join
     | Leave
--- a/lab/replica_group.py
+++ b/lab/replica_group.py
@@ -10,6 +10,7 @@
 
 import random
 import sys
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -44,6 +45,11 @@
     numbers: int = 0
     wiped: int = 0
 
+    def begin(self, writes: list[Record]) -> None:
+        """A new file in place of the one before, as `WriteAheadLog.begin`."""
+        self.data, self.numbers = b"", 0
+        self.put(writes)
+
     def put(self, writes: list[Record]) -> None:
         self.numbers += 1
         value = pack(self.numbers, self.numbers - 1, writes)
@@ -56,13 +62,41 @@
         return found.held
 
 
+@dataclass
+class Batch:
+    """On its way to a disk."""
+
+    due: float
+    records: list[Record]
+    count: int  # of the replica's records that it covers
+    begins: bool = False  # a new file
+
+
+@dataclass
+class Links:
+    """Between any two machines, in each direction: bytes wait for those before them."""
+
+    bytes_per_s: float
+    delay_s: float
+    carried: int = 0  # bytes
+    longest_wait_s: float = 0.0  # of any message behind others
+    _free_at: dict[tuple[int, int], float] = field(default_factory=lambda: defaultdict(float))
+
+    def arrival(self, sender: int, receiver: int, size: int, now: float) -> float:
+        begins = max(now, self._free_at[sender, receiver])
+        self._free_at[sender, receiver] = begins + size / self.bytes_per_s
+        self.longest_wait_s = max(self.longest_wait_s, begins - now)
+        self.carried += size
+        return self._free_at[sender, receiver] + self.delay_s
+
+
 @dataclass
 class Machine:
     address: str
     disk: Disk = field(default_factory=Disk)
     replica: Replica | None = None
     state: StateMachine = field(default_factory=lambda: StateMachine(60.0))
-    writing: tuple[float, list[Record]] | None = None
+    writing: Batch | None = None
     sync_s: float = SYNC_S
     join_at: float = 0.0
     life: int = 0
@@ -73,8 +107,19 @@
 
 
 class ReplicaGroup:
-    def __init__(self, seed: int, machines: int = 3) -> None:
+    def __init__(
+        self, seed: int, machines: int = 3, compact_entries: int = 0, links: Links | None = None
+    ) -> None:
+        """`compact_entries`: applied since the last snapshot, from where on a log is compacted; 0: never."""
         self.seed = seed
+        self.compact_entries = compact_entries
+        self.links = links
+        self.disk_bytes_per_s = 0.0  # 0: only syncs take time
+        self.step_s = STEP_S
+        self.body_bytes = 0  # of each configuration, at least
+        self.installed = 0  # snapshots
+        self.disk_bytes = 0  # written, by all
+        self._images: dict[int, bytes] = {}  # state machines as of an index, from snapshots
         self.chance = random.Random(seed)
         self.now = 0.0
         self.machines = [Machine(f"10.0.0.{place}:1") for place in range(machines)]
@@ -105,6 +150,7 @@
         machine.replica.least_members = min(3, len(self.machines))
         if held.snapshot is not None:
             machine.state.load(held.snapshot.state)
+            self._check_image(held.snapshot.last_index, held.snapshot.state)
             machine.replica.is_established = machine.state.revision > 0
         machine.life += 1
         machine.writing = None
@@ -193,7 +239,8 @@
             return False
         base = self.machines[place].state.revision
         self._revision = max(self._revision, base) + 1
-        return self.propose(Configure(base, self._revision, b"%d" % self._revision), place)
+        body = (b"%d " % self._revision).ljust(self.body_bytes, b".")
+        return self.propose(Configure(base, self._revision, body), place)
 
     def run(self, seconds: float) -> None:
         end = self.now + seconds
@@ -210,7 +257,7 @@
         return self.now - began
 
     def _step(self) -> None:
-        self.now += STEP_S
+        self.now += self.step_s
         due = [one for one in self._line if one[0] <= self.now]
         self._line = [one for one in self._line if one[0] > self.now]
         for _, _, sender, place, message in sorted(due, key=lambda one: one[:2]):
@@ -225,16 +272,17 @@
     def _drive(self, place: int, machine: Machine, replica: Replica) -> None:
         replica.tick(self.now)
         replica.flush()
-        if machine.writing is not None and machine.writing[0] <= self.now:
-            writes = machine.writing[1]
-            machine.writing = None
-            machine.disk.put(writes)
-            replica.written(len(writes), self.now)
+        if machine.writing is not None and machine.writing.due <= self.now:
+            batch, machine.writing = machine.writing, None
+            (machine.disk.begin if batch.begins else machine.disk.put)(batch.records)
+            replica.written(batch.count, self.now)
         if machine.writing is None and (writes := replica.take_writes(self.now)):
-            machine.writing = self.now + machine.sync_s, writes
+            machine.writing = self._batch(machine, replica, writes)
         if replica.installed is not None:
+            self._check_image(replica.installed.last_index, replica.installed.state)
             machine.state.load(replica.installed.state)
             replica.loaded()
+            self.installed += 1
         while replica.applied < replica.committed:
             replica.applied += 1
             entry = replica.log.entry(replica.applied)
@@ -258,8 +306,28 @@
             to = self._place_of(outgoing.address)
             if to is not None and (place, to) not in self.cut:
                 self._order += 1
-                delay = DELAY_S * self.chance.uniform(0.5, 3.0)
-                self._line.append((self.now + delay, self._order, place, to, outgoing.message))
+                due = self._arrival(place, to, outgoing.message)
+                self._line.append((due, self._order, place, to, outgoing.message))
+
+    def _arrival(self, sender: int, receiver: int, message: Any) -> float:
+        if self.links is None:
+            return self.now + DELAY_S * self.chance.uniform(0.5, 3.0)
+        return self.links.arrival(sender, receiver, len(encode(Frame(0, False, message))), self.now)
+
+    def _batch(self, machine: Machine, replica: Replica, writes: list[Record]) -> Batch:
+        count = len(writes)
+        applied_since = replica.applied - replica.log.snapshot_index
+        begins = 0 < self.compact_entries < applied_since and replica.installed is None
+        if begins:
+            writes = replica.compact()
+            assert replica.log.snapshot is not None
+            self._check_image(replica.log.snapshot_index, replica.log.snapshot.state)
+        sync_s = machine.sync_s
+        if self.disk_bytes_per_s:
+            size = len(msgspec.msgpack.encode(writes))
+            self.disk_bytes += size
+            sync_s += size / self.disk_bytes_per_s
+        return Batch(self.now + sync_s, writes, count, begins)
 
     def _place_of(self, address: str) -> int | None:
         return next((at for at, other in enumerate(self.machines) if other.address == address), None)
@@ -285,6 +353,10 @@
                 if seen != (entry.term, entry.change):
                     raise Broken(f"seed {self.seed}: entry {index} was committed twice, unlike")
 
+    def _check_image(self, index: int, image: bytes) -> None:
+        if self._images.setdefault(index, image) != image:
+            raise Broken(f"seed {self.seed}: two snapshots up to entry {index} differ")
+
     def check_nothing_lost(self) -> None:
         """With a leader there, all that was acknowledged is in its tables."""
         place = self.leader()
@@ -319,9 +391,14 @@
     return _Splitter().feed(encode(Frame(0, False, message)))[0].message
 
 
-def schedule(seed: int, machines: int = 5, seconds: float = 12.0) -> ReplicaGroup:
-    """Random losses, one machine at a time and now and then all power, with changes all the while."""
-    core = ReplicaGroup(seed, machines)
+def schedule(
+    seed: int, machines: int = 5, seconds: float = 12.0, group: ReplicaGroup | None = None
+) -> ReplicaGroup:
+    """Random losses, one machine at a time and now and then all power, with changes all the while.
+
+    `group`: in place of an ordinary one.
+    """
+    core = group or ReplicaGroup(seed, machines)
     core.run_until_led()
     chance = core.chance
     key = 0
--- /dev/null
+++ b/lab/snapshot_schedules.py
@@ -0,0 +1,61 @@
+"""Schedules of a replica group in which snapshots are taken and installed all the time, in parts of a few
+bytes, with losses of every kind in the middle.
+
+    python -m lab.snapshot_schedules [SCHEDULES]
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from unittest import mock
+
+import msgspec
+
+from cometdoor.control import parts, snapshots
+from lab.replica_group import ReplicaGroup, schedule
+
+COMPACT_ENTRIES = 12
+PART_BYTES = 160
+RETAIN_BYTES = 900
+BODY_BYTES = 700
+
+
+@contextmanager
+def small_parts() -> Iterator[None]:
+    """A snapshot takes many parts, and a follower that lacks ten entries needs one."""
+    with ExitStack() as stack:
+        stack.enter_context(mock.patch.object(parts, "PART_BYTES", PART_BYTES))
+        stack.enter_context(mock.patch.object(snapshots, "RETAIN_BYTES", RETAIN_BYTES))
+        stack.enter_context(mock.patch.object(snapshots, "RETAIN_FOR_SNAPSHOT_BYTES", 2 * RETAIN_BYTES))
+        yield
+
+
+def group_with_snapshots(seed: int, machines: int) -> ReplicaGroup:
+    group = ReplicaGroup(seed, machines, COMPACT_ENTRIES)
+    group.body_bytes = BODY_BYTES
+    return group
+
+
+def snapshot_schedule(seed: int, seconds: float = 8.0) -> ReplicaGroup:
+    """Raises lab.replica_group.Broken."""
+    machines = 3 if seed % 2 else 5
+    with small_parts():
+        return schedule(seed, machines, seconds, group_with_snapshots(seed, machines))
+
+
+def main(schedules: int) -> int:
+    groups = [snapshot_schedule(seed) for seed in range(schedules)]
+    figures = {
+        "schedules": schedules,
+        "acknowledged": sum(len(group.acknowledged) for group in groups),
+        "acknowledged_lost": 0,
+        "installed": sum(group.installed for group in groups),
+    }
+    print(msgspec.json.encode(figures).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]) if len(sys.argv) > 1 else 100))
--- a/stories/control/test_replica.py
+++ b/stories/control/test_replica.py
@@ -4,6 +4,7 @@
 
 from ward import each, raises, test
 
+from cometdoor.control import snapshots
 from cometdoor.control.durable import DurableState
 from cometdoor.control.replica import Replica
 from cometdoor.control.roles import Role
@@ -182,12 +183,13 @@
     for count in range(20):
         core.propose(Claim(f"k{count}", "a", "one"))
         core.run(0.05)
-    for machine in core.machines:
-        if machine.replica is not None:
-            machine.disk.put(machine.replica.compact())
+    with mock.patch.object(snapshots, "RETAIN_BYTES", 0):  # no entries that the snapshot covers
+        for machine in core.machines:
+            if machine.replica is not None:
+                machine.disk.put(machine.replica.compact())
     core.start(late)
     core.run(2.0)
-    assert len(core.machines[late].state.keys) == 20
+    assert len(core.machines[late].state.keys) == 20 and core.installed == 1
 
 
 @test("random schedules of losses leave all that was acknowledged, and one leader a term")
--- a/stories/control/test_write_ahead_log.py
+++ b/stories/control/test_write_ahead_log.py
@@ -1,13 +1,16 @@
 """What stands on a disk after it lost power, bits or room."""
 
 import os
+from collections.abc import Callable
+from contextlib import ExitStack
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import mock
 
 from ward import each, raises, test
 
-from cometdoor.control.durable import HardState, Identity, LogEntries
+from cometdoor.control import write_ahead_log
+from cometdoor.control.durable import HardState, Identity, LogEntries, Record
 from cometdoor.control.write_ahead_log import BLOCK, DiskError, WriteAheadLog, read_folder
 from cometdoor.wire.messages import Claim, Entry
 
@@ -112,3 +115,64 @@
         found, _ = read_folder(Path(name))
         assert not found.is_damaged
         assert [entry.index for entry in found.held.entries] == [1, 2, 3]
+
+
+@test("the folder is synced before older files go, and again before anything rests on the new one alone")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        steps: list[str] = []
+        real = {step: getattr(write_ahead_log, step) for step in ("sync_file", "sync_folder", "remove_file")}
+
+        def noted(step: str) -> Callable[[Path], None]:
+            def call(path: Path) -> None:
+                steps.append(step)
+                real[step](path)
+
+            return call
+
+        a_log_file(Path(name), 2)
+        with ExitStack() as stack:
+            for step in real:
+                stack.enter_context(mock.patch.object(write_ahead_log, step, noted(step)))
+            log_file = WriteAheadLog(Path(name))
+            log_file.open()
+            log_file.begin([Identity("me")])
+        log_file.close()
+        assert steps == ["sync_file", "sync_folder", "remove_file", "sync_folder"]
+
+
+@test("writes and beginnings that fail for long take no room")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        log_file = a_log_file(Path(name), 2)
+        before = sum(path.stat().st_size for path in Path(name).glob("*.dat"))
+        first: list[Record] = [Identity("me"), an_entry(1)]
+        with mock.patch.object(write_ahead_log, "sync_file", side_effect=OSError(5, "I/O error")):
+            for _ in range(50):
+                with raises(DiskError):
+                    log_file.put([an_entry(3)])
+            after_one = sum(path.stat().st_size for path in Path(name).glob("*.dat"))
+            assert after_one <= before + 2 * len(write_ahead_log.pack(1, 1, [an_entry(3)]))
+            for _ in range(50):
+                with raises(DiskError):
+                    log_file.begin(first)
+            assert sum(path.stat().st_size for path in Path(name).glob("*.dat")) <= after_one
+        log_file.begin(first)
+        log_file.close()
+        assert len(list(Path(name).glob("*.dat"))) == 1
+        assert read_folder(Path(name))[0].held.id == "me"
+
+
+@test("older files that can't be removed are removed at the next try, with the new file as it is")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        log_file = a_log_file(Path(name), 2)
+        first: list[Record] = [Identity("me"), an_entry(1)]
+        with mock.patch.object(write_ahead_log, "remove_file", side_effect=OSError(28, "No space left")):
+            for _ in range(3):
+                with raises(DiskError) as problem:
+                    log_file.begin(first)
+                assert problem.raised.step == "begin"
+        log_file.begin(first)
+        log_file.close()
+        assert [path.name for path in Path(name).glob("*.dat")] == ["log-000002.dat"]
