Control: contact with a majority before every answer; configurations known by a digest

Cause: a follower that was cut off answered 307 to the leader that it had last heard of for ever, a leader that was cut off refused invalid orders out of its own knowledge, Core.Describe and Core.Log told old state without saying so, and a configuration that was sent again was known by a CRC-32 in a table that grew for ever.

Change: contact.py judges before each answer whether a replica leads (a majority answered a round that began within 0.8 s), follows (it heard the leader within 0.2 s and on a connection that stands), may be in an election, or is cut off (1.5 s without contact: 503 at once). waiting.py holds orders and reads and ends them at once when the term in which they came is over. rounds.py counts the proof of a round from when it began, so that a leader that stood still answers nothing out of old answers. Core.Describe, Core.Log and their commands say how far they are confirmed.

--- /dev/null
+++ b/cometdoor/control/contact.py
@@ -0,0 +1,70 @@
+"""Whether a replica may speak for the group at this moment, judged before each answer. No I/O, no clock.
+
+Contact with a majority of the present term comes before any answer that depends on the state: a leader has it
+while a majority has answered a heartbeat that it sent lately, a follower while it hears the leader. All ages
+are taken on the steady clock of this machine from when something was sent (leader) or came (follower);
+nothing here compares the clocks of two machines, and the time of day is not used."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from cometdoor.control.elections import ELECTION_MOST_S
+from cometdoor.control.replica import Replica
+from cometdoor.control.replication import HEARTBEAT_S
+from cometdoor.control.roles import Role
+from cometdoor.wire.messages import Member
+
+# A leader begins nothing once its newest confirmed round is older: by then others that miss it stand for
+# election. Below the second that the quarantine of retry budgets allows a deposed leader (`budget.terms`).
+MAJORITY_FRESH_S = ELECTION_MOST_S
+# Callers are sent to a leader that was heard within so long; who is unsure looks again a moment later.
+LEADER_FRESH_S = 2 * HEARTBEAT_S
+# After a longer time without contact no election is under way that would end soon (99 of 100 are over by
+# then).
+ELECTION_TAKES_S = 1.5
+
+
+class Contact(Enum):
+    LEADS = "leads"  # and may take orders and begin reads
+    FOLLOWS = "follows"  # a leader that it has just heard
+    ELECTING = "electing"  # it had contact a moment ago: an election may be under way
+    CUT_OFF = "cut off"  # it had none for longer than an election takes
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    contact: Contact
+    silent_s: float  # since the last proof of contact, or since this life began if there was none
+    leader: Member | None = None  # where the contact is FOLLOWS
+
+
+class ContactJudge:
+    def __init__(self, replica: Replica, now: float) -> None:
+        """`now`: when this life of the replica began."""
+        self._replica = replica
+        self._began_at = now
+
+    def leader_heard_s(self, now: float) -> float | None:
+        """How long ago a leader was heard; None: never in this life."""
+        heard_at = self._replica.elections.leader_heard_at
+        return now - heard_at if heard_at >= self._began_at else None
+
+    def standing(self, now: float, leader_line_broken: bool = False) -> Standing:
+        """`leader_line_broken`: the connection on which the leader was heard last is over. If it lives, it is
+        heard on another one within a heartbeat."""
+        replica = self._replica
+        heard_at = replica.elections.leader_heard_at
+        confirmed_at = replica.replication.rounds.confirmed_at
+        silent_s = now - max(heard_at, confirmed_at, self._began_at)
+        if replica.role is Role.LEADER:
+            if replica.may_accept() and now - confirmed_at < MAJORITY_FRESH_S:
+                return Standing(Contact.LEADS, silent_s)
+        elif (
+            now - heard_at < LEADER_FRESH_S
+            and not leader_line_broken
+            and (leader := replica.leader_member()) is not None
+        ):
+            return Standing(Contact.FOLLOWS, silent_s, leader)
+        return Standing(Contact.CUT_OFF if silent_s > ELECTION_TAKES_S else Contact.ELECTING, silent_s)
--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -1,7 +1,7 @@
 """Drives one replica in its process: its disk, its connections, the state machine, and the calls that wait.
 
-All decisions are in `replica` and `state_machine`; here are the loop and the thread that writes.
-"""
+All decisions are in `replica`, `contact`, `waiting` and `state_machine`; here are the loop and the thread
+that writes."""
 
 from __future__ import annotations
 
@@ -16,10 +16,12 @@
 import structlog
 
 from cometdoor.budget.pool import Pool
+from cometdoor.control.contact import Contact, ContactJudge, Standing
 from cometdoor.control.replica import Replica
 from cometdoor.control.roles import Role
 from cometdoor.control.snapshots import is_due
 from cometdoor.control.state_machine import StateMachine, Verdict
+from cometdoor.control.waiting import OrderEnded, WaitingCalls
 from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
 from cometdoor.wire.lines import Line, Lines
 from cometdoor.wire.messages import (
@@ -52,9 +54,11 @@
 RETRY_WRITE_S = 0.2
 JOIN_EVERY_S = 0.3
 LEADERLESS_S = 1.5  # a member that heard no leader for so long may have been taken out: it asks to join
+READ_S = 0.8  # a read that no majority has confirmed by then is given up
 log = structlog.get_logger()
 
 Waiter = Callable[[Verdict | None], None]  # None: what became of it is not known here
+Reader = Callable[[bool], None]  # whether the state is the newest that was acknowledged before the call
 
 
 class ReplicaDriver:
@@ -81,8 +85,7 @@
         self._thread = ThreadPoolExecutor(1, "disk")
         self._seeds = seeds
         self._me = me
-        self._waiters: dict[int, tuple[int, Waiter]] = {}  # index -> term and who waits
-        self._reads: list[tuple[int, float, Callable[[bool], None]]] = []
+        self._waiting = WaitingCalls[Waiter, Reader]()
         self._due = False
         self._writing = False
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -104,6 +107,8 @@
             found.held.id = secrets.token_hex(6)
         self._me = Member(found.held.id, me.address, me.control, me.node)
         self.replica = Replica(found.held, self._me, random.Random(secrets.randbits(64)), loop.time())
+        self._judge = ContactJudge(self.replica, loop.time())
+        self._leader_line: Line | None = None  # on which the leader was heard last
         self.replica.state_of = self.state.image
         self.replica.least_members = least_members
         if found.held.snapshot is not None:
@@ -140,24 +145,35 @@
     def leads(self) -> bool:
         return self.replica.leads and self.replica.applied >= self.replica.committed
 
-    def leader(self) -> Member | None:
-        """Who leads as far as is known here."""
-        return self.replica.leader_member()
+    def standing(self) -> Standing:
+        """Whether this replica may speak for the group at this moment, or who may."""
+        is_broken = self._leader_line is not None and self._leader_line.is_over
+        return self._judge.standing(self._loop.time(), is_broken)
+
+    def leader_heard_s(self) -> float | None:
+        """How long ago a leader was heard; None: never in this life."""
+        return self._judge.leader_heard_s(self._loop.time())
+
+    def member_heard_s(self, id: str) -> float | None:
+        """How long ago that member answered a heartbeat; None: not in this term, or this one doesn't lead."""
+        progress = self.replica.replication.progress.get(id)
+        if self.replica.role is not Role.LEADER or progress is None or not progress.round:
+            return None
+        return self._loop.time() - progress.heard_at
 
     def propose(self, change: Change, waiter: Waiter) -> None:
-        if not self.replica.may_accept():
+        if self.standing().contact is not Contact.LEADS:
             waiter(None)
             return
-        index = self.replica.propose(change)
-        self._waiters[index] = self.replica.term, waiter
+        self._waiting.order(self.replica, change, waiter)
         self._wake()
 
-    def read(self, done: Callable[[bool], None], timeout_s: float = 0.8) -> None:
+    def read(self, done: Reader) -> None:
         """`done(True)`: what stands in the tables is the newest that was acknowledged before the call."""
         if not self.replica.leads:
             done(False)
             return
-        self._reads.append((self.replica.begin_round(), self._loop.time() + timeout_s, done))
+        self._waiting.read(self.replica, self._loop.time() + READ_S, done)
         self._wake()
 
     def leave(self) -> None:
@@ -187,24 +203,19 @@
                 | Join()
                 | Leave()
             ):
+                if isinstance(message, Append | Install | Part):
+                    self._leader_line = line
                 self.replica.receive(message, self._loop.time())
                 self._wake()
             case AskLeader():
-                leader = self.leader()
-                line.respond(
-                    number,
-                    LeaderIs(
-                        leader.address if leader else "",
-                        [member.address for member in self.replica.members],
-                    ),
-                )
+                known = [member.address for member in self.replica.members]
+                line.respond(number, LeaderIs(self._leader_address(), known))
             case Claims():
                 self._claim(message.claims, line, number)
             case AskShares():
                 now = self._loop.time()
-                if self._pool is None or not self.replica.may_accept():
-                    leader = self.leader()
-                    line.respond(number, Refusal("another leads", leader.address if leader else ""))
+                if self._pool is None or self.standing().contact is not Contact.LEADS:
+                    line.respond(number, self._refusal())
                 else:
                     line.respond(
                         number,
@@ -214,11 +225,20 @@
                 return False
         return True
 
+    def _leader_address(self) -> str:
+        """Internal address of a leader of whose life there is present evidence; empty: none is known."""
+        standing = self.standing()
+        if standing.contact is Contact.LEADS:
+            return self._me.address
+        return standing.leader.address if standing.leader else ""
+
+    def _refusal(self) -> Refusal:
+        leader = self._leader_address()
+        return Refusal("another leads" if leader else "no contact with a leader", leader)
+
     def _claim(self, claims: list[Claim], line: Line, number: int) -> None:
-        if not self.replica.may_accept():
-            leader = self.leader()
-            other = leader.address if leader and leader != self._me else ""
-            line.respond(number, Refusal("another leads", other))
+        if self.standing().contact is not Contact.LEADS:
+            line.respond(number, self._refusal())
             return
         holders: list[tuple[str, str]] = [("", "")] * len(claims)
         left = len(claims)
@@ -232,7 +252,8 @@
                 line.respond(number, Claimed(holders))
 
         for place, claim in enumerate(claims):
-            self.propose(claim, partial(ordered, place))
+            self._waiting.order(self.replica, claim, partial(ordered, place))
+        self._wake()
 
     # --- the loop ---
 
@@ -242,9 +263,6 @@
         replica.tick(now)
         self._pass_time(now)
         self._seek(now)
-        for read in [read for read in self._reads if read[1] < now]:
-            self._reads.remove(read)
-            read[2](False)
         self._settle()
         self._tick_timer = self._loop.call_later(TICK_S, self._tick)
 
@@ -294,18 +312,14 @@
         for outgoing in outbox:
             self._lines.send(outgoing.address, outgoing.message)  # type: ignore[arg-type]
         self._write()
-        for read in [read for read in self._reads if replica.round_is_confirmed(read[0])]:
-            self._reads.remove(read)
-            read[2](True)
+        self._tell(self._waiting.end_orders(replica))
+        for read in self._waiting.end_reads(replica, self._loop.time()):
+            read.caller(read.is_newest)
         if replica.leads != self._was_leading:
             self._was_leading = replica.leads
             self._pool = self._new_pool(self._loop.time()) if replica.leads else None
             log.info("lead", leads=replica.leads, term=replica.term, id=self._me.id)
             self.changed()
-        if replica.role is not Role.LEADER and self._waiters:
-            waiters, self._waiters = self._waiters, {}
-            for _, waiter in waiters.values():
-                waiter(None)
 
     def _apply(self) -> None:
         replica = self.replica
@@ -315,16 +329,15 @@
             replica.is_established = self.state.revision > 0
             self.changed()
         revision = self.state.revision
-        while replica.applied < replica.committed:
-            replica.applied += 1
-            entry = replica.log.entry(replica.applied)
-            verdict = self.state.apply(entry.change)
-            term, waiter = self._waiters.pop(replica.applied, (0, None))
-            if waiter is not None:
-                waiter(verdict if term == entry.term else None)
+        ended = self._waiting.apply(replica, self.state)
         if self.state.revision != revision:
             replica.is_established = True
             self.changed()
+        self._tell(ended)
+
+    def _tell(self, ended: list[OrderEnded[Waiter]]) -> None:
+        for one in ended:
+            one.caller(one.verdict)
 
     # --- the disk ---
 
--- a/cometdoor/control/replica.py
+++ b/cometdoor/control/replica.py
@@ -21,8 +21,9 @@
 from cometdoor.control.log import Log
 from cometdoor.control.membership import Membership
 from cometdoor.control.parts import Parts
-from cometdoor.control.replication import HEARTBEAT_S, NEVER, QUORUM_S, Replication
+from cometdoor.control.replication import HEARTBEAT_S, QUORUM_S, Replication
 from cometdoor.control.roles import Role
+from cometdoor.control.rounds import NEVER
 from cometdoor.control.snapshots import Snapshots
 from cometdoor.control.storage import Outgoing, StorageQueue
 from cometdoor.wire.messages import (
--- a/cometdoor/control/replication.py
+++ b/cometdoor/control/replication.py
@@ -10,6 +10,7 @@
 from cometdoor.control.log import entry_bytes
 from cometdoor.control.parts import Whole, is_large, whole_of
 from cometdoor.control.roles import Role
+from cometdoor.control.rounds import NEVER, Rounds
 from cometdoor.wire.messages import Append, Appended, Entry, Member
 
 if TYPE_CHECKING:
@@ -20,7 +21,6 @@
 RESEND_S = 0.25  # an append without an answer is taken for lost
 MAX_ENTRIES = 400  # in one append
 MAX_APPEND_BYTES = 1 << 20  # of entries in one append that has more than one
-NEVER = -1e9
 
 
 @dataclass
@@ -41,7 +41,7 @@
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self.progress: dict[str, Progress] = {}  # by the follower's id
-        self.round = 0  # of heartbeats
+        self.rounds = Rounds()  # of heartbeats
         self._heartbeat_at = 0.0
         self._last_whole: Whole | None = None  # an append in parts, which several followers may need
         self._last_whole_key = (0, 0, 0)  # its term, the index before it, its last index
@@ -51,16 +51,23 @@
         other = Replication.__new__(Replication)
         vars(other).update(vars(self))
         other._replica = replica
+        other.rounds = self.rounds.copy()
         other.progress = {
             id: Progress(one.next, one.match, one.sent_at, one.heard_at, one.round)
             for id, one in self.progress.items()
         }
         return other
 
+    @property
+    def round(self) -> int:
+        """The newest round of heartbeats."""
+        return self.rounds.last
+
     # --- the leader ---
 
     def begin_term(self) -> None:
         replica = self._replica
+        self.rounds.begin_term()
         self.progress = {
             member.id: Progress(replica.log.last_index + 1, heard_at=replica.now)
             for member in replica.other_members()
@@ -92,11 +99,12 @@
 
     def broadcast(self) -> None:
         """A heartbeat to all, which begins a new round."""
-        self.round += 1
+        self.rounds.begin(self._replica.now)
         self._heartbeat_at = self._replica.now + HEARTBEAT_S
         self._replica.parts.keep_only(self._replica.other_members())
         for member in self._replica.other_members():
             self.append_to(member, heartbeat=True)
+        self.rounds.confirm(self._is_answered)
 
     def append_to(self, member: Member, heartbeat: bool = False) -> None:
         replica, log = self._replica, self._replica.log
@@ -164,6 +172,7 @@
             return
         progress.heard_at = replica.now
         progress.round = max(progress.round, appended.round)
+        self.rounds.confirm(self._is_answered)
         replica.parts.learn(appended.follower, appended.takes_parts)
         replica.parts.on_appended(appended.follower, appended.success, appended.index)
         if appended.success:
@@ -201,9 +210,13 @@
         return self.round
 
     def round_is_confirmed(self, round: int) -> bool:
+        return self._replica.leads and self._is_answered(round)
+
+    def _is_answered(self, round: int) -> bool:
+        """By a majority: that round or a later one."""
         replica = self._replica
         heard = sum(one.round >= round for one in self.voters()) + replica.is_member(replica.me.id)
-        return replica.leads and heard >= replica.majority()
+        return heard >= replica.majority()
 
     # --- followers ---
 
--- a/cometdoor/control/state_machine.py
+++ b/cometdoor/control/state_machine.py
@@ -3,15 +3,17 @@
 Every member applies the same entries in the same order and comes to the same tables. No I/O, no clock: time
 is what the leaders' entries say (`Passed`), so it never runs ahead of a steady clock and stands still while
 nobody leads. A claim is therefore kept for its window at the least, also across restarts.
-"""
+
+A configuration is compared with what is in force when its entry is applied, never before: the order of the
+log decides between two, and what is told to those who sent them is made of that (`Verdict`)."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from zlib import crc32
 
 import msgspec
 
+from cometdoor.control.taken import Known, TakenConfigurations, TakenImage
 from cometdoor.wire.messages import KEYS_CLOSED, Change, Claim, Configure, Passed
 
 # Kept on for so long past the window: from a request's sending to its claim, and one leader's uncounted time.
@@ -27,20 +29,24 @@
 class Image(msgspec.Struct, array_like=True):
     revision: int
     body: bytes
-    taken: list[tuple[int, int]]
+    taken: list[tuple[int, int]]  # number and CRC-32
     now_ms: int
     keys: list[tuple[str, Kept]]
     closed_until_ms: int = 0
+    digests: list[tuple[int, bytes]] = []  # number and digest
+    forgotten: int = 0  # see TakenConfigurations
 
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What became of a change; `taken`: it is in force, or this very one was before."""
+    """What became of a change; `taken`: it is in force, or this very one was before; `unsure`: that one may
+    have been, and nobody can say any more."""
 
     taken: bool
     revision: int = 0  # of the configuration in force
     holder: str = ""
     claim: str = ""
+    unsure: bool = False
 
 
 class StateMachine:
@@ -50,7 +56,7 @@
         self.body = b""
         self.now_ms = 0
         self.keys: dict[str, Kept] = {}  # oldest first
-        self._taken: dict[int, int] = {}  # revision -> checksum of what was taken under it
+        self._taken = TakenConfigurations()
         # Of a core that was rebuilt from what was left: until then no new claim is taken, since one that was
         # lost may stand against it.
         self.closed_until_ms = 0
@@ -75,15 +81,18 @@
         return Verdict(True, self.revision)
 
     def was_taken(self, revision: int, body: bytes) -> bool:
-        return self._taken.get(revision) == crc32(body)
+        return self._taken.knows(0, revision, body) is Known.TAKEN
 
     def _configure(self, change: Configure) -> Verdict:
-        if self.was_taken(change.revision, change.body):
-            return Verdict(True, self.revision)
+        match self._taken.knows(change.base, change.revision, change.body):
+            case Known.TAKEN:
+                return Verdict(True, self.revision)
+            case Known.UNSURE:
+                return Verdict(False, self.revision, unsure=True)
         if change.base != self.revision or change.revision <= self.revision:
             return Verdict(False, self.revision)
         self.revision, self.body = change.revision, change.body
-        self._taken[change.revision] = crc32(change.body)
+        self._taken.add(change.revision, change.body)
         return Verdict(True, self.revision)
 
     def _claim(self, change: Claim) -> Verdict:
@@ -105,19 +114,23 @@
     # --- snapshots ---
 
     def image(self) -> bytes:
+        taken = self._taken.image()
         return msgspec.msgpack.encode(
             Image(
                 self.revision,
                 self.body,
-                list(self._taken.items()),
+                taken.checksums,
                 self.now_ms,
                 list(self.keys.items()),
                 self.closed_until_ms,
+                taken.digests,
+                taken.forgotten,
             )
         )
 
     def load(self, image: bytes) -> None:
         held = msgspec.msgpack.decode(image, type=Image)
         self.revision, self.body, self.now_ms = held.revision, held.body, held.now_ms
-        self._taken, self.keys = dict(held.taken), dict(held.keys)
+        self._taken.load(TakenImage(held.taken, held.digests, held.forgotten), held.revision, held.body)
+        self.keys = dict(held.keys)
         self.closed_until_ms = held.closed_until_ms
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -173,6 +173,16 @@
         raise typer.Exit(1) from None
 
 
+def _as_of(found: dict[str, Any]) -> str:
+    """How far what a core member tells of itself is confirmed."""
+    contact = found["contact"]
+    if contact["confirmed"]:
+        return f"confirmed by a majority in term {found['term']}, which {found['id']} leads"
+    if contact["as-of-s"] is None:
+        return f"NOT CONFIRMED: {found['id']} has heard no leader since it started"
+    return f"as of {contact['as-of-s']} s ago, when {found['id']} last heard a leader: ask that one"
+
+
 @app.command("log")
 def show_log(
     address: Annotated[str, typer.Argument(help="a control plane's IP:PORT")],
@@ -199,6 +209,7 @@
         print(
             "\n".join(
                 [
+                    _as_of(found),
                     f"a snapshot holds all up to {found['snapshot-index']}; {found['committed']} of "
                     f"{found['last']} are committed",
                     *lines,
@@ -216,7 +227,7 @@
         core = ask("/Core.Describe")
         lines = [
             f"{'*' if one['id'] == core['leader'] else ' '} {one['id']}  {one['control-plane']:21}  "
-            f"{one['node']}"
+            f"{one['node']}" + ("" if one["heard-s"] is None else f"  answered {one['heard-s']} s ago")
             for one in core["members"]
         ]
     if as_json:
@@ -225,8 +236,10 @@
         print(
             "\n".join(
                 [
+                    _as_of(core),
                     f"term {core['term']}, {core['committed']} of {core['last']} entries committed, "
-                    f"configuration {core['revision']}, {core['keys']} keys",
+                    f"configuration {core['revision']}, {core['keys']} keys"
+                    + ("" if core["members-committed"] else ", a change of members under way"),
                     *lines,
                 ]
             )
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -107,6 +107,18 @@
         """The program there, not its backend."""
         self.loop.kill(self._processes[address], silent)
 
+    def freeze(self, address: str) -> None:
+        """The program there stands still; its machine and its backend don't."""
+        self.loop.freeze(self._processes[address])
+
+    def thaw(self, address: str) -> None:
+        self.loop.thaw(self._processes[address])
+
+    def core_program(self, address: str) -> ControlPlane:
+        program = self.programs[address]
+        assert isinstance(program, ControlPlane)
+        return program
+
     def restart(self, address: str) -> None:
         self.run(self.launch(address))
 
@@ -144,6 +156,10 @@
                 if one != other:
                     self.loop.cuts |= {(one, other), (other, one)}
 
+    def cut_one_way(self, senders: list[str], receivers: list[str]) -> None:
+        """Nothing passes from the first to the second; the other way is open."""
+        self.loop.cuts |= {(one, other) for one in senders for other in receivers if one != other}
+
     def heal(self) -> None:
         self.loop.cuts.clear()
 
--- a/lab/loop.py
+++ b/lab/loop.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextvars
+import heapq
 import selectors
 from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
@@ -32,6 +33,7 @@
         self.machine = machine
         self.name = name
         self.is_alive = True
+        self.is_frozen = False
         self.pipes: dict[Pipe, None] = {}
         self.listening: list[tuple[str, int]] = []
         self.tasks: list[asyncio.Task[Any]] = []
@@ -263,6 +265,7 @@
             tuple[str, int], tuple[Process, contextvars.Context, Callable[[Pipe], None]]
         ] = {}
         self.dark: set[str] = set()  # machines without power: they don't even refuse
+        self._frozen: dict[Process, list[Any]] = {}  # what frozen processes have to do, in order
         self.set_task_factory(self._new_task)  # type: ignore[arg-type]
 
     # --- BaseEventLoop's hooks ---
@@ -270,6 +273,11 @@
     def time(self) -> float:
         return self.now
 
+    def _run_once(self) -> None:
+        for process in self._frozen:
+            self._hold(process)
+        super()._run_once()  # type: ignore[misc]
+
     def _process_events(self, events: list[Any]) -> None:
         pass
 
@@ -385,10 +393,42 @@
         if started is not None:
             context.run(self.create_task, started)  # type: ignore[arg-type]
 
+    def freeze(self, process: Process) -> None:
+        """It does nothing until it is thawed; connections to it open, and what is sent to it is kept for
+        it."""
+        process.is_frozen = True
+        self._frozen[process] = []
+
+    def _hold(self, process: Process) -> None:
+        """Take its callbacks out of the loop."""
+        ready, scheduled = self._ready, self._scheduled  # type: ignore[attr-defined, has-type]
+        held = [handle for handle in [*ready, *scheduled] if handle._context.get(HERE) is process]
+        if not held:
+            return
+        self._frozen[process] += held
+        taken = set(map(id, held))
+        left = [handle for handle in ready if id(handle) not in taken]
+        ready.clear()
+        ready.extend(left)
+        self._scheduled = [handle for handle in scheduled if id(handle) not in taken]
+        heapq.heapify(self._scheduled)
+
+    def thaw(self, process: Process) -> None:
+        """What came meanwhile is read first, then timers that are overdue fire, as with a real selector."""
+        process.is_frozen = False
+        ready: Any = self._ready  # type: ignore[attr-defined]
+        self._hold(process)
+        for handle in self._frozen.pop(process):
+            if isinstance(handle, asyncio.TimerHandle):
+                heapq.heappush(self._scheduled, handle)
+            else:
+                ready.append(handle)
+
     def kill(self, process: Process, silent: bool = False) -> None:
         """`silent`: its machine has no power; the others are told nothing."""
         process.is_alive = False
-        handles: list[Any] = [*self._ready, *self._scheduled]  # type: ignore[attr-defined]
+        frozen = self._frozen.pop(process, [])
+        handles: list[Any] = [*self._ready, *self._scheduled, *frozen]  # type: ignore[attr-defined]
         for handle in handles:
             if handle._context.get(HERE) is process:
                 handle.cancel()
--- /dev/null
+++ b/stories/control/test_contact.py
@@ -0,0 +1,216 @@
+"""A replica that is cut off, over whole fleets in memory: what it answers, and what joins it."""
+
+import asyncio
+import json
+import logging
+import random
+
+import structlog
+from ward import each, test
+
+from cometdoor.control.contact import Contact
+from cometdoor.dataplane.process import DataPlane
+from lab.cuts import HOWS, body_of, contradictions, cut_off
+from lab.fleet import Fleet, fleet
+from lab.operators import FleetOperator, Order
+from standins.mesh import CONTROL, ask
+
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+
+
+def operator(town: Fleet, *addresses: str) -> FleetOperator:
+    return FleetOperator(lambda: list(addresses or town.core), random.Random(1))
+
+
+def followers(town: Fleet) -> list[str]:
+    return [address for address in town.core if address != town.leader()]
+
+
+@test("a replica that is cut off ({how}) for twenty seconds takes, refuses and tells nothing")
+def _(
+    how: str = each(*HOWS, *HOWS),
+    leads: bool = each(*[True] * len(HOWS), *[False] * len(HOWS)),
+) -> None:
+    report = cut_off(1, how, leads)
+    assert not report.wrong and report.looked_at > 150, report
+    assert report.met_s < 0.6, report
+    if how in ("both", "deaf"):  # then nothing reaches it: it says so without a wait
+        assert report.slowest_s < 0.05, report
+
+
+@test("a leader that stood still answers nothing out of what it knew before, once it goes on")
+def _(seed: int = each(1, 2, 3)) -> None:
+    with fleet(seed=seed, planes=1) as town:
+        town.run(town.begin())
+        old = town.leader()
+        others = operator(town, *followers(town))
+        frozen = operator(town, old)
+        # Given a leader that stands still, and questions that it finds when it goes on
+        town.freeze(old)
+        town.wait(5.0)
+        assert town.run(others.replace(Order(1, 2, body_of(2, "new")))).status == 200
+
+        async def asked() -> list[int]:
+            asks = [asyncio.create_task(frozen.ask_once(old, None)) for _ in range(3)]
+            asks += [asyncio.create_task(frozen.ask_once(old, Order(1, 2, body_of(2, "other"))))]
+            await asyncio.sleep(0.5)
+            town.thaw(old)
+            return [call.status for call in await asyncio.gather(*asks)]
+
+        assert set(town.run(asked())) <= {0, 307, 503}
+        assert not contradictions([*others.calls, *frozen.calls])
+
+
+@test("callers are sent to a leader only while it is heard")
+def _() -> None:
+    with fleet(seed=4, planes=1) as town:
+        town.run(town.begin())
+        leader, (asked, _) = town.leader(), followers(town)
+        one = operator(town)
+        before = town.run(one.ask_once(asked, None)).exchanges[0]
+        assert (before.status, before.location) == (307, leader)
+        # When its process is killed, or its power fails
+        town.kill(leader, silent=True)
+        town.loop.dark.add(leader)
+        town.wait(0.3)
+        assert town.core_program(asked).driver.standing().contact is Contact.ELECTING
+        # Then who asks waits for the next leader
+        after = town.run(one.ask_once(asked, None)).exchanges[0]
+        assert after.status == 200 or (after.status == 307 and after.location != leader), after
+
+
+@test("after a leader was killed the next acknowledgement comes as soon as another leads")
+def _(seed: int = each(*range(8))) -> None:
+    with fleet(seed=seed, planes=1) as town:
+        town.run(town.begin())
+        town.wait(1.0 + seed / 8)
+        caller = operator(town)
+        killed_at = town.loop.time()
+        town.kill(town.leader())
+        call = town.run(caller.replace(Order(1, 2, body_of(2, "new"))))
+        assert call.status == 200 and call.ended - killed_at < 1.6, call.exchanges
+        assert not [one for one in call.exchanges if one.status == 307 and one.ended - killed_at < 0.3]
+
+
+@test("what starts anew beside a replica that is cut off founds no second group")
+def _(leads: bool = each(True, False)) -> None:
+    with fleet(seed=5, core=3, planes=1) as town:
+        town.run(town.begin())
+        alone = town.leader() if leads else followers(town)[0]
+        emptied = next(address for address in followers(town) if address != alone)
+        third = next(address for address in town.core if address not in (alone, emptied))
+        # Given one that is cut off, and another that lost its disk and reaches that one alone
+        town.cut([alone], [emptied, third])
+        town.kill(emptied, silent=True)
+        (town.folder / emptied).rename(town.folder / "lost")
+        town.cut([emptied], [third])
+        town.loop.cuts -= {(alone, emptied), (emptied, alone)}
+        town.restart(emptied)
+        town.wait(10.0)
+        # Then neither leads nor takes anything, alone or together
+        for address in town.core:
+            assert not town.core_program(address).driver.replica.leads
+        pair = operator(town, alone, emptied)
+        assert town.run(pair.replace(Order(1, 2, body_of(2, "new")), 3.0)).status == 0
+        # And once all hear one another there is one group, with what was acknowledged
+        town.heal()
+        town.wait(6.0)
+        assert town.run(operator(town).replace(Order(1, 2, body_of(2, "new")))).status == 200
+        replicas = [town.core_program(address).driver.replica for address in town.core]
+        assert {replica.log.entry(1) for replica in replicas} == {replicas[0].log.entry(1)}
+
+
+@test("a proxy that starts beside a replica that is cut off takes the newest as soon as it hears of it")
+def _() -> None:
+    with fleet(seed=6, planes=2) as town:
+        town.run(town.begin())
+        alone = followers(town)[0]
+        others = [address for address in town.core if address != alone]
+        town.cut([alone], [*others, *town.planes])
+        assert town.run(operator(town, *others).replace(Order(1, 2, body_of(2, "new")))).status == 200
+        town.wait(1.0)
+        # Given a proxy that reaches the replica that was cut off, and nobody else
+        starting = town.planes[0]
+        town.kill(starting)
+        town.loop.cuts -= {(alone, starting), (starting, alone)}
+        town.cut([starting], [*others, town.planes[1]])
+        town.restart(starting)
+        plane = town.plane(starting)
+        plane.directory.seeds = [town.core_program(alone).boot.internal("controlplane")]
+        town.wait(2.0)
+        # Then it serves by what it was told, as the newest that it has heard of
+        assert isinstance(plane, DataPlane) and plane.directory.revision == 1 and plane.can_serve()
+        # When it hears one more proxy, whether the replica is back or not
+        town.loop.cuts -= {(starting, town.planes[1]), (town.planes[1], starting)}
+        town.wait(1.5)
+        assert plane.directory.revision == 2
+        # Then it never goes back, whomever it hears later
+        town.cut([starting], [*others, town.planes[1]])
+        town.wait(2.0)
+        assert plane.directory.revision == 2
+
+
+@test("a replica says how far what it tells of itself is confirmed")
+def _() -> None:
+    with fleet(seed=7, planes=1) as town:
+        town.run(town.begin())
+        leader, (asked, _) = town.leader(), followers(town)
+
+        async def look(address: str, path: str) -> dict[str, object]:
+            told: dict[str, object] = json.loads((await ask(address, CONTROL, "GET", path, {}))[2])
+            return told
+
+        for path in ("/Core.Describe", "/Core.Log/0"):
+            assert town.run(look(leader, path))["contact"] == {
+                "confirmed": True,
+                "standing": "leads",
+                "as-of-s": 0.0,
+            }
+            told = town.run(look(asked, path))
+            contact = told["contact"]
+            assert isinstance(contact, dict) and told["leader"] and not contact["confirmed"]
+            assert contact["standing"] == "follows" and contact["as-of-s"] < 0.3
+        members = town.run(look(leader, "/Core.Describe"))["members"]
+        assert isinstance(members, list)
+        assert sum(one["heard-s"] is not None and one["heard-s"] < 0.4 for one in members) == 2
+        # When both have been cut off from all others
+        town.cut(town.core, town.core)
+        town.wait(5.0)
+        for address in (leader, asked):
+            contact = town.run(look(address, "/Core.Describe"))["contact"]
+            assert isinstance(contact, dict) and not contact["confirmed"]
+            assert contact["standing"] == "cut off"
+            assert contact["as-of-s"] is None or contact["as-of-s"] > 4.5
+
+
+@test("of eight orders at once, with {loss} of the answers lost, none that is taken is ever refused")
+def _(seed: int = each(1, 2, 3), loss: float = each(0.7, 0.8, 0.9)) -> None:
+    with fleet(seed=seed, planes=1) as town:
+        town.run(town.begin())
+        callers = [
+            FleetOperator(lambda: town.core, random.Random(10 * seed + place), lambda: loss)
+            for place in range(8)
+        ]
+
+        async def send(caller: FleetOperator, place: int) -> None:
+            revision = 1
+            for _ in range(3):  # each on top of the newest that it has read
+                read = await caller.describe()
+                base = json.loads(read.body)["revision"]
+                revision = max(base, revision) + 1
+                await caller.replace(Order(base, revision, body_of(revision, f"by-{place}")), 300.0)
+
+        async def all_of_them() -> None:
+            tasks = [asyncio.create_task(send(caller, place)) for place, caller in enumerate(callers)]
+            await asyncio.sleep(3.0)
+            town.kill(town.leader())  # between a commit and its answer, for some
+            await asyncio.gather(*tasks)
+
+        town.run(all_of_them())
+        calls = [call for caller in callers for call in caller.calls]
+        orders = [call for call in calls if call.order is not None]
+        assert not contradictions(calls)
+        assert sum(len(call.exchanges) for call in orders) > 3 * len(orders)
+        assert any(call.status == 200 for call in orders) and all(
+            call.status in (200, 412) for call in orders
+        )
