The exchange as tables that are played: every state against every event, on every hop and for keys

Cause: what may be concluded when a peer says something odd was spread over five files and checked by examples.

Change: `core/exchange_table.py` has four tables (backends, lines, callers, keys) as data; lab/exchange plays every cell against the real classes with a scripted peer in virtual time, draws plans over bytes for the three hops with hypothesis (in use for its shrinking and its repeatable draws), and plants twelve defects. Found by it and mended (data path, both proxies): a connection on which line ends or an interim answer came before the answer was used again.

--- /dev/null
+++ b/benchmarks/exchange.py
@@ -0,0 +1,64 @@
+"""Is a wrong answer given, or a call sent twice, whatever a peer does on any hop?
+
+Every cell of the tables in `core/exchange_table.py` played against the code by a scripted peer, plans drawn
+by `hypothesis` for backends, lines and callers, and planted defects that must be found (`lab/exchange/`).
+
+    python -m benchmarks.exchange [--quick] [--examples COUNT]
+"""
+
+from __future__ import annotations
+
+import argparse
+from dataclasses import asdict, dataclass
+
+from benchmarks.report import report, say
+from lab.exchange.defects import DEFECTS, shows
+from lab.exchange.fuzz import HOPS, fuzz
+from lab.exchange.judge import Wrong
+from lab.exchange.play import play
+
+QUICK_EXAMPLES, LONG_EXAMPLES = 300, 10_000  # of each hop
+
+
+@dataclass(frozen=True)
+class Figures:
+    exchange_table_cells: int  # that can be
+    exchange_table_impossible: int  # that are named as such
+    exchange_table_cells_played: int  # and did as the table says
+    fuzz_examples: int
+    fuzz_broken: int  # hops of which a plan broke an invariant
+    planted: int
+    planted_found: int
+
+
+def measure(examples: int = QUICK_EXAMPLES) -> Figures:
+    """Each hop's examples one after the other; what is not as it should be is said."""
+    played = play()
+    for text in played.wrong:
+        say(f"WRONG: {text}")
+    drawn = broken = 0
+    for hop in HOPS:
+        try:
+            drawn += fuzz(hop, examples)
+        except Wrong as problem:
+            broken += 1
+            say(f"BROKEN: {hop}: {problem}")
+    found = 0
+    for name in DEFECTS:
+        text = shows(name)
+        found += bool(text)
+        say(f"planted: {name}: {text or 'NOT FOUND'}")
+    return Figures(played.cells, played.impossible, played.right, drawn, broken, len(DEFECTS), found)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--examples", type=int, help="of each hop")
+    options = parser.parse_args()
+    examples = options.examples or (QUICK_EXAMPLES if options.quick else LONG_EXAMPLES)
+    report(asdict(measure(examples)))
+
+
+if __name__ == "__main__":
+    main()
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/door.py
@@ -53,16 +53,26 @@
     What bears none could be anybody's; what is encoded is not the backend's body; a success without its seal,
     or one that says that it has not run, proves neither.
     """
-    ids = {value for name, value in answer.headers if name.lower() == ATTEMPT}
-    if len(ids) != 1:
+    id: bytes | None = None
+    is_encoded = is_sealed = is_unrun = False
+    for name, value in answer.headers:  # one pass: it is made for each answer
+        field = name.lower()
+        if field == ATTEMPT:
+            if id is not None and id != value:
+                return Belongs.UNCLEAR
+            id = value
+        elif field == SEAL:
+            is_sealed = bool(value)
+        elif field == NOT_EXECUTED:
+            is_unrun = bool(value)
+        elif field == ENCODING:
+            is_encoded = True
+    if not id:
         return Belongs.UNCLEAR
-    if attempt_id not in ids:
+    if id != attempt_id:
         return Belongs.ELSEWHERE
-    if field_of(answer, ENCODING):
-        return Belongs.UNCLEAR
-    if is_success(answer.status) and (field_of(answer, NOT_EXECUTED) or not field_of(answer, SEAL)):
-        return Belongs.UNCLEAR
-    return Belongs.HERE
+    is_unproven = is_success(answer.status) and (is_unrun or not is_sealed)
+    return Belongs.UNCLEAR if is_encoded or is_unproven else Belongs.HERE
 
 
 def belongs_to_nobody(answer: Answer) -> Belongs:
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -299,7 +299,7 @@
         """Once an answer is in; the table has a row for each."""
         if not self._is_written():
             return BackendState.HALF
-        return BackendState.AFTER_ANOTHERS if self._surplus else BackendState.WRITTEN
+        return BackendState.AFTER_SURPLUS if self._surplus else BackendState.WRITTEN
 
     def _is_written(self) -> bool:
         return self._wrote and not self._paused
@@ -336,8 +336,11 @@
             self.timer = self.pool.loop.call_later(ANSWER_S, self._stalled)
 
     def _feed(self, data: bytes) -> None:
-        """The parser passes over line ends behind an answer without a word: the last one is fed by itself."""
+        """The parser passes over line ends around an answer without a word: one before it is noted, the last
+        one is fed by itself."""
         assert self._parser is not None
+        if data[0] in LINE_ENDS and not self._in_answer:
+            self._surplus = True
         if len(data) > 1 and data[-1] in LINE_ENDS:
             self._parser.feed_data(data[:-1])
             if self._answer is not None:
@@ -407,7 +410,7 @@
         assert self._parser is not None
         status = self._parser.get_status_code()
         if status < 200 or self._answer is not None:
-            self._in_answer = False
+            self._in_answer, self._surplus = False, True
             return
         answer = Answer(status, self._headers, b"".join(self._body))
         exchange = self.exchange
@@ -420,6 +423,7 @@
                 self._in_answer, self._size, self._surplus = False, 0, True
                 return
         self._answer = answer
+        self._in_answer = False
         self._reusable = self._parser.should_keep_alive()
 
     def eof_received(self) -> None:
--- a/lab/exchange.py
+++ b/lab/exchange/backend.py
@@ -1,16 +1,12 @@
-"""Every cell of the tables in `core/exchange_table.py`, played against the code by a scripted peer.
-
-A cell is played by bringing an exchange into its state, letting the event come and looking at what the code
-concludes and at what it does with the connection next. Events that come in several forms are played in each.
-"""
+"""The table of connections to backends, played: an inbound proxy, and a backend that is a script."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
-from typing import Any, cast
+from collections.abc import Callable, Iterable
+from itertools import product
+from typing import cast
 
 from cometdoor.core.exchange_table import (
-    BACKEND,
     BackendEvent,
     BackendState,
     Cell,
@@ -22,22 +18,14 @@
 from cometdoor.http.messages import MAX_ANSWER
 from cometdoor.wire.lines import Line
 from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
-from lab.wires import ENDLESS, ScriptedLoop, Wire, scripted
+from lab.exchange.judge import Wrong, expect
+from lab.exchange.wires import ENDLESS, ScriptedLoop, Wire, scripted
 
 LEFT_MS = 1_000.0  # that a request may take
 LONG_S = 30.0  # by then every limit of time is past
 INSTANCE, SERVICE = "i-1", "tents"
 
 
-class Wrong(Exception):
-    """The code does not do what the table says."""
-
-
-def expect(said: object, wanted: object, what: str) -> None:
-    if said != wanted:
-        raise Wrong(f"{what}: {said}, not {wanted}")
-
-
 # --- answers ---
 
 
@@ -55,8 +43,8 @@
     return head(status, *named, *seal, *fields, ("Content-Length", str(len(body)))) + body
 
 
-def turned_away(id: str, status: int = 503) -> bytes:
-    return answer(id, status, ("Cometdoor-Not-Executed", "1"), body=b"", sealed=False)
+def turned_away(id: str, status: int = 503, *fields: tuple[str, str]) -> bytes:
+    return answer(id, status, ("Cometdoor-Not-Executed", "1"), *fields, body=b"", sealed=False)
 
 
 OWN, OTHER = "own", "other"
@@ -121,6 +109,7 @@
         answer(OWN, 200, ("Cometdoor-Not-Executed", "1")),
     ],
 }
+SURPLUS = [answer(OTHER), turned_away(OTHER), head(103), b"\r\n"]
 FIRST_BYTES = len(b"HTTP/1.1 ")
 
 
@@ -157,8 +146,8 @@
 
     # --- states ---
 
-    def reach(self, state: BackendState, kept: bool, once: bool) -> None:
-        """`kept`: on a connection that has served."""
+    def reach(self, state: BackendState, kept: bool, once: bool, surplus: bytes) -> None:
+        """`kept`: on a connection that has served. `surplus`: what came before, if anything did."""
         if kept:
             self.send("first")
             self.wire().feed(answer("first"))
@@ -175,8 +164,8 @@
             self.loop.takes, self.loop.refuses_writes = takes, refuses
         self.send(OWN, once)
         self.loop.takes, self.loop.refuses_writes = ENDLESS, False
-        if state is BackendState.AFTER_ANOTHERS:
-            self.wire().feed(answer(OTHER))
+        if state is BackendState.AFTER_SURPLUS:
+            self.wire().feed(surplus)
 
     # --- events ---
 
@@ -260,44 +249,25 @@
     forms: Iterable[bytes] = BYTES.get(event, [b""])
     if state is BackendState.ANSWERING:
         forms = [form for form in forms if not form or form.startswith(b"HTTP/1.1 ")]
-    only_kept = state is BackendState.RESTING
-    only_fresh = state is BackendState.CONNECTING
-    for data in forms:
-        for kept in [True] if only_kept else [False] if only_fresh else [False, True]:
-            with scripted() as loop:
-                hop = BackendHop(loop)
-                hop.reach(state, kept, once=event is BackendEvent.CALLED_OFF_ONCE)
-                hop.meet(state, event, data)
-                place = f"backend, {state.value}, {event.value}, {'kept' if kept else 'fresh'}, {data[:60]!r}"
-                expect(hop.conclusion(event), cell.conclusion, place)
-                _check_reply(hop.guests.replies, data)
-                expect(hop.connection(), cell.connection, place)
-                if cell.connection is Connection.IN_USE:
-                    hop.go_on(state)
-                    expect(hop.door.busy(), 0, f"{place}: then answered")
-                    if event is not BackendEvent.CALLED_OFF_ONCE:
-                        expect(hop.conclusion(event), Conclusion.RAN, f"{place}: then answered")
-
-
-def cells() -> Iterator[tuple[str, Any, Any, Cell]]:
-    for (state, event), cell in BACKEND.items():
-        if isinstance(cell, Cell):
-            yield "backend", state, event, cell
-
-
-PLAYERS: dict[str, Callable[[Any, Any, Cell], None]] = {"backend": play_backend}
-
-
-def play_all(stop_at_first: bool = False) -> tuple[int, list[str]]:
-    """How many cells were played and did as the table says, and what the others did."""
-    played, wrong = 0, []
-    for hop, state, event, cell in cells():
-        try:
-            PLAYERS[hop](state, event, cell)
-        except Wrong as problem:
-            wrong.append(str(problem))
-            if stop_at_first:
-                break
-        else:
-            played += 1
-    return played, wrong
+    kinds = {BackendState.RESTING: [True], BackendState.CONNECTING: [False]}.get(state, [False, True])
+    befores = SURPLUS if state is BackendState.AFTER_SURPLUS else [b""]
+    for data, kept, surplus in product(forms, kinds, befores):
+        with scripted() as loop:
+            hop = BackendHop(loop)
+            hop.reach(state, kept, event is BackendEvent.CALLED_OFF_ONCE, surplus)
+            hop.meet(state, event, data)
+            place = f"backend, {state.value}, {event.value}, {'kept' if kept else 'fresh'}, {data[:60]!r}"
+            _check(hop, state, event, cell, data, place)
+
+
+def _check(
+    hop: BackendHop, state: BackendState, event: BackendEvent, cell: Cell, data: bytes, place: str
+) -> None:
+    expect(hop.conclusion(event), cell.conclusion, place)
+    _check_reply(hop.guests.replies, data)
+    expect(hop.connection(), cell.connection, place)
+    if cell.connection is Connection.IN_USE:
+        hop.go_on(state)
+        expect(hop.door.busy(), 0, f"{place}: then answered")
+        if event is not BackendEvent.CALLED_OFF_ONCE:
+            expect(hop.conclusion(event), Conclusion.RAN, f"{place}: then answered")
--- /dev/null
+++ b/lab/exchange/fuzz.py
@@ -0,0 +1,42 @@
+"""Plans for all three hops, drawn by `hypothesis`: the same ones in each run."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from lab.exchange import fuzz_backend, fuzz_caller, fuzz_line
+
+HOPS: dict[str, tuple[st.SearchStrategy[list[Any]], Callable[[list[Any]], None]]] = {
+    "backend": (fuzz_backend.plans, fuzz_backend.play),
+    "line": (fuzz_line.plans, fuzz_line.play),
+    "caller": (fuzz_caller.plans, fuzz_caller.play),
+}
+
+
+def fuzz(hop: str, examples: int, shrinks: bool = True) -> int:
+    """How many plans were played. Raises Wrong at one that breaks an invariant; `shrinks`: the smallest."""
+    plans, play = HOPS[hop]
+    played = 0
+    phases = [Phase.generate, Phase.shrink] if shrinks else [Phase.generate]
+
+    @settings(
+        max_examples=examples,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=phases,
+        suppress_health_check=list(HealthCheck),
+        report_multiple_bugs=False,
+    )
+    @given(plans)
+    def each(plan: list[Any]) -> None:
+        nonlocal played
+        played += 1
+        play(plan)
+
+    each()
+    return played
