Membership: joiners are learners until they hold the log; 2f+1 vote, the others are spares

Cause: all core machines voted, and a joiner counted from the moment its entry was appended, with an empty log. So each commit waited for 6 or 8 disks on the larger sites, a second loss during a repair could stop the group, and the first change was acknowledged with three voters where two disks may be lost at once.

Change: Member has `voter` and `zone`, at the end with defaults. A joiner enters as a learner, which counts for no commit, election, read or check-quorum. It is promoted once it holds all that is committed. 2f+1 members vote, three at the least; the rest stand by. A voter that is silent for 1.5 s, or leaves, makes room for a caught-up learner: promote first, then it is demoted. A wiped one is removed first, as long as 2f voters remain, so that no entry is ever on fewer than f+1 disks. A learner that is silent for 5 s is removed. A change is proposed only when a majority of the voters that it leaves was heard just now and holds all that is committed. Voters spread over zones.

Behaviour changes: the first configuration is acknowledged with 2f+1 voters (before: three); with 2f after 10 s in which nobody joined, with fewer not at all, and a log line says so ("too few voters"). A silent member of an even group is no longer removed after 3 s by that count alone. Replicas of the former build take learners for voters: a leader admits no learner while it hears one, so restart all control planes on this build before one is replaced. Core.Describe tells `zone` and `voter`.

--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -66,7 +66,12 @@
                 "bytes": len(change.body),
             }
         case Members():
-            return {"change": "members", "members": [f"{one.id}@{one.address}" for one in change.members]}
+            return {
+                "change": "members",
+                "members": [
+                    f"{one.id}@{one.address}{'' if one.voter else ' (learner)'}" for one in change.members
+                ],
+            }
         case Claim():
             return {
                 "change": "claim",
@@ -163,6 +168,8 @@
                     "control-plane": member.control,
                     "internal": member.address,
                     "heard-s": rounded(self._driver.member_heard_s(member.id)),
+                    "zone": member.zone,
+                    "voter": member.voter,
                 }
                 for member in replica.members
             ],
--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -14,9 +14,11 @@
 from pathlib import Path
 
 import structlog
+from msgspec.structs import replace
 
 from cometdoor.budget.pool import Pool
 from cometdoor.control.contact import Contact, ContactJudge, Standing
+from cometdoor.control.membership import FEW_VOTERS_S, Sizing
 from cometdoor.control.replica import Replica
 from cometdoor.control.roles import Role
 from cometdoor.control.snapshots import is_due
@@ -73,7 +75,7 @@
         budget: Callable[[float], Pool],
         seeds: list[str],
         founds: bool,
-        least_members: int,
+        sizing: Sizing,
     ) -> None:
         """`budget`: a pool at the moment at which it is the leader's to give out. `seeds`: internal addresses
         of members; `founds`: it begins the core if its disk is empty."""
@@ -92,6 +94,7 @@
         self._join_at = 0.0
         self._passed_at: float | None = None
         self._was_leading = False
+        self._warn_at = 0.0
         self._leaving = False
         self._new_pool = budget
         self._pool: Pool | None = None  # while it leads
@@ -105,12 +108,12 @@
         if fresh:
             found.held = type(found.held)()
             found.held.id = secrets.token_hex(6)
-        self._me = Member(found.held.id, me.address, me.control, me.node)
+        self._me = replace(me, id=found.held.id)
         self.replica = Replica(found.held, self._me, random.Random(secrets.randbits(64)), loop.time())
         self._judge = ContactJudge(self.replica, loop.time())
         self._leader_line: Line | None = None  # on which the leader was heard last
         self.replica.state_of = self.state.image
-        self.replica.least_members = least_members
+        self.replica.sizing = sizing
         if found.held.snapshot is not None:
             self.state.load(found.held.snapshot.state)
             self.replica.is_established = self.state.revision > 0
@@ -263,6 +266,7 @@
         replica.tick(now)
         self._pass_time(now)
         self._seek(now)
+        self._warn_of_few_voters(now)
         self._settle()
         self._tick_timer = self._loop.call_later(TICK_S, self._tick)
 
@@ -285,7 +289,7 @@
         if self._leaving:
             message: Leave | Join = Leave(self._me.id)
         elif not is_member or now - replica.elections.leader_heard_at > LEADERLESS_S:
-            message = Join(self._me)
+            message = Join(self._me, knows_learners=True)
         else:
             return
         known = [*self._seeds, *(member.address for member in replica.members)]
@@ -293,6 +297,20 @@
             if address != self._me.address:
                 self._lines.send(address, message)
 
+    def _warn_of_few_voters(self, now: float) -> None:
+        """Fewer losses can be borne than `fault-tolerance` says: another control plane is wanted."""
+        replica = self.replica
+        if not replica.leads or now < self._warn_at:
+            return
+        if self._warn_at and len(replica.voters) < replica.sizing.wanted_voters:
+            log.warning(
+                "too few voters",
+                voters=len(replica.voters),
+                wanted=replica.sizing.wanted_voters,
+                accepts=replica.may_accept(),
+            )
+        self._warn_at = now + FEW_VOTERS_S
+
     def knows(self, addresses: list[str]) -> None:
         """Internal addresses of core machines that were heard of."""
         self._seeds = list(dict.fromkeys([*self._seeds, *addresses]))[-12:]
--- a/cometdoor/control/elections.py
+++ b/cometdoor/control/elections.py
@@ -44,7 +44,7 @@
         if replica.now < self._deadline:
             return
         self.postpone()
-        if replica.is_member(replica.me.id) and not replica.storage.is_slow(replica.now):
+        if replica.is_voter(replica.me.id) and not replica.storage.is_slow(replica.now):
             self.stand(trial=True)
 
     def postpone(self) -> None:
@@ -78,13 +78,13 @@
             replica.me.address,
             handed,
         )
-        for member in replica.other_members():
-            replica.send(member.address, ask, after_writes=not trial)
+        for voter in replica.other_voters():
+            replica.send(voter.address, ask, after_writes=not trial)
         self.count_votes()
 
     def count_votes(self) -> None:
         replica = self._replica
-        if sum(replica.is_member(voter) for voter in self._votes) < replica.majority():
+        if sum(replica.is_voter(id) for id in self._votes) < replica.majority():
             return
         if replica.role is Role.TRIAL:
             self.stand(trial=False)
@@ -108,12 +108,15 @@
 
     def on_take_over(self, message: TakeOver) -> None:
         replica = self._replica
-        is_able = replica.is_member(replica.me.id) and not replica.storage.is_slow(replica.now)
+        is_able = replica.is_voter(replica.me.id) and not replica.storage.is_slow(replica.now)
         if message.term == replica.term and is_able:
             self.stand(trial=False, handed=True)
 
     # --- voters ---
 
+    # Whoever is asked answers, also one that takes itself for a learner: the candidate asks and counts by its
+    # own configuration, in which there may be a promotion that has not come here yet.
+
     def on_ask_vote(self, ask: AskVote) -> None:
         replica = self._replica
         has_leader = self._has_leader() and not ask.handed
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -13,6 +13,7 @@
 from cometdoor.budget.pool import Pool
 from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls
 from cometdoor.control.driver import ReplicaDriver
+from cometdoor.control.membership import Sizing
 from cometdoor.core.boot import Boot
 from cometdoor.core.listening import listen_all
 from cometdoor.core.shares import Descriptors
@@ -41,7 +42,7 @@
             loop,
             self.lines,
             Path(boot.data_directory),
-            Member("", here, control, boot.node_name),
+            Member("", here, control, boot.node_name, boot.zone),
             boot.bound("idempotency-window-s", 60.0),
             seeds=seeds,
             budget=lambda now: Pool(
@@ -51,7 +52,9 @@
                 now,
             ),
             founds=boot.initial_start and bool(boot.seed_nodes) and control == min(boot.seed_nodes),
-            least_members=min(3, max(len(boot.seed_nodes), 1)),
+            sizing=Sizing(
+                max(vars(boot.fault_tolerance).values()), known_machines=max(len(boot.seed_nodes), 1)
+            ),
         )
         self.driver.changed = self._changed
         record = Record(boot.node_name, here, ROLE, boot.zone, secrets.token_hex(4), 1, control=control)
--- a/cometdoor/control/rebuild.py
+++ b/cometdoor/control/rebuild.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from cometdoor.control.durable import HardState, Identity, Snapshot
 from cometdoor.control.offline import Holding, read_holding
 from cometdoor.control.write_ahead_log import WriteAheadLog, files
@@ -67,7 +69,7 @@
         if isinstance(entry.change, Configure) and verdict.taken:
             unsure.append(entry.change.revision)
     state.close_keys()
-    new = Member(secrets.token_hex(6), me.address, me.control, me.node)
+    new = replace(me, id=secrets.token_hex(6))
     vault = WriteAheadLog(target)
     vault.open()
     vault.begin(
--- a/cometdoor/control/replica.py
+++ b/cometdoor/control/replica.py
@@ -16,12 +16,14 @@
 import random
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from cometdoor.control.durable import DurableState, HardState, LogEntries, Record, Snapshot
 from cometdoor.control.elections import ELECTION_MOST_S, Elections
 from cometdoor.control.log import Log
-from cometdoor.control.membership import Membership
+from cometdoor.control.membership import Membership, Sizing
 from cometdoor.control.parts import Parts
-from cometdoor.control.replication import HEARTBEAT_S, QUORUM_S, Replication
+from cometdoor.control.replication import FRESHLY_HEARD_S, QUORUM_S, Replication
 from cometdoor.control.roles import Role
 from cometdoor.control.rounds import NEVER
 from cometdoor.control.snapshots import Snapshots
@@ -44,7 +46,6 @@
     Vote,
 )
 
-FRESHLY_HEARD_S = 3 * HEARTBEAT_S  # a member that is handed the lead was heard within so long
 HAND_OVER_REST_S = 2 * ELECTION_MOST_S  # nothing is accepted for so long after the lead was handed over
 
 
@@ -64,7 +65,9 @@
         self.storage = StorageQueue(self.log.last_index, self.committed)
         self.outbox: list[Outgoing] = []
         self.state_of: Callable[[], bytes] = lambda: b""  # of all that is committed and applied
-        self.least_members = 1  # from where on the first change is accepted
+        self.sizing = Sizing()
+        self._voters_of: tuple[Member, ...] = ()  # the members that `_voters` was made of
+        self._voters: tuple[Member, ...] = ()
         self.is_established = False  # one was: the group has been that large
         self.elections = Elections(self, now)
         self.replication = Replication(self)
@@ -92,14 +95,26 @@
     def members(self) -> tuple[Member, ...]:
         return self.log.members
 
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """The members that count; the others are learners."""
+        members = self.log.members
+        if members is not self._voters_of:
+            self._voters_of = members
+            self._voters = tuple(member for member in members if member.voter)
+        return self._voters
+
     def member(self, id: str) -> Member | None:
         return next((member for member in self.members if member.id == id), None)
 
     def is_member(self, id: str) -> bool:
         return any(member.id == id for member in self.members)
 
+    def is_voter(self, id: str) -> bool:
+        return any(voter.id == id for voter in self.voters)
+
     def majority(self) -> int:
-        return len(self.members) // 2 + 1
+        return len(self.voters) // 2 + 1
 
     def leader_member(self) -> Member | None:
         return self.member(self.leader)
@@ -107,6 +122,9 @@
     def other_members(self) -> list[Member]:
         return [member for member in self.members if member.id != self.me.id]
 
+    def other_voters(self) -> list[Member]:
+        return [voter for voter in self.voters if voter.id != self.me.id]
+
     # --- disk and outbox ---
 
     def persist(self, *records: Record) -> None:
@@ -123,6 +141,7 @@
         if self.role is Role.CANDIDATE:
             self.elections.count_votes()
         self.replication.advance_commit()
+        self.membership.follower_answered()
 
     def send(self, address: str, message: object, after_writes: bool = False) -> None:
         """`after_writes`: only once all that is to be written now is on disk."""
@@ -149,7 +168,7 @@
 
     def bootstrap(self) -> None:
         """The very first start of the whole system, at the one replica that founds the group."""
-        entry = Entry(1, 1, Members((self.me,)))
+        entry = Entry(1, 1, Members((replace(self.me, voter=True),)))
         self.term = 1
         self.log = Log(None, [entry])
         self.persist(HardState(1, ""), LogEntries([entry]))
@@ -183,14 +202,14 @@
         self.elections.postpone()
 
     def hand_over(self) -> None:
-        """Leadership transfer to the member that has most of the log and was heard lately."""
+        """Leadership transfer to the voter that has most of the log and was heard lately."""
         if self.role is not Role.LEADER:
             return
         self._handed_over_at = self.now
         progress = self.replication.progress
         fresh = [
             member
-            for member in self.other_members()
+            for member in self.other_voters()
             if member.id in progress
             and not self.membership.is_leaving(member.id)
             and self.now - progress[member.id].heard_at < FRESHLY_HEARD_S
@@ -208,7 +227,7 @@
     def may_accept(self) -> bool:
         return (
             self.leads
-            and (self.is_established or len(self.members) >= self.least_members)
+            and (self.is_established or self.membership.bears_first_change())
             and self.now - self._handed_over_at > HAND_OVER_REST_S
         )
 
@@ -272,6 +291,6 @@
             case TakeOver():
                 self.elections.on_take_over(message)
             case Join():
-                self.membership.join(message.member)
+                self.membership.join(message)
             case Leave():
                 self.membership.leave(message.member)
--- a/cometdoor/control/replication.py
+++ b/cometdoor/control/replication.py
@@ -21,6 +21,7 @@
 RESEND_S = 0.25  # an append without an answer is taken for lost
 MAX_ENTRIES = 400  # in one append
 MAX_APPEND_BYTES = 1 << 20  # of entries in one append that has more than one
+FRESHLY_HEARD_S = 3 * HEARTBEAT_S  # a follower that answered within so long is in contact
 
 
 @dataclass
@@ -32,6 +33,7 @@
     sent_at: float = NEVER  # of an append that is not answered yet; long ago: none is
     heard_at: float = NEVER
     round: int = 0  # of the last heartbeat that it answered
+    knows_learners: bool = True  # unless it was heard to be of a build that doesn't
 
     def has_append_under_way(self, now: float) -> bool:
         return now - self.sent_at <= RESEND_S
@@ -53,7 +55,7 @@
         other._replica = replica
         other.rounds = self.rounds.copy()
         other.progress = {
-            id: Progress(one.next, one.match, one.sent_at, one.heard_at, one.round)
+            id: Progress(one.next, one.match, one.sent_at, one.heard_at, one.round, one.knows_learners)
             for id, one in self.progress.items()
         }
         return other
@@ -78,15 +80,15 @@
         return self.progress.setdefault(member.id, Progress(next_index, heard_at=self._replica.now))
 
     def voters(self) -> list[Progress]:
-        """Of all other members that are known here."""
-        members = self._replica.other_members()
-        return [self.progress[member.id] for member in members if member.id in self.progress]
+        """Of all other voters that are known here."""
+        voters = self._replica.other_voters()
+        return [self.progress[voter.id] for voter in voters if voter.id in self.progress]
 
     def hears_majority(self) -> bool:
         """Check-quorum: whether enough followers were heard lately for this leader to go on."""
         replica = self._replica
         heard = sum(replica.now - one.heard_at < QUORUM_S for one in self.voters())
-        return heard + replica.is_member(replica.me.id) >= replica.majority()
+        return heard + replica.is_voter(replica.me.id) >= replica.majority()
 
     def tick(self) -> None:
         if self._replica.now >= self._heartbeat_at:
@@ -175,6 +177,7 @@
         self.rounds.confirm(self._is_answered)
         replica.parts.learn(appended.follower, appended.takes_parts)
         replica.parts.on_appended(appended.follower, appended.success, appended.index)
+        progress.knows_learners = appended.knows_learners
         if appended.success:
             if appended.index >= progress.next or appended.index > progress.match:
                 progress.sent_at = NEVER
@@ -187,14 +190,15 @@
         member = replica.member(appended.follower)
         if member is not None:
             self.append_to(member)
+        replica.membership.follower_answered()
 
     def advance_commit(self) -> None:
-        """Commit what a majority has on disk, if it is of this term (Raft, 5.4.2)."""
+        """Commit what a majority of the voters has on disk, if it is of this term (Raft, 5.4.2)."""
         replica = self._replica
         if replica.role is not Role.LEADER:
             return
-        marks = [self.progress[member.id].match for member in replica.other_members()]
-        if replica.is_member(replica.me.id):
+        marks = [self.progress[voter.id].match for voter in replica.other_voters()]
+        if replica.is_voter(replica.me.id):
             marks.append(replica.storage.durable_index)
         marks.sort(reverse=True)
         majority = replica.majority()
@@ -215,7 +219,7 @@
     def _is_answered(self, round: int) -> bool:
         """By a majority: that round or a later one."""
         replica = self._replica
-        heard = sum(one.round >= round for one in self.voters()) + replica.is_member(replica.me.id)
+        heard = sum(one.round >= round for one in self.voters()) + replica.is_voter(replica.me.id)
         return heard >= replica.majority()
 
     # --- followers ---
@@ -261,5 +265,7 @@
 
     def answer(self, address: str, success: bool, index: int, round: int, after_writes: bool = False) -> None:
         replica = self._replica
-        appended = Appended(replica.term, replica.me.id, success, index, round, takes_parts=True)
+        appended = Appended(
+            replica.term, replica.me.id, success, index, round, takes_parts=True, knows_learners=True
+        )
         replica.send(address, appended, after_writes)
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -136,7 +136,9 @@
     try:
         boot = read_boot(read_bytes(settings), str(settings), "controlplane")
         assert boot.data_directory is not None and boot.listen_addresses.control_plane is not None
-        me = Member("", boot.internal("controlplane"), boot.listen_addresses.control_plane, boot.node_name)
+        me = Member(
+            "", boot.internal("controlplane"), boot.listen_addresses.control_plane, boot.node_name, boot.zone
+        )
         done = build(folders, Path(boot.data_directory), me, boot.bound("idempotency-window-s", 60.0))
     except BadSettings as problem:
         print(problem, file=sys.stderr)
@@ -227,7 +229,8 @@
         core = ask("/Core.Describe")
         lines = [
             f"{'*' if one['id'] == core['leader'] else ' '} {one['id']}  {one['control-plane']:21}  "
-            f"{one['node']}" + ("" if one["heard-s"] is None else f"  answered {one['heard-s']} s ago")
+            f"{one['node']}{'' if one.get('voter', True) else '  (learner)'}"
+            + ("" if one["heard-s"] is None else f"  answered {one['heard-s']} s ago")
             for one in core["members"]
         ]
     if as_json:
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -170,6 +170,8 @@
     address: str  # internal
     control: str  # where it serves control
     node: str = ""
+    zone: str = ""
+    voter: bool = True  # False: a learner, which gets the log and counts for nothing
 
 
 class Noop(msgspec.Struct, tag="e0", array_like=True, frozen=True):
@@ -183,7 +185,8 @@
 
 
 class Members(msgspec.Struct, tag="e2", array_like=True, frozen=True):
-    """The core from this entry on, whether it is committed or not: one more or one less than before."""
+    """The core from this entry on, whether it is committed or not: one member more or less than before, or
+    one that votes now or no longer does."""
 
     members: tuple[Member, ...]
 
@@ -247,6 +250,7 @@
     index: int  # of the last entry that is on its disk; on failure: from where it may be tried again
     round: int
     takes_parts: bool = False  # it knows `Part`; processes of earlier builds don't
+    knows_learners: bool = False  # a build that doesn't takes every member for a voter
 
 
 class Install(msgspec.Struct, tag="is", array_like=True):
@@ -289,6 +293,7 @@
 
 class Join(msgspec.Struct, tag="j", array_like=True):
     member: Member
+    knows_learners: bool = False
 
 
 class Leave(msgspec.Struct, tag="l", array_like=True):
--- a/lab/defects.py
+++ b/lab/defects.py
@@ -74,8 +74,8 @@
 
 
 def _matches(of: Replication) -> list[int]:
-    """Up to where each other member's disk is known to agree with the leader's log."""
-    others = of._replica.other_members()
+    """Up to where each other voter's disk is known to agree with the leader's log."""
+    others = of._replica.other_voters()
     return [of.progress[member.id].match for member in others]
 
 
--- a/lab/exhaustive.py
+++ b/lab/exhaustive.py
@@ -42,6 +42,7 @@
     Claim,
     Entry,
     Install,
+    Join,
     Member,
     Members,
     Vote,
@@ -213,7 +214,9 @@
                 replica.propose(Claim(f"k{self.ordered}", f"c{self.ordered}", "h"))
             elif step.what == "admit":
                 place = next(iter(step.reached))
-                replica.membership.join(Member(self.nodes[place].id, f"a{place}", ""))
+                replica.membership.join(
+                    Join(Member(self.nodes[place].id, f"a{place}", ""), knows_learners=True)
+                )
                 replica.membership.tick()
             elif step.what in ("send", "send once"):
                 replica.begin_round()
