Lab: client sessions in every course, histories with resends and long cuts, planted defects

Cause: nothing searched through what callers are told: orders sent again, to another replica, after a lost answer, reads at a leader that another has replaced.

Change: lab/sessions.py puts WaitingCalls and the state machine on each replica of lab.exhaustive and plays submits, resends, reads and compactions as events, from six openings; whoever takes itself for the leader takes calls, and whatever was sent may be sent again.

--- /dev/null
+++ b/benchmarks/contact.py
@@ -0,0 +1,183 @@
+"""What does a replica answer that is cut off, and is an order that is sent again ever refused?
+
+Replicas cut off for twenty seconds in whole fleets (`lab/cuts.py`), client sessions in every course to a
+depth and in long walks (`lab/sessions.py`), clients that lose most of their answers through long cuts
+(`lab/histories.py`), planted defects that must be found (`lab/session_defects.py`), and how soon after a
+leader's end the next order is acknowledged. Times are virtual. A state that lies behind two first events
+counts for each.
+
+    python -m benchmarks.contact [--quick] [--depth STEPS]
+"""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from multiprocessing import get_context
+from multiprocessing.pool import AsyncResult, Pool
+
+import structlog
+
+from benchmarks.report import report, say
+from lab.cuts import HOWS, CutReport, body_of, cut_off
+from lab.fleet import fleet
+from lab.histories import long_schedule
+from lab.operators import FleetOperator, Order
+from lab.replica_group import Broken
+from lab.session_defects import DEFECTS, shows
+from lab.sessions import Explored, explore_sessions, jobs, walk_sessions
+
+WALK_STEPS = 30
+LOST = (0.7, 0.8, 0.9)  # of the answers to orders
+CUTS = 3  # in one history
+
+
+@dataclass(frozen=True, slots=True)
+class Extent:
+    cuts: int  # of each kind
+    depth: int  # of the courses of client sessions
+    walks: int
+    histories: int
+    kills: int
+
+
+QUICK = Extent(cuts=2, depth=3, walks=200, histories=12, kills=40)
+WHOLE = Extent(cuts=40, depth=4, walks=20_000, histories=400, kills=1_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Resends:
+    """Of one history. `refused`: although they had been taken."""
+
+    calls: int
+    resent: int
+    broken: str = ""
+
+
+def cut(job: tuple[int, str, bool]) -> CutReport:
+    seed, how, leads = job
+    _be_quiet()
+    return cut_off(seed, how, leads, 3 if seed % 2 else 5)
+
+
+def courses(job: tuple[str, int, int, int]) -> Explored:
+    return explore_sessions(*job)
+
+
+def walk(seed: int) -> Explored:
+    return walk_sessions(seed, WALK_STEPS, 3 if seed % 3 else 5)
+
+
+def history(seed: int) -> Resends:
+    try:
+        core = long_schedule(seed, 3 if seed % 2 else 5, CUTS, LOST[seed % len(LOST)])
+    except Broken as broken:
+        return Resends(0, 0, str(broken))
+    return Resends(len(core.history), core.resent)
+
+
+def planted(name: str) -> str:
+    _be_quiet()
+    return shows(name)
+
+
+def next_acknowledgement_s(job: tuple[int, bool]) -> float:
+    """After a leader of three was killed, or its machine lost power, for an operator who calls within 0.3
+    s."""
+    seed, is_silent = job
+    _be_quiet()
+    chance = random.Random(seed)
+    with fleet(seed=seed, planes=1) as town:
+        town.run(town.begin())
+        town.wait(1.0 + chance.random())
+        leader, killed_at = town.leader(), town.loop.time()
+        town.kill(leader, is_silent)
+        if is_silent:
+            town.loop.dark.add(leader)
+        town.wait(chance.uniform(0.0, 0.3))
+        operator = FleetOperator(lambda: town.core, chance)
+        call = town.run(operator.replace(Order(1, 2, body_of(2, "next"))))
+        assert call.status == 200, call
+        return call.ended - killed_at
+
+
+def _be_quiet() -> None:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+
+
+class Running:
+    """All of it under way in a pool of processes."""
+
+    def __init__(self, pool: Pool, extent: Extent) -> None:
+        cuts = [(seed, how, leads) for seed in range(extent.cuts) for how in HOWS for leads in (True, False)]
+        self._depth = extent.depth
+        self._cuts = pool.map_async(cut, cuts, chunksize=1)
+        self._courses = pool.map_async(courses, jobs(extent.depth), chunksize=1)
+        self._walks = pool.map_async(walk, range(extent.walks), chunksize=10)
+        self._histories = pool.map_async(history, range(extent.histories), chunksize=1)
+        self._planted = pool.map_async(planted, DEFECTS, chunksize=1)
+        self._killed = self._kills(pool, extent.kills, is_silent=False)
+        self._dark = self._kills(pool, extent.kills, is_silent=True)
+
+    def _kills(self, pool: Pool, count: int, is_silent: bool) -> AsyncResult[list[float]]:
+        return pool.map_async(
+            next_acknowledgement_s, [(seed, is_silent) for seed in range(count)], chunksize=4
+        )
+
+    def figures(self) -> dict[str, float | int | str]:
+        cuts, explored, walked = self._cuts.get(), self._courses.get(), self._walks.get()
+        histories, found = self._histories.get(), self._planted.get()
+        wrong = [text for one in cuts for text in one.wrong]
+        broken = [one.broken for one in [*explored, *walked] if one.broken]
+        broken += [one.broken for one in histories if one.broken]
+        for text in (*wrong, *broken):
+            say(f"BROKEN: {text}")
+        for name, what in zip(DEFECTS, found, strict=True):
+            say(f"{name}: {what[:100] or 'NOT FOUND'}")
+        return {
+            "replica_cuts": len(cuts),
+            "replica_cut_answers": sum(one.looked_at for one in cuts),
+            "replica_cut_wrong_answers": len(wrong),
+            "session_states": sum(one.states for one in explored),
+            "session_depth": self._depth,
+            "session_steps_walked": sum(one.states for one in walked),
+            "session_answers": sum(one.answers for one in (*explored, *walked)),
+            "session_histories": len(histories),
+            "session_calls": sum(one.calls for one in histories),
+            "resent": sum(one.resent for one in histories),
+            "resent_refused": sum("refused" in text for text in (*broken, *wrong)),
+            "sessions_broken": len(broken),
+            "contact_planted": len(DEFECTS),
+            "contact_planted_found": sum(map(bool, found)),
+            **_spread("next_ack_after_kill_s", self._killed.get()),
+            **_spread("next_ack_after_power_loss_s", self._dark.get()),
+        }
+
+
+def _spread(name: str, times: Sequence[float]) -> dict[str, float | int | str]:
+    ordered = sorted(times)
+    return {
+        f"{name}_p50": ordered[len(ordered) // 2],
+        f"{name}_p90": ordered[int(len(ordered) * 0.9)],
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--depth", type=int)
+    parser.add_argument("--processes", type=int, default=os.cpu_count())
+    chosen = parser.parse_args()
+    extent = QUICK if chosen.quick else WHOLE
+    if chosen.depth:
+        extent = Extent(extent.cuts, chosen.depth, extent.walks, extent.histories, extent.kills)
+    with get_context("fork").Pool(chosen.processes) as pool:
+        report(Running(pool, extent).figures())
+
+
+if __name__ == "__main__":
+    main()
--- a/cometdoor/control/state_machine.py
+++ b/cometdoor/control/state_machine.py
@@ -61,6 +61,13 @@
         # lost may stand against it.
         self.closed_until_ms = 0
 
+    def copy(self) -> StateMachine:
+        """Independent of this one, for searches through what may come next."""
+        other = StateMachine.__new__(StateMachine)
+        vars(other).update(vars(self))
+        other.keys, other._taken = self.keys.copy(), self._taken.copy()
+        return other
+
     @property
     def is_closed(self) -> bool:
         return self.now_ms < self.closed_until_ms
--- a/cometdoor/control/taken.py
+++ b/cometdoor/control/taken.py
@@ -60,6 +60,11 @@
         self._marks: dict[int, Mark] = {}  # by number, lowest first
         self.forgotten = 0  # the highest number that was taken and is not remembered
 
+    def copy(self) -> TakenConfigurations:
+        other = TakenConfigurations(self._most)
+        other._marks, other.forgotten = self._marks.copy(), self.forgotten
+        return other
+
     def __len__(self) -> int:
         return len(self._marks)
 
--- a/stories/control/test_contact.py
+++ b/stories/control/test_contact.py
@@ -1,9 +1,11 @@
 """A replica that is cut off, over whole fleets in memory: what it answers, and what joins it."""
 
+import ast
 import asyncio
 import json
 import logging
 import random
+from pathlib import Path
 
 import structlog
 from ward import each, test
@@ -214,3 +216,22 @@
         assert any(call.status == 200 for call in orders) and all(
             call.status in (200, 412) for call in orders
         )
+
+
+STEADY = ("control", "wire", "keys", "budget", "news", "dataplane", "http")  # packages in which time decides
+TIME_OF_DAY = {("time", "time"), ("time", "time_ns"), ("datetime", "now"), ("datetime", "utcnow")}
+
+
+@test("nothing that decides reads the time of day: a step of that clock changes nothing")
+def _() -> None:
+    package = Path(__file__).parents[2] / "cometdoor"
+    read = [
+        f"{path}:{node.lineno}"
+        for name in STEADY
+        for path in sorted((package / name).glob("*.py"))
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute)
+        and isinstance(node.value, ast.Name)
+        and (node.value.id, node.attr) in TIME_OF_DAY
+    ]
+    assert not read, read
--- /dev/null
+++ b/stories/control/test_sessions.py
@@ -0,0 +1,35 @@
+"""Client sessions in every short course of a small group, and the checks of them checked."""
+
+import logging
+
+import structlog
+from ward import each, test
+
+from lab.session_defects import COURSES, DEFECTS, IN_FLEETS, play, shows
+from lab.sessions import OPENINGS, explore_sessions, walk_sessions
+
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+
+
+@test("no course of two events refuses what is taken, or tells what is old, behind the opening: {opening}")
+def _(opening: str = each(*OPENINGS)) -> None:
+    explored = explore_sessions(opening, 2)
+    assert not explored.broken and explored.states > 200, explored
+
+
+@test("no long course at random does, of three replicas or five")
+def _() -> None:
+    walks = [walk_sessions(seed, 30, 3 if seed % 3 else 5) for seed in range(150)]
+    assert not any(one.broken for one in walks), [one.broken for one in walks if one.broken]
+    assert sum(one.answers for one in walks) > 200
+
+
+@test("a planted defect is found: {name}")
+def _(name: str = each(*DEFECTS)) -> None:
+    assert shows(name)
+
+
+@test("the sound group goes the same courses unharmed")
+def _() -> None:
+    assert len(DEFECTS) - len(IN_FLEETS) == 6
+    assert not any(play(*course) for course in COURSES.values())
