Lab: a client of a core that is all down asks nobody; orders are given up after a second again

Cause: with the planted defect of members that answer reads out of their own tables a client chose among none when all were down, and clients that sent an order again for twelve seconds read less during a loss.

Change: it waits; where no answers are lost an order is given up after a second, as before.

--- a/lab/histories.py
+++ b/lab/histories.py
@@ -23,7 +23,7 @@
 from lab.replica_group import LOSSES, Broken, Machine, ReplicaGroup
 
 PATIENCE_S = 1.0  # of a client
-GIVES_UP_S = 12.0  # a client sends an order again for so long
+GIVES_UP_S = 12.0  # where answers are lost a client sends an order again for so long
 PAUSE_S = 0.2  # before it does
 CLIENTS = 4
 EAGERNESS = 0.1  # of an idle client, each hundredth of a second
@@ -120,6 +120,7 @@
         self.resent = 0
         self.resent_refused = 0  # although they had been taken
         self.loses = loses
+        self._gives_up_s = GIVES_UP_S if loses else PATIENCE_S
         self.frozen: set[int] = set()
         self._taken: set[bytes] = set()  # bodies that were acknowledged, whether the answer arrived or not
         self._by_body: dict[bytes, Client] = {}  # who sent it last
@@ -174,7 +175,7 @@
                 self._end(client, None)
             else:
                 self._look(client)
-        elif self.now - operation.began > GIVES_UP_S:
+        elif self.now - operation.began > self._gives_up_s:
             self._end(client, None)
         elif self.now - client.asked_at > (PATIENCE_S if client.at >= 0 else PAUSE_S):
             self._send(client)
@@ -190,6 +191,10 @@
         ]
         return self.chance.choice(leading) if leading else None
 
+    def _anybody(self) -> int | None:
+        up = [place for place, machine in enumerate(self.machines) if machine.is_up]
+        return self.chance.choice(up) if up else None
+
     def _begin(self, client: Client) -> None:
         if self.chance.random() < 0.5:
             self._begin_read(client)
@@ -197,9 +202,7 @@
             self._begin_order(client)
 
     def _begin_read(self, client: Client) -> None:
-        place = self._willing()
-        if not self._confirms_reads:
-            place = self.chance.choice([at for at, machine in enumerate(self.machines) if machine.replica])
+        place = self._willing() if self._confirms_reads else self._anybody()
         if place is None:
             return
         machine = self.machines[place]
