The exchange: a table for requests at the inbound proxy, played; what is called off while it waits never runs

Change: a fifth table (waiting, at work, at work once, over against calls taken back, lines lost, backends gone, replaced or drained, overdue waits, free slots), played over a real line and a real inbound proxy, and a planted defect for it. No behaviour changes.

--- a/lab/exchange/defects.py
+++ b/lab/exchange/defects.py
@@ -94,6 +94,17 @@
     return mock.patch.object(way, "BROKEN", {outcome.value: outcome for outcome in Outcome})
 
 
+def _runs_what_was_called_off() -> Planted:
+    """A request that is called off while it waits goes to work when a slot is free."""
+    called_off = door.Door._called_off
+
+    def only_at_work(self: door.Door, visit: door.Visit) -> None:
+        if visit in self._at_work:
+            called_off(self, visit)
+
+    return mock.patch.object(door.Door, "_called_off", only_at_work)
+
+
 def _hands_on_what_came_with_bad_bytes() -> Planted:
     """What was read ahead of bad bytes is handed on although it was answered 400."""
     bad_input = ClientConnection._bad_input
@@ -132,6 +143,7 @@
     "sends one id twice on a connection": _forgets_what_it_carried,
     "a call on a line that broke counts as not run": _a_lost_line_carried_nothing,
     "believes a proxy that contradicts itself": _believes_a_contradiction,
+    "runs what was called off while it waited": _runs_what_was_called_off,
     "hands on what came with bad bytes": _hands_on_what_came_with_bad_bytes,
     "runs a key again whose run broke off": _runs_a_broken_key_again,
     "keeps a key that it gave away": _keeps_a_key_that_it_gave_away,
--- a/lab/exchange/note.py
+++ b/lab/exchange/note.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Any
 
-from cometdoor.core.exchange_table import Cell, Conclusion, Connection, Impossible, KeyCell
+from cometdoor.core.exchange_table import Cell, Conclusion, Connection, Impossible, KeyCell, VisitCell
 from lab.exchange.play import TABLES
 
 CONNECTIONS = {Connection.IN_USE: "in use", Connection.KEPT: "kept", Connection.CLOSED: "closed"}
@@ -22,7 +22,7 @@
 }
 
 
-def _text(cell: Cell | KeyCell | Impossible, reasons: list[str], state: Enum) -> str:
+def _text(cell: Cell | KeyCell | VisitCell | Impossible, reasons: list[str], state: Enum) -> str:
     match cell:
         case Impossible():
             if cell.why not in reasons:
@@ -30,6 +30,9 @@
             return f"- ({reasons.index(cell.why) + 1})"
         case Cell():
             return ", ".join(filter(None, [CONCLUSIONS[cell.conclusion], CONNECTIONS[cell.connection]]))
+        case VisitCell():
+            told = "and says so" if cell.is_told else ""
+            return ", ".join(filter(None, [CONCLUSIONS[cell.conclusion], cell.slot.value, told]))
         case KeyCell():
             words = [action.value for action in cell.actions]
             if cell.tells:
--- a/lab/exchange/play.py
+++ b/lab/exchange/play.py
@@ -1,4 +1,4 @@
-"""All cells of all four tables."""
+"""All cells of all tables."""
 
 from __future__ import annotations
 
@@ -6,16 +6,18 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cometdoor.core.exchange_table import BACKEND, CALLER, KEYS, LINE, Impossible
+from cometdoor.core.exchange_table import BACKEND, CALLER, KEYS, LINE, VISIT, Impossible
 from lab.exchange.backend import play_backend
 from lab.exchange.callers import play_caller
 from lab.exchange.judge import Wrong
 from lab.exchange.keys import play_key
 from lab.exchange.lines import play_line
+from lab.exchange.visits import play_visit
 
 TABLES: dict[str, tuple[Mapping[tuple[Any, Any], Any], Callable[[Any, Any, Any], None]]] = {
     "backend": (BACKEND, play_backend),
     "line": (LINE, play_line),
+    "visit": (VISIT, play_visit),
     "caller": (CALLER, play_caller),
     "key": (KEYS, play_key),
 }
