--- a/stories/control/test_contact.py
+++ b/stories/control/test_contact.py
@@ -12,6 +12,7 @@
 
 from cometdoor.control.contact import Contact
 from cometdoor.dataplane.process import DataPlane
+from cometdoor.wire.messages import AskShares, Claim, Claims, Refusal
 from lab.cuts import HOWS, body_of, contradictions, cut_off
 from lab.fleet import Fleet, fleet
 from lab.operators import FleetOperator, Order
@@ -48,6 +49,9 @@
         others = operator(town, *followers(town))
         frozen = operator(town, old)
         # Given a leader that stands still, and questions that it finds when it goes on
+        plane = town.plane(town.planes[0])
+        internal = town.core_program(old).boot.internal("controlplane")
+        replies: list[object] = []
         town.freeze(old)
         town.wait(5.0)
         assert town.run(others.replace(Order(1, 2, body_of(2, "new")))).status == 200
@@ -55,12 +59,16 @@
         async def asked() -> list[int]:
             asks = [asyncio.create_task(frozen.ask_once(old, None)) for _ in range(3)]
             asks += [asyncio.create_task(frozen.ask_once(old, Order(1, 2, body_of(2, "other"))))]
+            plane.lines.call(internal, Claims([Claim("key", "claim", "holder")]), replies.append)
+            plane.lines.call(internal, AskShares("life", -1.0, []), replies.append)
             await asyncio.sleep(0.5)
             town.thaw(old)
             return [call.status for call in await asyncio.gather(*asks)]
 
         assert set(town.run(asked())) <= {0, 307, 503}
         assert not contradictions([*others.calls, *frozen.calls])
+        # Nor does it take a claim, or give out shares of the retry budget
+        assert [type(reply) for reply in replies] == [Refusal, Refusal], replies
 
 
 @test("callers are sent to a leader only while it is heard")
