--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -65,7 +65,18 @@
     most = "process_3_voters_most"
     leader_us = 1e6 * figures[f"{most}_leader_core"] / figures[f"{most}_claims_per_s"]
     follower_us = 1e6 * figures[f"{most}_follower_core"] / figures[f"{most}_claims_per_s"]
+    # All that a proxy does for control. Readiness is asked for once a second, and is taken for as much as a
+    # heartbeat on a connection of its own.
+    dialled = figures[f"{per_proxy}_heartbeat_dialled_us"] / 1e6
+    proxy_core = (
+        figures[f"{per_proxy}_calm_calling_57_services_core"]
+        + dialled * (1.0 / TARGET.heartbeat_s + 1.0)
+        + keyed * (figures[f"{per_proxy}_keyed_call_us"] - figures[f"{per_proxy}_call_us"]) / 1e6
+        + TARGET.changes_a_day / DAY_S * figures[f"{per_proxy}_configuration_ms"] / 1e3
+    )
     return {
+        "target_proxy_core": proxy_core,
+        "target_proxy_core_with_a_full_mesh": proxy_core + figures[f"{per_proxy}_taken_connections_core"],
         "target_heartbeats_core": figures[f"{per_proxy}_heartbeat_us"] / 1e6 / TARGET.heartbeat_s,
         "target_heartbeats_at_one_process_core": proxies
         * figures[f"{per_proxy}_heartbeat_us"]
