Control: callers of a cut leader go on within their second; a thawed follower names no leader

Cause: what a leader had taken just before it was cut off waited until it stepped down after a second, which is all the patience that callers have; a follower that had stood still named a leader whose heartbeats lay in its buffers, though that one had died meanwhile; WaitingCalls went through all pending orders on every turn.

Change: orders and reads are told that nothing is known once no majority has answered a round that began within 0.8 s. A heartbeat counts for naming a leader only if this process was awake when it came (its timers never more than 0.15 s late since). Pending orders are gone through only if the oldest one's term is over.

--- a/cometdoor/control/contact.py
+++ b/cometdoor/control/contact.py
@@ -21,6 +21,8 @@
 MAJORITY_FRESH_S = ELECTION_MOST_S
 # Callers are sent to a leader that was heard within so long; who is unsure looks again a moment later.
 LEADER_FRESH_S = 2 * HEARTBEAT_S
+# A process whose timers were later than this stood still: what it reads then may have lain there for as long.
+STOOD_STILL_S = 0.15
 # After a longer time without contact no election is under way that would end soon (99 of 100 are over by
 # then).
 ELECTION_TAKES_S = 1.5
@@ -45,12 +47,31 @@
         """`now`: when this life of the replica began."""
         self._replica = replica
         self._began_at = now
+        self._looked_at = now  # when the driver's timer fired last
+        self._awake_since = now
+
+    def tick(self, now: float) -> None:
+        """Called on each of the driver's timers."""
+        if now - self._looked_at > STOOD_STILL_S:
+            self._awake_since = now
+        self._looked_at = now
+
+    def _heard_lately(self, now: float) -> bool:
+        """A heartbeat that was read while this process was awake all the time since it can have come."""
+        heard_at = self._replica.elections.leader_heard_at
+        is_awake = now - self._looked_at <= STOOD_STILL_S and heard_at > self._awake_since
+        return is_awake and now - heard_at < LEADER_FRESH_S
 
     def leader_heard_s(self, now: float) -> float | None:
         """How long ago a leader was heard; None: never in this life."""
         heard_at = self._replica.elections.leader_heard_at
         return now - heard_at if heard_at >= self._began_at else None
 
+    def has_majority(self, now: float) -> bool:
+        """Whether this leader has a proof of contact that is young enough to begin anything, or to wait
+        on."""
+        return now - self._replica.replication.rounds.confirmed_at < MAJORITY_FRESH_S
+
     def standing(self, now: float, leader_line_broken: bool = False) -> Standing:
         """`leader_line_broken`: the connection on which the leader was heard last is over. If it lives, it is
         heard on another one within a heartbeat."""
@@ -59,10 +80,10 @@
         confirmed_at = replica.replication.rounds.confirmed_at
         silent_s = now - max(heard_at, confirmed_at, self._began_at)
         if replica.role is Role.LEADER:
-            if replica.may_accept() and now - confirmed_at < MAJORITY_FRESH_S:
+            if replica.may_accept() and self.has_majority(now):
                 return Standing(Contact.LEADS, silent_s)
         elif (
-            now - heard_at < LEADER_FRESH_S
+            self._heard_lately(now)
             and not leader_line_broken
             and (leader := replica.leader_member()) is not None
         ):
--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -264,6 +264,7 @@
         now = self._loop.time()
         replica = self.replica
         replica.tick(now)
+        self._judge.tick(now)
         self._pass_time(now)
         self._seek(now)
         self._warn_of_few_voters(now)
@@ -330,15 +331,20 @@
         for outgoing in outbox:
             self._lines.send(outgoing.address, outgoing.message)  # type: ignore[arg-type]
         self._write()
-        self._tell(self._waiting.end_orders(replica))
-        for read in self._waiting.end_reads(replica, self._loop.time()):
-            read.caller(read.is_newest)
+        self._end_waiting()
         if replica.leads != self._was_leading:
             self._was_leading = replica.leads
             self._pool = self._new_pool(self._loop.time()) if replica.leads else None
             log.info("lead", leads=replica.leads, term=replica.term, id=self._me.id)
             self.changed()
 
+    def _end_waiting(self) -> None:
+        now = self._loop.time()
+        in_touch = self._judge.has_majority(now)
+        self._tell(self._waiting.end_orders(self.replica, in_touch))
+        for read in self._waiting.end_reads(self.replica, now, in_touch):
+            read.caller(read.is_newest)
+
     def _apply(self) -> None:
         replica = self.replica
         if replica.installed is not None:
--- a/cometdoor/control/waiting.py
+++ b/cometdoor/control/waiting.py
@@ -50,15 +50,19 @@
 
     def __init__(self) -> None:
         self._orders: dict[int, PendingOrder[OrderT]] = {}  # by the index of the entry
+        self._oldest_term = 0  # of all those
         self._reads: list[PendingRead[ReadT]] = []
 
     def copy(self) -> WaitingCalls[OrderT, ReadT]:
         other = WaitingCalls[OrderT, ReadT]()
         other._orders, other._reads = self._orders.copy(), self._reads.copy()
+        other._oldest_term = self._oldest_term
         return other
 
     def order(self, replica: Replica, change: Change, caller: OrderT) -> None:
         """Propose the change; the replica must lead."""
+        if not self._orders:
+            self._oldest_term = replica.term
         self._orders[replica.propose(change)] = PendingOrder(replica.term, caller)
 
     def read(self, replica: Replica, until: float, caller: ReadT) -> None:
@@ -77,22 +81,31 @@
                 ended.append(OrderEnded(pending.caller, verdict if pending.term == entry.term else None))
         return ended
 
-    def end_orders(self, replica: Replica) -> list[OrderEnded[OrderT]]:
-        """Those that were proposed in a term in which the replica leads no more."""
-        over = {index: one for index, one in self._orders.items() if not _leads_in(replica, one.term)}
+    def end_orders(self, replica: Replica, in_touch: bool = True) -> list[OrderEnded[OrderT]]:
+        """Those that were proposed in a term in which the replica leads no more; all where it isn't
+        `in_touch` with a majority."""
+        if not self._orders or (in_touch and _leads_in(replica, self._oldest_term)):
+            return []  # terms only rise: the others are of this one too
+        over = {
+            index: one
+            for index, one in self._orders.items()
+            if not (in_touch and _leads_in(replica, one.term))
+        }
         for index in over:
             del self._orders[index]
+        self._oldest_term = replica.term
         return [OrderEnded(one.caller, None) for one in over.values()]
 
-    def end_reads(self, replica: Replica, now: float) -> list[ReadEnded[ReadT]]:
-        """Those that are confirmed, came too late, or began in a term in which the replica leads no more."""
+    def end_reads(self, replica: Replica, now: float, in_touch: bool = True) -> list[ReadEnded[ReadT]]:
+        """Those that are confirmed, came too late, began in a term in which the replica leads no more, or
+        wait where it isn't `in_touch`."""
         ended: list[ReadEnded[ReadT]] = []
         left: list[PendingRead[ReadT]] = []
         for one in self._reads:
             is_led = _leads_in(replica, one.term)
             if is_led and replica.applied >= replica.committed and replica.round_is_confirmed(one.round):
                 ended.append(ReadEnded(one.caller, True))
-            elif not is_led or now >= one.until:
+            elif not is_led or not in_touch or now >= one.until:
                 ended.append(ReadEnded(one.caller, False))
             else:
                 left.append(one)
--- a/lab/cuts.py
+++ b/lab/cuts.py
@@ -24,6 +24,7 @@
 
 import structlog
 
+from cometdoor.control.roles import Role
 from lab.fleet import Fleet, fleet
 from lab.operators import Call, Exchange, FleetOperator, Order
 from standins.mesh import configuration, route
@@ -155,7 +156,7 @@
 
     def _note_leaders(self) -> None:
         for address in self.town.core:
-            if self.town.core_program(address).driver.replica.leads:
+            if self.town.core_program(address).driver.replica.role is Role.LEADER:
                 self._led_at[address] = self.town.loop.time()
 
     # --- what is asked ---
@@ -204,6 +205,7 @@
         report.answers[exchange.status] += 1
         if since_s > 2.0 and report.how != "frozen":
             report.slowest_s = max(report.slowest_s, exchange.ended - exchange.began)
+        self._note_leaders()
         if exchange.status == 307:
             led_at = self._led_at.get(exchange.location, -1.0)
             is_deaf = report.how in ("both", "deaf") and since_s > LED_WITHIN_S
--- a/stories/control/test_contact.py
+++ b/stories/control/test_contact.py
@@ -15,7 +15,7 @@
 from cometdoor.wire.messages import AskShares, Claim, Claims, Refusal
 from lab.cuts import HOWS, body_of, contradictions, cut_off
 from lab.fleet import Fleet, fleet
-from lab.operators import FleetOperator, Order
+from lab.operators import Call, FleetOperator, Order
 from standins.mesh import CONTROL, ask
 
 structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
@@ -71,6 +71,31 @@
         assert [type(reply) for reply in replies] == [Refusal, Refusal], replies
 
 
+@test("a follower that stood still names no leader whose heartbeats it finds lying there")
+def _() -> None:
+    with fleet(seed=8, planes=1) as town:
+        town.run(town.begin())
+        leader, (asked, _) = town.leader(), followers(town)
+        caller = operator(town)
+        town.freeze(asked)
+        town.wait(5.0)
+        town.kill(leader, silent=True)
+        town.loop.dark.add(leader)
+        town.wait(0.5)
+
+        async def ask_often() -> list[Call]:
+            asks = [asyncio.create_task(caller.ask_once(asked, None))]
+            await asyncio.sleep(0.1)
+            town.thaw(asked)
+            for _ in range(12):
+                asks.append(asyncio.create_task(caller.ask_once(asked, None)))
+                await asyncio.sleep(0.03)
+            return await asyncio.gather(*asks)
+
+        exchanges = [call.exchanges[0] for call in town.run(ask_often())]
+        assert leader not in {one.location for one in exchanges}, str(exchanges)
+
+
 @test("callers are sent to a leader only while it is heard")
 def _() -> None:
     with fleet(seed=4, planes=1) as town:
