Log: an append costs a follower what it holds, not what the log holds

Change: entries that go on from the end are appended; the list is cut and searched only where the log is truncated.

--- a/cometdoor/control/log.py
+++ b/cometdoor/control/log.py
@@ -94,9 +94,15 @@
             self.members = entry.change.members
 
     def replace_from(self, entries: list[Entry]) -> None:
-        """The entries take the place of whatever stood from the first one's index on."""
-        self.entries = [*self.entries[: entries[0].index - self.base - 1], *entries]
-        self._find_members()
+        """The entries take the place of whatever stood from the first one's index on.
+
+        Where they only go on from the end, as nearly always, it costs nothing that grows with the log."""
+        is_truncated = entries[0].index <= self.last_index
+        if is_truncated:
+            self.entries = self.entries[: entries[0].index - self.base - 1]
+            self._find_members()
+        for entry in entries:
+            self.append(entry)
 
     def install(self, snapshot: Snapshot) -> None:
         """Begin with this snapshot; entries behind it stay if the log agrees with it."""
