--- /dev/null
+++ b/benchmarks/catch_up.py
@@ -0,0 +1,121 @@
+"""Hundreds of changes: how soon is a replica that was away for all of them there again, how much room do they
+take on its disk, and does it come back from a loss of power at any moment?
+
+A replica that was away for 1,000 changes of 250 kB returns while changes and claims go on (`lab/catch_up.py`,
+links and disks modelled: small is 3 replicas, 1000 Mbit/s and 1 ms one way and for a sync; grown is 5,
+86 Mbit/s and 10 ms one way). An hour of three such changes a second at the driver in service over real files,
+with a disk that is slow, stands still and refuses every write (`lab/long_run.py`). A loss of power at each
+operation on the files of a replica that installs snapshots in parts and compacts its log, with each thing
+that may be left (`lab/power_loss.py`). Planted defects (`lab/snapshot_defects.py`). Times are virtual.
+
+    python -m benchmarks.catch_up [--quick] [--processes COUNT]
+"""
+
+from __future__ import annotations
+
+import argparse
+import logging
+from multiprocessing import get_context
+
+import structlog
+
+from benchmarks.report import report, say
+from lab.catch_up import CHANGES, GROWN, SMALL, CaughtUp, Site, catch_up
+from lab.long_run import Figures, long_run
+from lab.power_loss import Cuts, check_cuts, watched_replica
+from lab.replica_group import Broken
+from lab.snapshot_defects import DEFECTS, REFUSES_ONE_IN, shows
+from lab.snapshot_schedules import snapshot_schedule
+
+SITES = (SMALL, GROWN)
+QUICK_CUTS, QUICK_SCHEDULES = 4, 40
+CUTS, SCHEDULES = 200, 4_000
+QUICK_PROCESSES = 2
+
+
+def _silent() -> None:
+    """The driver logs each write that its disk refuses."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+
+
+def returns(site: Site) -> CaughtUp:
+    """Raises lab.replica_group.Broken."""
+    return catch_up(site, CHANGES)
+
+
+def hour(seconds: float) -> Figures:
+    _silent()
+    return long_run(seconds)
+
+
+def cuts(seed: int) -> Cuts:
+    """Every second course has a disk that refuses operations now and then."""
+    try:
+        return check_cuts(watched_replica(seed, REFUSES_ONE_IN * (seed % 2)), seed)
+    except Broken as broken:
+        return Cuts(broken=[f"seed {seed}: {broken}"])
+
+
+def schedules(seed: int) -> tuple[int, int, str]:
+    """Snapshots installed, changes acknowledged, and what did not hold."""
+    try:
+        group = snapshot_schedule(seed)
+    except Broken as broken:
+        return 0, 0, str(broken)
+    return group.installed, len(group.acknowledged), ""
+
+
+def total(results: list[Cuts]) -> Cuts:
+    summed = Cuts()
+    for one in results:
+        summed.add(one)
+    return summed
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--processes", type=int, default=QUICK_PROCESSES)
+    chosen = parser.parse_args()
+    courses, runs = (QUICK_CUTS, QUICK_SCHEDULES) if chosen.quick else (CUTS, SCHEDULES)
+    with get_context("fork").Pool(chosen.processes) as pool:
+        kept = pool.map_async(hour, [3600.0], chunksize=1)
+        away = pool.map_async(returns, SITES, chunksize=1)
+        cut = pool.map_async(cuts, range(courses), chunksize=1)
+        planted = pool.map_async(shows, list(DEFECTS), chunksize=1)
+        played = pool.map_async(schedules, range(runs), chunksize=5)
+        small, grown = away.get()
+        disk = kept.get()[0]
+        summed = total(cut.get())
+        found = planted.get()
+        installed, acknowledged, broken = zip(*played.get(), strict=True)
+    for name, what in zip(DEFECTS, found, strict=True):
+        say(f"{name}: {what[:100] or 'NOT FOUND'}")
+    for text in [*summed.broken[:5], *filter(None, broken)][:10]:
+        say(f"BROKEN: {text}")
+    report(
+        {
+            "catch_up_s_at_1000_changes": small.seconds,
+            "catch_up_bytes": small.bytes,
+            "catch_up_s_at_1000_changes_grown": grown.seconds,
+            "catch_up_bytes_grown": grown.bytes,
+            "disk_peak_mb_in_an_hour": disk.peak_bytes / 1e6,
+            "changes_in_an_hour": disk.acknowledged,
+            "lost_in_an_hour": disk.lost,
+            "files_begun_in_an_hour": disk.compactions,
+            "cuts_tried": summed.tried,
+            "cuts_recovered": summed.recovered,
+            "cuts_broken": len(summed.broken),
+            "operations_refused": summed.refused,
+            "snapshot_schedules": runs,
+            "snapshots_installed": summed.installed + sum(installed),
+            "acknowledged": sum(acknowledged),
+            "broken": sum(map(bool, broken)),
+            "planted": len(DEFECTS),
+            "planted_found": sum(map(bool, found)),
+        }
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/cometdoor/control/parts.py
+++ b/cometdoor/control/parts.py
@@ -84,6 +84,8 @@
     moved_at: float  # when a part was last sent or an answer last came
     held: int = 0  # by the follower, as far as it said
     sent: int = 0
+    in_doubt: bool = False  # no answer came for long: it may have lost what it held
+    is_repeated: bool = False  # what is under way was sent again since the last part that it took
     sent_at: dict[int, float] = field(default_factory=dict)  # by the end of each part under way
 
     def rewind(self, to: int) -> None:
@@ -165,6 +167,7 @@
         window = self._windows.setdefault(member.id, Window())
         whole, now = sending.whole, self._replica.now
         if sending.sent > 0 and now - sending.moved_at > RESEND_PART_S:
+            sending.in_doubt = True
             if sending.held < len(whole.data):
                 window.lost()
             last_part = (len(whole.data) - 1) // PART_BYTES * PART_BYTES
@@ -200,17 +203,22 @@
 
     def _note_held(self, sending: Sending, taken: PartTaken) -> None:
         now = self._replica.now
-        if taken.held < sending.held:  # it has lost what it held
-            sending.held = taken.held
-            sending.rewind(taken.held)
-            sending.moved_at = now
+        if taken.held < sending.held:
+            if sending.in_doubt:  # else an earlier answer that came late
+                sending.held, sending.in_doubt = taken.held, False
+                sending.rewind(taken.held)
+                sending.moved_at = now
         elif taken.held > sending.held:
             sent_at = sending.sent_at.pop(taken.held, None)
             if sent_at is not None:
                 self._windows[taken.follower].answered(now - sent_at, now)
             sending.held = min(taken.held, len(sending.whole.data))
             sending.sent = max(sending.sent, sending.held)
-            sending.moved_at = now
+            sending.moved_at, sending.in_doubt, sending.is_repeated = now, False, False
+        elif sending.sent > sending.held and not sending.is_repeated:  # one before it is missing
+            self._windows[taken.follower].lost()
+            sending.is_repeated = True
+            sending.rewind(sending.held)
 
     def on_appended(self, follower: str, success: bool, index: int) -> None:
         """The follower's answer to what it was sent, or to a heartbeat meanwhile."""
--- a/cometdoor/control/replication.py
+++ b/cometdoor/control/replication.py
@@ -117,6 +117,8 @@
         is_free = not is_in_parts and not progress.has_append_under_way(replica.now)
         if not heartbeat and (not is_free or progress.next > log.last_index):
             return
+        if is_free and progress.next > log.base:
+            self._replace_many(progress.next)
         if is_free and progress.next <= log.base and replica.parts.takes_parts(member.id) is not None:
             replica.snapshots.send_to(member, progress)
             if not heartbeat:
@@ -138,6 +140,13 @@
                 progress.sent_at = replica.now
         replica.send(member.address, self._append(previous, previous_term, entries, self.round))
 
+    def _replace_many(self, next_index: int) -> None:
+        """Of entries that are more than one append: see `Snapshots.replace_many`."""
+        log = self._replica.log
+        entries = log.after(next_index - 1, MAX_ENTRIES, MAX_APPEND_BYTES)
+        if entries and entries[-1].index < self._replica.applied:
+            self._replica.snapshots.replace_many(next_index)
+
     def _append(self, previous: int, previous_term: int, entries: list[Entry], round: int) -> Append:
         replica = self._replica
         return Append(
--- a/cometdoor/control/snapshots.py
+++ b/cometdoor/control/snapshots.py
@@ -18,6 +18,7 @@
     Record,
     Snapshot,
 )
+from cometdoor.control.log import entry_bytes
 from cometdoor.control.parts import Whole, whole_of
 from cometdoor.control.replication import RESEND_S, Progress
 from cometdoor.wire.messages import Install, Member
@@ -31,8 +32,12 @@
 COMPACT_BYTES = 8 << 20
 COMPACT_TIMES = 3
 COMPACT_ENTRIES = 20_000  # applied since the snapshot
-# Entries that the snapshot covers, kept for followers that were away for a moment.
+# Entries that the snapshot covers, kept for followers that were away for a moment: so many, and no more than
+# the snapshot is long, which is sent as fast.
 RETAIN_BYTES = 4 << 20
+LEAST_RETAINED = 64 << 10
+# A follower that lacks more, and more than twice the last snapshot's length, is sent a new snapshot.
+MANY_BYTES = 1 << 20
 # While a snapshot is on its way: what comes meanwhile follows it as entries.
 RETAIN_FOR_SNAPSHOT_BYTES = 16 << 20
 
@@ -59,6 +64,17 @@
 
     # --- the leader ---
 
+    def replace_many(self, next_index: int) -> None:
+        """Before entries from that index on are sent: if they are so many that a new snapshot is less, it is
+        taken, in memory alone. The disk goes on with the one that it has."""
+        replica, log = self._replica, self._replica.log
+        if self.installed is not None or replica.applied <= log.snapshot_index:
+            return
+        state_bytes = len(log.snapshot.state) if log.snapshot else 0
+        lacking = sum(map(entry_bytes, log.after(next_index - 1, replica.applied - next_index + 1)))
+        if lacking > max(MANY_BYTES, 2 * state_bytes):
+            self._compact_log()
+
     def send_to(self, member: Member, progress: Progress) -> None:
         replica = self._replica
         if replica.parts.takes_parts(member.id):
@@ -117,14 +133,20 @@
 
     # --- compaction ---
 
+    def _compact_log(self) -> None:
+        replica = self._replica
+        state = replica.state_of()
+        retained = min(RETAIN_BYTES, max(len(state), LEAST_RETAINED))
+        if replica.parts.is_sending_snapshot():
+            retained = RETAIN_FOR_SNAPSHOT_BYTES
+        replica.log.compact(replica.applied, state, retained)
+        self._whole = None
+
     def compact(self) -> list[Record]:
         """Forget what is applied; returns all that a fresh file must begin with, in order."""
         replica, log = self._replica, self._replica.log
         if replica.applied > log.snapshot_index:
-            is_sending = replica.parts.is_sending_snapshot()
-            retained = RETAIN_FOR_SNAPSHOT_BYTES if is_sending else RETAIN_BYTES
-            log.compact(replica.applied, replica.state_of(), retained)
-            self._whole = None
+            self._compact_log()
         records: list[Record] = [Identity(replica.me.id), HardState(replica.term, replica.voted_for)]
         if log.snapshot is not None:
             records.append(log.snapshot)
--- a/lab/replica_group.py
+++ b/lab/replica_group.py
@@ -12,7 +12,7 @@
 import sys
 from collections import defaultdict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
@@ -22,7 +22,7 @@
 from cometdoor.control.replica import Replica
 from cometdoor.control.roles import Role
 from cometdoor.control.state_machine import StateMachine, Verdict
-from cometdoor.control.write_ahead_log import pack, read_values, scan
+from cometdoor.control.write_ahead_log import DiskError, pack, read_values, scan
 from cometdoor.wire.messages import Change, Claim, Configure, Frame, Join, Member, encode
 from cometdoor.wire.messages import Splitter as _Splitter
 
@@ -30,6 +30,7 @@
 DELAY_S = 0.002
 SYNC_S = 0.002
 SLOW_SYNC_S = 0.5  # of a disk in trouble
+RETRY_WRITE_S = 0.2
 JOIN_EVERY_S = 0.3
 LOSSES = ("kill", "wipe", "cut", "one_way", "slow", "all")
 LEADER_SHARE = 0.6  # of the losses fall on the leader, beside those that do by chance
@@ -45,12 +46,18 @@
 
     data: bytes = b""
     numbers: int = 0
+    begun_size: int = 0  # of the first value
     wiped: int = 0
 
+    def next_life(self) -> Disk:
+        """The same disk for the next process; a file is written by one life only."""
+        return Disk(wiped=self.wiped)
+
     def begin(self, writes: list[Record]) -> None:
         """A new file in place of the one before, as `WriteAheadLog.begin`."""
         self.data, self.numbers = b"", 0
         self.put(writes)
+        self.begun_size = len(self.data)
 
     def put(self, writes: list[Record]) -> None:
         self.numbers += 1
@@ -80,7 +87,7 @@
 
     bytes_per_s: float
     delay_s: float
-    carried: int = 0  # bytes
+    carried: dict[tuple[int, int], int] = field(default_factory=lambda: defaultdict(int))  # bytes
     longest_wait_s: float = 0.0  # of any message behind others
     _free_at: dict[tuple[int, int], float] = field(default_factory=lambda: defaultdict(float))
 
@@ -88,7 +95,7 @@
         begins = max(now, self._free_at[sender, receiver])
         self._free_at[sender, receiver] = begins + size / self.bytes_per_s
         self.longest_wait_s = max(self.longest_wait_s, begins - now)
-        self.carried += size
+        self.carried[sender, receiver] += size
         return self._free_at[sender, receiver] + self.delay_s
 
 
@@ -136,7 +143,8 @@
         self.chance = random.Random(seed)
         self.now = 0.0
         self.machines = [
-            Machine(f"10.0.0.{place}:1", zone=zones[place % len(zones)]) for place in range(machines)
+            Machine(f"10.0.0.{place}:1", disk=self.new_disk(place), zone=zones[place % len(zones)])
+            for place in range(machines)
         ]
         self.cut: set[tuple[int, int]] = set()  # (from, to)
         self.acknowledged: list[tuple[int, Change]] = []
@@ -152,6 +160,9 @@
 
     # --- given ---
 
+    def new_disk(self, place: int) -> Disk:
+        return Disk()
+
     def start(self, place: int, founds: bool = False) -> None:
         machine = self.machines[place]
         held = machine.disk.held()
@@ -170,8 +181,9 @@
         machine.life += 1
         machine.writing = None
         machine.join_at = 0.0
-        machine.disk = Disk(wiped=machine.disk.wiped)
-        machine.disk.put(machine.replica.compact())  # a file is written by one life only
+        machine.disk = machine.disk.next_life()
+        machine.writing = Batch(self.now, machine.replica.compact(), 0, begins=True)
+        self._write_due(machine, machine.replica)
         if founds and machine.life == 1:
             machine.replica.bootstrap()
 
@@ -288,9 +300,7 @@
         replica.tick(self.now)
         replica.flush()
         if machine.writing is not None and machine.writing.due <= self.now:
-            batch, machine.writing = machine.writing, None
-            (machine.disk.begin if batch.begins else machine.disk.put)(batch.records)
-            replica.written(batch.count, self.now)
+            self._write_due(machine, replica)
         if machine.writing is None and (writes := replica.take_writes(self.now)):
             machine.writing = self._batch(machine, replica, writes)
         if replica.installed is not None:
@@ -319,20 +329,36 @@
         outbox, replica.outbox = replica.outbox, []
         for outgoing in outbox:
             to = self._place_of(outgoing.address)
+            self.sent(place, replica, outgoing.message)
             if to is not None and (place, to) not in self.cut:
                 self._order += 1
                 due = self._arrival(place, to, outgoing.message)
                 self._line.append((due, self._order, place, to, outgoing.message))
 
+    def sent(self, place: int, replica: Replica, message: object) -> None:
+        """A message leaves."""
+
+    def _write_due(self, machine: Machine, replica: Replica) -> None:
+        batch, machine.writing = machine.writing, None
+        assert batch is not None
+        try:
+            (machine.disk.begin if batch.begins else machine.disk.put)(batch.records)
+        except DiskError:
+            machine.writing = replace(batch, due=self.now + RETRY_WRITE_S)
+            return
+        replica.written(batch.count, self.now)
+
     def _arrival(self, sender: int, receiver: int, message: Any) -> float:
         if self.links is None:
             return self.now + DELAY_S * self.chance.uniform(0.5, 3.0)
         return self.links.arrival(sender, receiver, len(encode(Frame(0, False, message))), self.now)
 
+    def compaction_is_due(self, machine: Machine, replica: Replica) -> bool:
+        return 0 < self.compact_entries < replica.applied - replica.log.snapshot_index
+
     def _batch(self, machine: Machine, replica: Replica, writes: list[Record]) -> Batch:
         count = len(writes)
-        applied_since = replica.applied - replica.log.snapshot_index
-        begins = 0 < self.compact_entries < applied_since and replica.installed is None
+        begins = replica.installed is None and self.compaction_is_due(machine, replica)
         if begins:
             writes = replica.compact()
             assert replica.log.snapshot is not None
--- a/stories/control/test_snapshots.py
+++ b/stories/control/test_snapshots.py
@@ -11,6 +11,7 @@
 from cometdoor.control.log import Log
 from cometdoor.control.replica import Replica
 from cometdoor.control.roles import Role
+from cometdoor.control.rounds import NEVER
 from cometdoor.control.snapshots import is_due
 from cometdoor.control.state_machine import StateMachine
 from cometdoor.wire.messages import (
@@ -27,7 +28,11 @@
     Part,
     PartTaken,
 )
+from lab.catch_up import GROWN, SMALL, Site, catch_up
+from lab.long_run import long_run
+from lab.power_loss import check_cuts, watched_replica
 from lab.replica_group import Links, ReplicaGroup
+from lab.snapshot_defects import shows
 from lab.snapshot_schedules import small_parts, snapshot_schedule
 
 MEMBERS = tuple(Member(f"m{place}", f"a{place}", "") for place in range(3))
@@ -258,3 +263,90 @@
 @test("schedules with snapshots all the while, and losses in the middle, lose nothing")
 def _(seed: int = each(1, 2, 3, 4)) -> None:
     assert snapshot_schedule(seed).acknowledged
+
+
+def a_leader() -> Replica:
+    """Of three, with forty configurations of 100 kB that are applied, and nothing under way."""
+    replica = a_follower()
+    replica.lead()
+    replica.term = 2
+    for revision in range(1, 41):
+        replica.propose(Configure(revision - 1, revision, bytes(100_000)))
+    write_all(replica)
+    replica.committed = replica.applied = replica.log.last_index
+    replica.state_of = lambda: STATE
+    for member in replica.other_members():
+        replica.parts.learn(member.id, takes_parts=True)
+        replica.replication.progress[member.id].sent_at = NEVER
+    replica.outbox.clear()
+    return replica
+
+
+def a_taken(parts_sent: list[Part], held: int) -> PartTaken:
+    return PartTaken(2, "m2", parts_sent[0].digest, held)
+
+
+@test("a follower that lacks much is sent a new snapshot, one that lacks little the entries")
+def _(next_index: int = each(2, 39)) -> None:
+    replica = a_leader()
+    replica.replication.progress["m2"].next = next_index
+    replica.replication.append_to(MEMBERS[2])
+    sent = told(replica, Part)
+    assert sent[0].offset == 0 and len(sent) <= parts.FIRST_WINDOW
+    assert replica.parts.is_sending_snapshot() is (next_index == 2)
+    assert replica.log.snapshot_index == (replica.applied if next_index == 2 else 0)
+
+
+@test("an answer that comes late rewinds nothing; one after a silence is believed")
+def _() -> None:
+    replica = a_leader()
+    replica.replication.progress["m2"].next = 39
+    replica.replication.append_to(MEMBERS[2])
+    sent = told(replica, Part)
+    size = parts.PART_BYTES
+    replica.receive(a_taken(sent, 2 * size), 100.01)
+    replica.receive(a_taken(sent, size), 100.01)
+    assert all(one.offset >= 2 * size for one in told(replica, Part))
+    replica.now = 101.0
+    replica.parts.go_on(MEMBERS[2])
+    told(replica, Part)
+    replica.receive(a_taken(sent, 0), 101.0)
+    assert [one.offset for one in told(replica, Part)] == [0]
+
+
+@test("a replica comes back from a loss of power at any operation with all that it told")
+def _(refuses_one_in: int = each(0, 12)) -> None:
+    course = watched_replica(1, refuses_one_in)
+    cuts = check_cuts(course, 1)
+    assert cuts.tried > 500 and cuts.recovered == cuts.tried and not cuts.broken
+
+
+@test("planted defects of snapshots, files and compaction are found")
+def _(
+    name: str = each(
+        "a snapshot is installed before all parts are there",
+        "older files go before the new one is on disk",
+        "the new file's name is not synced",
+        "the entries' base is not the snapshot's",
+        "a compaction forgets the vote",
+    ),
+) -> None:
+    assert shows(name)
+
+
+@test("minutes of large changes over real files lose nothing and take a tenth of the disk at the most")
+def _() -> None:
+    figures = long_run(200.0)
+    assert figures.compactions > 5 and figures.refused_syncs > 10
+    assert figures.acknowledged > 350 and not figures.lost
+    assert figures.peak_bytes < 25 << 20
+
+
+@test("a replica that was away for many large changes, is killed on the way or has a slow disk, catches up")
+def _(
+    case: tuple[Site, float, float] = each((SMALL, 0.0, 0.0), (GROWN, 0.1, 0.0), (GROWN, 0.0, 3.0)),
+) -> None:
+    site, killed_at_s, stalled_s = case
+    done = catch_up(site, 60, killed_at_s=killed_at_s, stalled_s=stalled_s)
+    assert done.snapshots and done.terms == 0
+    assert done.seconds < 1.0 + stalled_s
