--- a/benchmarks/contact.py
+++ b/benchmarks/contact.py
@@ -16,7 +16,7 @@
 import os
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from multiprocessing import get_context
 from multiprocessing.pool import AsyncResult, Pool
 
@@ -39,14 +39,15 @@
 @dataclass(frozen=True, slots=True)
 class Extent:
     cuts: int  # of each kind
-    depth: int  # of the courses of client sessions
+    depth: int  # of the courses of client sessions, of three replicas
+    five_depth: int  # and of five
     walks: int
     histories: int
     kills: int
 
 
-QUICK = Extent(cuts=2, depth=3, walks=200, histories=12, kills=40)
-WHOLE = Extent(cuts=40, depth=4, walks=20_000, histories=400, kills=1_000)
+QUICK = Extent(cuts=2, depth=3, five_depth=1, walks=200, histories=12, kills=40)
+WHOLE = Extent(cuts=40, depth=4, five_depth=2, walks=20_000, histories=400, kills=1_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,9 +115,10 @@
 
     def __init__(self, pool: Pool, extent: Extent) -> None:
         cuts = [(seed, how, leads) for seed in range(extent.cuts) for how in HOWS for leads in (True, False)]
-        self._depth = extent.depth
+        self._extent = extent
         self._cuts = pool.map_async(cut, cuts, chunksize=1)
         self._courses = pool.map_async(courses, jobs(extent.depth), chunksize=1)
+        self._courses_of_five = pool.map_async(courses, jobs(extent.five_depth, 5), chunksize=1)
         self._walks = pool.map_async(walk, range(extent.walks), chunksize=10)
         self._histories = pool.map_async(history, range(extent.histories), chunksize=1)
         self._planted = pool.map_async(planted, DEFECTS, chunksize=1)
@@ -130,9 +132,10 @@
 
     def figures(self) -> dict[str, float | int | str]:
         cuts, explored, walked = self._cuts.get(), self._courses.get(), self._walks.get()
+        of_five = self._courses_of_five.get()
         histories, found = self._histories.get(), self._planted.get()
         wrong = [text for one in cuts for text in one.wrong]
-        broken = [one.broken for one in [*explored, *walked] if one.broken]
+        broken = [one.broken for one in [*explored, *of_five, *walked] if one.broken]
         broken += [one.broken for one in histories if one.broken]
         for text in (*wrong, *broken):
             say(f"BROKEN: {text}")
@@ -143,9 +146,11 @@
             "replica_cut_answers": sum(one.looked_at for one in cuts),
             "replica_cut_wrong_answers": len(wrong),
             "session_states": sum(one.states for one in explored),
-            "session_depth": self._depth,
+            "session_depth": self._extent.depth,
+            "session_states_of_five": sum(one.states for one in of_five),
+            "session_depth_of_five": self._extent.five_depth,
             "session_steps_walked": sum(one.states for one in walked),
-            "session_answers": sum(one.answers for one in (*explored, *walked)),
+            "session_answers": sum(one.answers for one in (*explored, *of_five, *walked)),
             "session_histories": len(histories),
             "session_calls": sum(one.calls for one in histories),
             "resent": sum(one.resent for one in histories),
@@ -174,7 +179,7 @@
     chosen = parser.parse_args()
     extent = QUICK if chosen.quick else WHOLE
     if chosen.depth:
-        extent = Extent(extent.cuts, chosen.depth, extent.walks, extent.histories, extent.kills)
+        extent = replace(extent, depth=chosen.depth)
     with get_context("fork").Pool(chosen.processes) as pool:
         report(Running(pool, extent).figures())
 
--- a/lab/sessions.py
+++ b/lab/sessions.py
@@ -20,7 +20,7 @@
 
 What is taken is told by a plain register that compares whole bodies, run over the committed entries.
 
-    python -m lab.sessions [DEPTH]   all courses to a depth, from each opening
+    python -m lab.sessions [DEPTH [MEMBERS]]   all courses to a depth, from each opening
 """
 
 from __future__ import annotations
@@ -309,39 +309,38 @@
 # --- openings: where a course begins, so that a short one reaches far ---
 
 LIMITS = Limits(changes=0, crashes=1, wipes=0)
-ALL = (Step("send", 0, frozenset({1, 2})),) * 2
-TAKEN_TWICE = (
-    SessionStep("submit", 0, order=0),
-    *ALL,
-    SessionStep("submit", 0, order=2),
-    *ALL,
+OPENINGS = (
+    "led",
+    "an order in the leader's log alone",
+    "an order on one more disk, and not told",
+    "taken, and a later one on top",
+    "a leader that another has replaced",
+    "taken, and the leader that told it replaced",
 )
-OPENINGS: dict[str, tuple[Step, ...]] = {
-    "led": (),
-    "an order in the leader's log alone": (SessionStep("submit", 0, order=0),),
-    "an order on two disks of three, and not told": (
-        SessionStep("submit", 0, order=0),
-        Step("send once", 0, frozenset({1})),
-    ),
-    "taken, and a later one on top": TAKEN_TWICE,
-    "a leader that another has replaced": (
-        SessionStep("submit", 0, order=0),
-        Step("elect", 1, frozenset({2})),
-        Step("elect", 1, frozenset({2})),
-        Step("send", 1, frozenset({2})),
-    ),
-    "taken, and the leader that told it replaced": (
-        SessionStep("submit", 0, order=0),
-        *ALL,
-        Step("elect", 1, frozenset({2})),
-        Step("elect", 1, frozenset({2})),
-        Step("send", 1, frozenset({2})),
-    ),
-}
+
+
+def opening_steps(name: str, members: int) -> list[Step]:
+    """`name`: one of OPENINGS. Replica 0 leads; 1 takes its place where another does."""
+    first = frozenset(range(1, members // 2 + 1))  # a majority with 0
+    second = frozenset(range(2, members // 2 + 2))  # with 1, and without 0
+    ordered: list[Step] = [SessionStep("submit", 0, order=0)]
+    told = [Step("send", 0, first)] * 2
+    replaced = [*[Step("elect", 1, second)] * 2, Step("send", 1, second)]
+    on_top: list[Step] = [SessionStep("submit", 0, order=2)]
+    steps: dict[str, list[Step]] = {
+        "led": [],
+        "an order in the leader's log alone": ordered,
+        "an order on one more disk, and not told": [*ordered, Step("send once", 0, frozenset({1}))],
+        "taken, and a later one on top": [*ordered, *told, *on_top, *told],
+        "a leader that another has replaced": [*ordered, *replaced],
+        "taken, and the leader that told it replaced": [*ordered, *told, *replaced],
+    }
+    return steps[name]
 
 
 def opened(name: str, members: int = 3, limits: SessionLimits | None = None) -> SessionWorld:
-    world = SessionWorld.led(members, replace(LIMITS), SessionLimits()).follow(*OPENINGS[name])
+    world = SessionWorld.led(members, replace(LIMITS), SessionLimits())
+    world = world.follow(*opening_steps(name, members))
     world.session_limits = limits or SessionLimits()
     return world
 
@@ -382,7 +381,7 @@
 def walk_sessions(seed: int, steps: int, members: int = 3) -> Explored:
     """One course at random from a random opening."""
     chance = random.Random(seed)
-    world: World = opened(chance.choice(list(OPENINGS)), members, SessionLimits(8, 4, 2))
+    world: World = opened(chance.choice(OPENINGS), members, SessionLimits(8, 4, 2))
     world.left.crashes = 3
     try:
         for _ in range(steps):
@@ -395,18 +394,15 @@
     return Explored(steps, world.callers.answers)
 
 
-def jobs(depth: int) -> list[tuple[str, int, int, int]]:
+def jobs(depth: int, members: int = 3) -> list[tuple[str, int, int, int]]:
     """Arguments of `explore_sessions`, one for each opening and first step."""
-    return [
-        (opening, depth, 3, first)
-        for opening in OPENINGS
-        for first in range(len(list(opened(opening).choices())))
-    ]
+    counts = {opening: len(list(opened(opening, members).choices())) for opening in OPENINGS}
+    return [(opening, depth, members, first) for opening, count in counts.items() for first in range(count)]
 
 
-def main(depth: int) -> int:
+def main(depth: int, members: int) -> int:
     with Pool(2) as pool:
-        found = pool.starmap(explore_sessions, jobs(depth), chunksize=1)
+        found = pool.starmap(explore_sessions, jobs(depth, members), chunksize=1)
     for one in found:
         if one.broken:
             print(one.broken)
@@ -415,4 +411,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]) if len(sys.argv) > 1 else 3))
+    chosen = [int(one) for one in sys.argv[1:]]
+    sys.exit(main(chosen[0] if chosen else 3, chosen[1] if len(chosen) > 1 else 3))
