Control: a member says how old its last contact is, also as a leader; colliding bodies played whole

Cause: as-of-s of a leader that can't confirm a round told when it had last heard another leader, or that it never had.

Change: the age of the newest proof of contact of either kind. Stories: two operators with bodies of one CRC-32 under one number, through a change on top and a leader's end; what the commands say first; that orders in the story of eight at once were acknowledged again and again.

--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -139,11 +139,11 @@
         """`as-of-s`: how old the last proof is that a leader stood behind what is told; none in this life:
         null."""
         driver = self._driver
-        heard_s = 0.0 if confirmed else driver.leader_heard_s()
+        contact_s = 0.0 if confirmed else driver.last_contact_s()
         return {
             "confirmed": confirmed,
             "standing": driver.standing().contact.value,
-            "as-of-s": rounded(heard_s),
+            "as-of-s": rounded(contact_s),
         }
 
     def describe_core(self, confirmed: bool) -> dict[str, object]:
--- a/cometdoor/control/contact.py
+++ b/cometdoor/control/contact.py
@@ -62,10 +62,15 @@
         is_awake = now - self._looked_at <= STOOD_STILL_S and heard_at > self._awake_since
         return is_awake and now - heard_at < LEADER_FRESH_S
 
-    def leader_heard_s(self, now: float) -> float | None:
-        """How long ago a leader was heard; None: never in this life."""
-        heard_at = self._replica.elections.leader_heard_at
-        return now - heard_at if heard_at >= self._began_at else None
+    def last_contact_s(self, now: float) -> float | None:
+        """How long ago a leader was heard or, by a leader, the newest confirmed round began; None: never in
+        this life."""
+        at = self._last_contact_at()
+        return now - at if at >= self._began_at else None
+
+    def _last_contact_at(self) -> float:
+        replica = self._replica
+        return max(replica.elections.leader_heard_at, replica.replication.rounds.confirmed_at)
 
     def has_majority(self, now: float) -> bool:
         """Whether this leader has a proof of contact that is young enough to begin anything, or to wait
@@ -76,9 +81,7 @@
         """`leader_line_broken`: the connection on which the leader was heard last is over. If it lives, it is
         heard on another one within a heartbeat."""
         replica = self._replica
-        heard_at = replica.elections.leader_heard_at
-        confirmed_at = replica.replication.rounds.confirmed_at
-        silent_s = now - max(heard_at, confirmed_at, self._began_at)
+        silent_s = now - max(self._last_contact_at(), self._began_at)
         if replica.role is Role.LEADER:
             if replica.may_accept() and self.has_majority(now):
                 return Standing(Contact.LEADS, silent_s)
--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -153,9 +153,9 @@
         is_broken = self._leader_line is not None and self._leader_line.is_over
         return self._judge.standing(self._loop.time(), is_broken)
 
-    def leader_heard_s(self) -> float | None:
-        """How long ago a leader was heard; None: never in this life."""
-        return self._judge.leader_heard_s(self._loop.time())
+    def last_contact_s(self) -> float | None:
+        """How long ago this replica was in touch with a leader or, as one, a majority; None: never."""
+        return self._judge.last_contact_s(self._loop.time())
 
     def member_heard_s(self, id: str) -> float | None:
         """How long ago that member answered a heartbeat; None: not in this term, or this one doesn't lead."""
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -175,14 +175,14 @@
         raise typer.Exit(1) from None
 
 
-def _as_of(found: dict[str, Any]) -> str:
+def as_of(found: dict[str, Any]) -> str:
     """How far what a core member tells of itself is confirmed."""
     contact = found["contact"]
     if contact["confirmed"]:
         return f"confirmed by a majority in term {found['term']}, which {found['id']} leads"
     if contact["as-of-s"] is None:
-        return f"NOT CONFIRMED: {found['id']} has heard no leader since it started"
-    return f"as of {contact['as-of-s']} s ago, when {found['id']} last heard a leader: ask that one"
+        return f"NOT CONFIRMED: {found['id']} has not been in touch with any leader since it started"
+    return f"as of {contact['as-of-s']} s ago, when {found['id']} was last in touch with a leader or majority"
 
 
 @app.command("log")
@@ -211,7 +211,7 @@
         print(
             "\n".join(
                 [
-                    _as_of(found),
+                    as_of(found),
                     f"a snapshot holds all up to {found['snapshot-index']}; {found['committed']} of "
                     f"{found['last']} are committed",
                     *lines,
@@ -239,7 +239,7 @@
         print(
             "\n".join(
                 [
-                    _as_of(core),
+                    as_of(core),
                     f"term {core['term']}, {core['committed']} of {core['last']} entries committed, "
                     f"configuration {core['revision']}, {core['keys']} keys"
                     + ("" if core["members-committed"] else ", a change of members under way"),
--- a/stories/control/test_contact.py
+++ b/stories/control/test_contact.py
@@ -12,11 +12,13 @@
 
 from cometdoor.control.contact import Contact
 from cometdoor.dataplane.process import DataPlane
+from cometdoor.programs import as_of
 from cometdoor.wire.messages import AskShares, Claim, Claims, Refusal
+from lab.collisions import LETTERS, collide
 from lab.cuts import HOWS, body_of, contradictions, cut_off
 from lab.fleet import Fleet, fleet
 from lab.operators import Call, FleetOperator, Order
-from standins.mesh import CONTROL, ask
+from standins.mesh import CONTROL, ask, configuration, route
 
 structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
 
@@ -215,7 +217,15 @@
             contact = town.run(look(address, "/Core.Describe"))["contact"]
             assert isinstance(contact, dict) and not contact["confirmed"]
             assert contact["standing"] == "cut off"
-            assert contact["as-of-s"] is None or contact["as-of-s"] > 4.5
+            assert 4.5 < contact["as-of-s"] < 5.5
+
+
+@test("the commands say in their first line how far what they show is confirmed")
+def _() -> None:
+    told = {"id": "m1", "term": 3}
+    assert "by a majority in term 3" in as_of(told | {"contact": {"confirmed": True, "as-of-s": 0.0}})
+    assert "as of 4.2 s ago" in as_of(told | {"contact": {"confirmed": False, "as-of-s": 4.2}})
+    assert "NOT CONFIRMED" in as_of(told | {"contact": {"confirmed": False, "as-of-s": None}})
 
 
 @test("of eight orders at once, with {loss} of the answers lost, none that is taken is ever refused")
@@ -245,10 +255,36 @@
         calls = [call for caller in callers for call in caller.calls]
         orders = [call for call in calls if call.order is not None]
         assert not contradictions(calls)
-        assert sum(len(call.exchanges) for call in orders) > 3 * len(orders)
-        assert any(call.status == 200 for call in orders) and all(
-            call.status in (200, 412) for call in orders
-        )
+        assert any(call.status == 200 for call in orders) and {call.status for call in orders} <= {200, 412}
+        # Of what was taken much was acknowledged more than once before an answer came through
+        again = [
+            sum(one.status == 200 for one in call.exchanges) - 1 for call in orders if call.status == 200
+        ]
+        assert sum(again) >= 5, again
+
+
+@test("of two operators' configurations under one number, with one checksum, one is taken and both can tell")
+def _() -> None:
+    padding = b"a" * LETTERS
+    first = configuration(2, [route("idempotent", more={"name": padding.decode()})])
+    second = collide(first, padding)
+    assert first != second and json.loads(second)["revision"] == 2
+    with fleet(seed=9, planes=1) as town:
+        town.run(town.begin())
+        callers = [operator(town), operator(town)]
+        orders = [Order(1, 2, first), Order(1, 2, second)]
+
+        async def both() -> list[int]:
+            tasks = [caller.replace(order) for caller, order in zip(callers, orders, strict=True)]
+            return [call.status for call in await asyncio.gather(*tasks)]
+
+        statuses = town.run(both())
+        assert sorted(statuses) == [200, 412]
+        assert town.run(both()) == statuses
+        # Also once another came on top, and its leader has gone
+        assert town.run(callers[0].replace(Order(2, 3, body_of(3, "top")))).status == 200
+        town.kill(town.leader())
+        assert town.run(both()) == statuses
 
 
 STEADY = ("control", "wire", "keys", "budget", "news", "dataplane", "http")  # packages in which time decides
