Names of the field for the proxies, gossip, budgets, connections and the host; no behaviour change

Cause: modules bore words of our own (door, way out, news, lines, pool, evidence), and `core` meant two things. Change, moves and names alone: dataplane has inbound_proxy (InboundProxy), outbound_proxy (OutboundProxy), service_client, slots, admission, statistics and heartbeats; news is gossip with a failure_detector; wire.lines is wire.connections; budget has allocator, allocation, allocations and lease; core is host, with attempt_outcome, connection_reuse, fair_share and enums; their tests and stories moved along.

--- a/benchmarks/capacity_proxy.py
+++ b/benchmarks/capacity_proxy.py
@@ -24,8 +24,8 @@
 from cometdoor.configuration import delta
 from cometdoor.configuration.document import parse
 from cometdoor.configuration.routes import Routes
-from cometdoor.news.directory import Directory
-from cometdoor.wire.lines import Line, Lines, PeerError
+from cometdoor.gossip.directory import Directory
+from cometdoor.wire.connections import Line, Lines, PeerError
 from cometdoor.wire.messages import (
     Append,
     AskConfiguration,
--- a/benchmarks/capacity_replica.py
+++ b/benchmarks/capacity_replica.py
@@ -21,8 +21,8 @@
 from tempfile import TemporaryDirectory
 
 from benchmarks.hops import processor_s
-from cometdoor.budget.pool import Pool
-from cometdoor.budget.terms import quarantine_s
+from cometdoor.budget.allocator import Pool
+from cometdoor.budget.lease import quarantine_s
 
 # The only place here that knows how the control plane is cut into modules.
 from cometdoor.control.durable import DurableState
@@ -30,7 +30,7 @@
 from cometdoor.control.roles import Role
 from cometdoor.control.state_machine import StateMachine
 from cometdoor.control.write_ahead_log import files, pack, scan
-from cometdoor.wire.lines import Lines, PeerError
+from cometdoor.wire.connections import Lines, PeerError
 from cometdoor.wire.messages import (
     Claim,
     Claimed,
--- a/benchmarks/detector.py
+++ b/benchmarks/detector.py
@@ -26,9 +26,9 @@
 
 from benchmarks.report import median, report, say
 from benchmarks.rivals import CANDIDATES, Setting, detect
-from cometdoor.core.evidence import Reading
-from cometdoor.core.keeping import Keepings
-from cometdoor.core.shares import Descriptors
+from cometdoor.host.attempt_outcome import Reading
+from cometdoor.host.connection_reuse import Keepings
+from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.upstream import Answer, Exchange, Pool
 from jasperhall.suspicion import Detector, Suspicion
 from standins import sick, simulation
--- a/cometdoor/budget/share.py
+++ b/cometdoor/budget/allocation.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 
-from cometdoor.budget.terms import LEASE_S, OWN_SHARE, SLACK_OWN, lent_for_s
+from cometdoor.budget.lease import LEASE_S, OWN_SHARE, SLACK_OWN, lent_for_s
 from cometdoor.wire.messages import Need
 
 SLOT_S = 0.5
--- a/cometdoor/budget/shares.py
+++ b/cometdoor/budget/allocations.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
-from cometdoor.budget.share import Share
-from cometdoor.wire.lines import Lines, PeerError
+from cometdoor.budget.allocation import Share
+from cometdoor.wire.connections import Lines, PeerError
 from cometdoor.wire.messages import AskShares, Message, Refusal, SharesAre
 
 TICK_S = 0.25
--- a/cometdoor/budget/pool.py
+++ b/cometdoor/budget/allocator.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from cometdoor.budget.terms import (
+from cometdoor.budget.lease import (
     LATE_S,
     LEASE_S,
     OFFER_S,
--- a/cometdoor/cli.py
+++ b/cometdoor/cli.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from cometdoor.core.schema import BadSettings, read_bytes, read_content
+from cometdoor.host.schema import BadSettings, read_bytes, read_content
 from cometdoor.services.settings import Settings, load_settings, read_settings
 
 
@@ -113,7 +113,7 @@
 
     import msgspec
 
-    from cometdoor.core.words import read_address
+    from cometdoor.host.enums import read_address
     from cometdoor.planning.settings import load_planners
     from cometdoor.planning.status import Status, page
 
--- a/cometdoor/configuration/document.py
+++ b/cometdoor/configuration/document.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from cometdoor.core.checked import Content, convert, named
-from cometdoor.core.schema import BadSettings, Problem
+from cometdoor.host.checked import Content, convert, named
+from cometdoor.host.schema import BadSettings, Problem
 
 ROUTE_TYPES = ("idempotent", "non_idempotent", "keyed", "download")
 WHERE = "configuration"
--- a/cometdoor/control/calls.py
+++ b/cometdoor/control/calls.py
@@ -18,7 +18,7 @@
 from cometdoor.control.driver import ReplicaDriver
 from cometdoor.control.log import is_membership
 from cometdoor.control.state_machine import Verdict
-from cometdoor.core.schema import BadSettings
+from cometdoor.host.schema import BadSettings
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.calls import JSON, problem, segments
 from cometdoor.http.messages import ClientRequest
--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -16,7 +16,7 @@
 import structlog
 from msgspec.structs import replace
 
-from cometdoor.budget.pool import Pool
+from cometdoor.budget.allocator import Pool
 from cometdoor.control.contact import Contact, ContactJudge, Standing
 from cometdoor.control.membership import FEW_VOTERS_S, Sizing
 from cometdoor.control.replica import Replica
@@ -25,7 +25,7 @@
 from cometdoor.control.state_machine import StateMachine, Verdict
 from cometdoor.control.waiting import OrderEnded, WaitingCalls
 from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
-from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.connections import Line, Lines
 from cometdoor.wire.messages import (
     Append,
     Appended,
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -10,18 +10,18 @@
 import msgspec
 import structlog
 
-from cometdoor.budget.pool import Pool
+from cometdoor.budget.allocator import Pool
 from cometdoor.control.calls import MAX_CONFIGURATION, OperatorCalls
 from cometdoor.control.driver import ReplicaDriver
 from cometdoor.control.membership import Sizing
-from cometdoor.core.boot import Boot
-from cometdoor.core.listening import listen_all
-from cometdoor.core.shares import Descriptors
+from cometdoor.gossip.directory import Directory
+from cometdoor.gossip.exchange import Exchange
+from cometdoor.host.boot import Boot
+from cometdoor.host.fair_share import Descriptors
+from cometdoor.host.listening import listen_all
 from cometdoor.http.calls import PathReader
 from cometdoor.http.frontend import Bounds, Frontend
-from cometdoor.news.directory import Directory
-from cometdoor.news.exchange import Exchange
-from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.connections import Line, Lines
 from cometdoor.wire.messages import Member, Message, Record
 
 ROLE = "controlplane"
--- a/cometdoor/daemons.py
+++ b/cometdoor/daemons.py
@@ -14,9 +14,9 @@
 
 import structlog
 
-from cometdoor.core.boot import Boot, load_boot
-from cometdoor.core.listening import ListenError
-from cometdoor.core.schema import BadSettings
+from cometdoor.host.boot import Boot, load_boot
+from cometdoor.host.listening import ListenError
+from cometdoor.host.schema import BadSettings
 from cometdoor.http.lifetime import settle_collector
 
 if TYPE_CHECKING:
--- a/cometdoor/dataplane/beats.py
+++ b/cometdoor/dataplane/heartbeats.py
@@ -12,9 +12,9 @@
 import msgspec
 import structlog
 
-from cometdoor.core.checked import Content, convert, named
-from cometdoor.core.schema import BadSettings
-from cometdoor.core.words import read_address
+from cometdoor.host.checked import Content, convert, named
+from cometdoor.host.enums import read_address
+from cometdoor.host.schema import BadSettings
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.calls import JSON, problem, segments
 from cometdoor.http.messages import ClientRequest
--- a/cometdoor/dataplane/door.py
+++ b/cometdoor/dataplane/inbound_proxy.py
@@ -7,15 +7,15 @@
 
 import structlog
 
-from cometdoor.core.clock import now_ms
-from cometdoor.core.evidence import Reading
-from cometdoor.core.host import Address
-from cometdoor.core.shares import Descriptors
-from cometdoor.core.words import read_address
-from cometdoor.dataplane.places import Job, Kind, Places
+from cometdoor.dataplane.slots import Job, Kind, Places
+from cometdoor.host.attempt_outcome import Reading
+from cometdoor.host.clock import now_ms
+from cometdoor.host.enums import read_address
+from cometdoor.host.fair_share import Descriptors
+from cometdoor.host.host import Address
 from cometdoor.http.messages import end_to_end
 from cometdoor.http.upstream import Answer, Belongs, Exchange, Pool
-from cometdoor.wire.lines import Line
+from cometdoor.wire.connections import Line
 from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
 from jasperhall.api import Outcome
 
@@ -92,7 +92,7 @@
 
     __slots__ = ("arrived_ms", "door", "exchange", "is_over", "job", "respond", "run", "until_ms")
 
-    def __init__(self, door: Door, run: Run, respond: Callable[[Message], None], job: Job) -> None:
+    def __init__(self, door: InboundProxy, run: Run, respond: Callable[[Message], None], job: Job) -> None:
         self.door = door
         self.run = run
         self.respond = respond
@@ -119,7 +119,7 @@
         return belongs(answer, self.run.attempt_id)
 
 
-class Door:
+class InboundProxy:
     def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, drain_s: float) -> None:
         self.backend: Backend | None = None
         self.failed: Callable[[], None] = lambda: None  # the backend takes no connection
--- a/cometdoor/dataplane/wayout.py
+++ b/cometdoor/dataplane/outbound_proxy.py
@@ -9,17 +9,17 @@
 
 import structlog
 
-from cometdoor.budget.shares import Shares
+from cometdoor.budget.allocations import Shares
 from cometdoor.configuration.document import Route
 from cometdoor.configuration.routes import Routes, choose
-from cometdoor.core.boot import Boot
-from cometdoor.dataplane.way import Listed, Turn, Way
+from cometdoor.dataplane.service_client import Listed, Turn, Way
+from cometdoor.host.boot import Boot
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import BadRequest, ClientRequest, read_fields, read_number
 from cometdoor.keys import operations
 from cometdoor.keys.claims import ClaimClient
 from cometdoor.keys.operations import DoAsk, DoClaim, DoRun, Operations
-from cometdoor.wire.lines import Lines, PeerError
+from cometdoor.wire.connections import Lines, PeerError
 from cometdoor.wire.messages import AskOperation, Claim, Message, OperationIs, Ran
 
 ATTEMPT, DEADLINE, KEY = b"cometdoor-attempt-id", b"cometdoor-deadline-ms", b"cometdoor-idempotency-key"
@@ -100,7 +100,7 @@
 class KeyedRun:
     """The run of a key's operation: no client holds it, and it goes on when its client leaves."""
 
-    def __init__(self, out: WayOut, key: str) -> None:
+    def __init__(self, out: OutboundProxy, key: str) -> None:
         self._out = out
         self._key = key
 
@@ -114,7 +114,7 @@
         self._out.carry_out(self._out.operations.failed(self._key))
 
 
-class WayOut:
+class OutboundProxy:
     """Handler of the front that callers on this machine use."""
 
     def __init__(
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -11,21 +11,21 @@
 
 from cometdoor.configuration.document import parse
 from cometdoor.configuration.routes import Routes
-from cometdoor.core.boot import Boot
-from cometdoor.core.listening import listen_all
-from cometdoor.core.schema import BadSettings
-from cometdoor.core.shares import Descriptors
-from cometdoor.dataplane.beats import BackendCalls, Lives
-from cometdoor.dataplane.door import Door
-from cometdoor.dataplane.way import Listed
-from cometdoor.dataplane.wayout import MeshReader, WayOut
+from cometdoor.dataplane.heartbeats import BackendCalls, Lives
+from cometdoor.dataplane.inbound_proxy import InboundProxy
+from cometdoor.dataplane.outbound_proxy import MeshReader, OutboundProxy
+from cometdoor.dataplane.service_client import Listed
+from cometdoor.gossip.directory import Directory
+from cometdoor.gossip.exchange import Exchange
+from cometdoor.host.boot import Boot
+from cometdoor.host.fair_share import Descriptors
+from cometdoor.host.listening import listen_all
+from cometdoor.host.schema import BadSettings
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.calls import PathReader, problem, segments
 from cometdoor.http.frontend import Bounds, Frontend
 from cometdoor.http.messages import ClientRequest
-from cometdoor.news.directory import Directory
-from cometdoor.news.exchange import Exchange
-from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.connections import Line, Lines
 from cometdoor.wire.messages import AskOperation, Backend, Message, Record, Run
 
 ROLE = "dataplane"
@@ -74,8 +74,8 @@
         self.directory.changed = lambda record: self._list_soon()
         self.exchange = Exchange(loop, self.lines, self.directory, self._configured)
         descriptors = Descriptors(boot.limits.file_descriptors)
-        self.door = Door(loop, descriptors, boot.bound("drain-s", 2.0))
-        self.out = WayOut(
+        self.door = InboundProxy(loop, descriptors, boot.bound("drain-s", 2.0))
+        self.out = OutboundProxy(
             boot,
             loop,
             self.lines,
--- a/cometdoor/dataplane/way.py
+++ b/cometdoor/dataplane/service_client.py
@@ -8,17 +8,17 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from cometdoor.budget.share import Share
-from cometdoor.budget.terms import OWN_SHARE
+from cometdoor.budget.allocation import Share
+from cometdoor.budget.lease import OWN_SHARE
 from cometdoor.configuration.document import Route
-from cometdoor.core.clock import LoopClock, now_ms
-from cometdoor.core.evidence import Reading, Stage, answered
-from cometdoor.core.host import Address, Caller, Host, HostSettings, OnWire
-from cometdoor.dataplane.places import worth_of
-from cometdoor.dataplane.tally import Tally
-from cometdoor.dataplane.throttle import TOGETHER_FROM, Throttle
+from cometdoor.dataplane.admission import TOGETHER_FROM, Throttle
+from cometdoor.dataplane.slots import worth_of
+from cometdoor.dataplane.statistics import Tally
+from cometdoor.host.attempt_outcome import Reading, Stage, answered
+from cometdoor.host.clock import LoopClock, now_ms
+from cometdoor.host.host import Address, Caller, Host, HostSettings, OnWire
 from cometdoor.http.messages import ClientRequest, end_to_end
-from cometdoor.wire.lines import Call, Lines, PeerError
+from cometdoor.wire.connections import Call, Lines, PeerError
 from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
 from jasperhall import api
 from jasperhall.api import NEVER_RAN, Effect, ListKind, Outcome, State
@@ -126,7 +126,7 @@
     return max(request.left_ms - (now - request.arrived_at * 1000.0), 0.0)
 
 
-class AtDoor:
+class Attempt:
     """One attempt."""
 
     __slots__ = ("call", "turn")
@@ -322,7 +322,7 @@
         turn.calls.append(call)
         if run.further:
             self._share.further(now_ms() / 1000.0)
-        return AtDoor(call, turn)
+        return Attempt(call, turn)
 
     def _headers(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
         kept = [header for header in end_to_end(request.headers) if header[0].lower() not in OURS]
--- a/cometdoor/discovery/config.py
+++ b/cometdoor/discovery/config.py
@@ -10,8 +10,8 @@
 
 import orjson
 
-from cometdoor.core.host import Address
-from cometdoor.core.words import read_address
+from cometdoor.host.enums import read_address
+from cometdoor.host.host import Address
 from jasperhall import api
 from jasperhall.simhost import part, read_settings
 
--- a/cometdoor/discovery/node.py
+++ b/cometdoor/discovery/node.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from cometdoor.core.host import Address, HostSettings
-from cometdoor.core.shares import Descriptors
 from cometdoor.discovery.config import NodeConfig
 from cometdoor.discovery.platform import Discovery, ListReader
+from cometdoor.host.fair_share import Descriptors
+from cometdoor.host.host import Address, HostSettings
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.platform import PlatformReader
 from cometdoor.http.service import Caps, HttpService
--- a/cometdoor/discovery/platform.py
+++ b/cometdoor/discovery/platform.py
@@ -17,8 +17,8 @@
 import httptools
 import orjson
 
-from cometdoor.core.host import Address
-from cometdoor.core.words import read_address
+from cometdoor.host.enums import read_address
+from cometdoor.host.host import Address
 from jasperhall.api import ListChanged, ListKind, Server, State
 
 log = logging.getLogger(__name__)
--- a/cometdoor/news/directory.py
+++ b/cometdoor/gossip/directory.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from cometdoor.news.silence import Silence
+from cometdoor.gossip.failure_detector import Silence
 from cometdoor.wire.messages import Compare, Compared, News, Reach, Record
 
 EXCHANGE_S = 0.25  # between comparisons
--- a/cometdoor/news/exchange.py
+++ b/cometdoor/gossip/exchange.py
@@ -8,8 +8,8 @@
 import structlog
 
 from cometdoor.configuration import delta
-from cometdoor.news.directory import Directory
-from cometdoor.wire.lines import Line, Lines, PeerError
+from cometdoor.gossip.directory import Directory
+from cometdoor.wire.connections import Line, Lines, PeerError
 from cometdoor.wire.messages import (
     AskConfiguration,
     Compare,
--- a/cometdoor/core/boot.py
+++ b/cometdoor/host/boot.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from cometdoor.core.checked import Content, convert, named
-from cometdoor.core.schema import BadSettings, Problem, read_bytes, read_content
-from cometdoor.core.words import read_address
+from cometdoor.host.checked import Content, convert, named
+from cometdoor.host.enums import read_address
+from cometdoor.host.schema import BadSettings, Problem, read_bytes, read_content
 
 VARIABLE = "COMETDOOR_NODE_FILE"
 
--- a/cometdoor/core/checked.py
+++ b/cometdoor/host/checked.py
@@ -16,7 +16,7 @@
 from mashumaro import DataClassDictMixin
 from mashumaro.config import BaseConfig
 
-from cometdoor.core.schema import BadSettings, Problem
+from cometdoor.host.schema import BadSettings, Problem
 
 Faults = list[tuple[str, str]]  # place and text
 
--- a/cometdoor/core/words.py
+++ b/cometdoor/host/enums.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cometdoor.core.host import Address
+from cometdoor.host.host import Address
 
 
 def read_address(text: str, least: int = 1) -> Address:
--- a/cometdoor/core/host.py
+++ b/cometdoor/host/host.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
-from cometdoor.core.clock import Clock, Timer
-from cometdoor.core.evidence import End, Reading, Stage, read
+from cometdoor.host.attempt_outcome import End, Reading, Stage, read
+from cometdoor.host.clock import Clock, Timer
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
 
--- a/cometdoor/core/listening.py
+++ b/cometdoor/host/listening.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 
-from cometdoor.core.words import read_address
+from cometdoor.host.enums import read_address
 
 
 class ListenError(Exception):
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -9,8 +9,8 @@
 from itertools import islice
 from typing import Protocol
 
-from cometdoor.core.host import Address
-from cometdoor.core.shares import Descriptors, callers_part
+from cometdoor.host.fair_share import Descriptors, callers_part
+from cometdoor.host.host import Address
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import MAX_BODY, MAX_HEAD, ClientRequest, Reader
 
--- a/cometdoor/http/service.py
+++ b/cometdoor/http/service.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from cometdoor.core.clock import LoopClock, now_ms
-from cometdoor.core.evidence import Reading
-from cometdoor.core.host import Address, Host, HostSettings, Observer, OnWire
-from cometdoor.core.shares import Places
+from cometdoor.host.attempt_outcome import Reading
+from cometdoor.host.clock import LoopClock, now_ms
+from cometdoor.host.fair_share import Places
+from cometdoor.host.host import Address, Host, HostSettings, Observer, OnWire
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import ClientRequest, end_to_end
 from cometdoor.http.upstream import Answer, Exchange, Pool, load_of, outcome_of
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -16,11 +16,11 @@
 
 import httptools
 
-from cometdoor.core.evidence import End, Reading, Stage, answered, read
-from cometdoor.core.exchange_table import KEEPS, BackendEvent, BackendState
-from cometdoor.core.host import Address
-from cometdoor.core.keeping import Keepings
-from cometdoor.core.shares import Places
+from cometdoor.host.attempt_outcome import End, Reading, Stage, answered, read
+from cometdoor.host.connection_reuse import Keepings
+from cometdoor.host.exchange_table import KEEPS, BackendEvent, BackendState
+from cometdoor.host.fair_share import Places
+from cometdoor.host.host import Address
 from cometdoor.http.messages import MAX_ANSWER, MAX_BODY, MAX_HEAD, Headers, read_number
 from jasperhall.api import Outcome
 
--- a/cometdoor/keys/claims.py
+++ b/cometdoor/keys/claims.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from cometdoor.wire.lines import Call, Lines, PeerError
+from cometdoor.wire.connections import Call, Lines, PeerError
 from cometdoor.wire.messages import Claim, Claimed, Claims, Message, Refusal
 
 PATIENCE_S = 3.0  # longest deadlines of keyed requests are about as long
--- a/cometdoor/planning/serve.py
+++ b/cometdoor/planning/serve.py
@@ -16,10 +16,10 @@
 
 import msgspec
 
-from cometdoor.core.clock import now_ms
-from cometdoor.core.host import Address
-from cometdoor.core.schema import BadSettings
-from cometdoor.core.words import read_address
+from cometdoor.host.clock import now_ms
+from cometdoor.host.enums import read_address
+from cometdoor.host.host import Address
+from cometdoor.host.schema import BadSettings
 from cometdoor.planning.framing import BadFrame, Unframer, frame
 from cometdoor.planning.planner import Planner
 from cometdoor.planning.settings import FleetEntry, PlannersFile, load_planners
--- a/cometdoor/planning/settings.py
+++ b/cometdoor/planning/settings.py
@@ -13,9 +13,9 @@
 
 from msgspec import Meta, Struct, field
 
-from cometdoor.core.host import Address
-from cometdoor.core.schema import BadSettings, Problem, convert, read_bytes, read_content
-from cometdoor.core.words import read_address
+from cometdoor.host.enums import read_address
+from cometdoor.host.host import Address
+from cometdoor.host.schema import BadSettings, Problem, convert, read_bytes, read_content
 from cometdoor.planning.lending import ColdRules
 from cometdoor.planning.wire import MAX_KEY, MIN_KEY, Keys
 
--- a/cometdoor/planning/voice.py
+++ b/cometdoor/planning/voice.py
@@ -13,8 +13,8 @@
 from random import Random, SystemRandom
 from typing import Any
 
-from cometdoor.core.clock import now_ms
-from cometdoor.core.host import Address
+from cometdoor.host.clock import now_ms
+from cometdoor.host.host import Address
 from cometdoor.planning.forwarder import Forwarder
 from cometdoor.planning.framing import BadFrame, Unframer, frame
 from cometdoor.planning.reports import first_beat_ms, next_beat_ms
--- a/cometdoor/programs.py
+++ b/cometdoor/programs.py
@@ -129,8 +129,8 @@
     """
     from cometdoor.control.rebuild import CannotRebuild
     from cometdoor.control.rebuild import rebuild as build
-    from cometdoor.core.boot import read_boot
-    from cometdoor.core.schema import BadSettings, read_bytes
+    from cometdoor.host.boot import read_boot
+    from cometdoor.host.schema import BadSettings, read_bytes
     from cometdoor.wire.messages import Member
 
     try:
--- a/cometdoor/services/running.py
+++ b/cometdoor/services/running.py
@@ -9,11 +9,11 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from cometdoor.core.clock import now_ms
-from cometdoor.core.host import Address, HostSettings
-from cometdoor.core.shares import Descriptors, Stock, callers_part
-from cometdoor.core.words import read_address
 from cometdoor.discovery.platform import Discovery, ListReader
+from cometdoor.host.clock import now_ms
+from cometdoor.host.enums import read_address
+from cometdoor.host.fair_share import Descriptors, Stock, callers_part
+from cometdoor.host.host import Address, HostSettings
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.messages import BadRequest, ClientRequest
--- a/cometdoor/services/serve.py
+++ b/cometdoor/services/serve.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from cometdoor.core.schema import BadSettings
+from cometdoor.host.schema import BadSettings
 from cometdoor.http.lifetime import end_serving, settle_collector
 from cometdoor.services.running import Services
 from cometdoor.services.settings import Settings, load_settings
--- a/cometdoor/services/settings.py
+++ b/cometdoor/services/settings.py
@@ -8,10 +8,10 @@
 
 from msgspec import Meta, Struct, field
 
-from cometdoor.core.host import Address
-from cometdoor.core.schema import convert, read_bytes, read_content
-from cometdoor.core.shares import Descriptors, callers_part
-from cometdoor.core.words import read_address
+from cometdoor.host.enums import read_address
+from cometdoor.host.fair_share import Descriptors, callers_part
+from cometdoor.host.host import Address
+from cometdoor.host.schema import convert, read_bytes, read_content
 from cometdoor.services.routes import BadPattern, Route, read_host_pattern, read_path_prefix, same_right
 
 Positive = Annotated[float, Meta(gt=0)]
--- a/cometdoor/wire/lines.py
+++ b/cometdoor/wire/connections.py
@@ -15,7 +15,7 @@
 
 import structlog
 
-from cometdoor.core.words import read_address
+from cometdoor.host.enums import read_address
 from cometdoor.wire.messages import BadFrame, Cancel, Frame, Message, Ping, Pong, Splitter, encode
 
 SWEEP_S = 0.15
--- a/lab/budget.py
+++ b/lab/budget.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cometdoor.budget.pool import Pool
-from cometdoor.budget.shares import Shares
-from cometdoor.budget.terms import OWN_SHARE
-from cometdoor.wire.lines import PeerError
+from cometdoor.budget.allocations import Shares
+from cometdoor.budget.allocator import Pool
+from cometdoor.budget.lease import OWN_SHARE
+from cometdoor.wire.connections import PeerError
 from cometdoor.wire.messages import AskShares, Message, Refusal, SharesAre
 from jasperhall import api
 from jasperhall.tries import AttemptBudget
--- a/lab/exchange/backend.py
+++ b/lab/exchange/backend.py
@@ -6,17 +6,17 @@
 from itertools import product
 from typing import cast
 
-from cometdoor.core.exchange_table import (
+from cometdoor.dataplane.inbound_proxy import InboundProxy
+from cometdoor.host.exchange_table import (
     BackendEvent,
     BackendState,
     Cell,
     Conclusion,
     Connection,
 )
-from cometdoor.core.shares import Descriptors
-from cometdoor.dataplane.door import Door
+from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.messages import MAX_ANSWER
-from cometdoor.wire.lines import Line
+from cometdoor.wire.connections import Line
 from cometdoor.wire.messages import Backend, Broke, Message, NotRun, Ran, Run
 from lab.exchange.judge import Wrong, expect
 from lab.exchange.wires import ENDLESS, ScriptedLoop, Wire, scripted
@@ -130,7 +130,7 @@
 
     def __init__(self, loop: ScriptedLoop) -> None:
         self.loop = loop
-        self.door = Door(loop, Descriptors(100), 2.0)
+        self.door = InboundProxy(loop, Descriptors(100), 2.0)
         self.door.know(Backend(INSTANCE, SERVICE, "127.0.0.1:80", "v1", 8, "ready"))
         self.guests = Guests()
         self._last = 0
--- a/lab/exchange/callers.py
+++ b/lab/exchange/callers.py
@@ -4,9 +4,9 @@
 
 import re
 
-from cometdoor.core.exchange_table import CallerEvent, CallerState, Cell, Conclusion, Connection
-from cometdoor.core.shares import Descriptors
-from cometdoor.dataplane.wayout import MeshReader
+from cometdoor.dataplane.outbound_proxy import MeshReader
+from cometdoor.host.exchange_table import CallerEvent, CallerState, Cell, Conclusion, Connection
+from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.messages import ClientRequest
--- a/lab/exchange/defects.py
+++ b/lab/exchange/defects.py
@@ -7,14 +7,14 @@
 from typing import Any
 from unittest import mock
 
-from cometdoor.core.evidence import End, Reading, Stage, read
-from cometdoor.dataplane import door, way
+from cometdoor.dataplane import inbound_proxy, service_client
+from cometdoor.host.attempt_outcome import End, Reading, Stage, read
 from cometdoor.http import upstream
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.messages import BadRequest
 from cometdoor.keys.operations import Operations
-from cometdoor.wire import lines
-from cometdoor.wire.lines import PeerError
+from cometdoor.wire import connections
+from cometdoor.wire.connections import PeerError
 from jasperhall.api import Outcome
 from lab.exchange.fuzz import HOPS, fuzz
 from lab.exchange.fuzz_backend import Ask, Form, Say, Step
@@ -56,18 +56,18 @@
 
 
 def _answers_without_comparing_ids() -> Planted:
-    return mock.patch.object(door, "belongs", lambda answer, id: upstream.Belongs.HERE)
+    return mock.patch.object(inbound_proxy, "belongs", lambda answer, id: upstream.Belongs.HERE)
 
 
 def _answers_without_an_id_are_ours() -> Planted:
-    belongs = door.belongs
+    belongs = inbound_proxy.belongs
 
     def lenient(answer: upstream.Answer, id: bytes) -> upstream.Belongs:
-        if not door.field_of(answer, door.ATTEMPT):
+        if not inbound_proxy.field_of(answer, inbound_proxy.ATTEMPT):
             return upstream.Belongs.HERE
         return belongs(answer, id)
 
-    return mock.patch.object(door, "belongs", lenient)
+    return mock.patch.object(inbound_proxy, "belongs", lenient)
 
 
 def _forgets_what_it_carried() -> Planted:
@@ -86,23 +86,23 @@
     def unread(step: str, peer: str, reason: str, may_have_arrived: bool) -> PeerError:
         return PeerError(step, peer, reason, False)
 
-    return mock.patch.object(lines, "PeerError", unread)
+    return mock.patch.object(connections, "PeerError", unread)
 
 
 def _believes_a_contradiction() -> Planted:
     """`Broke` with an outcome that never ran is taken at its outcome."""
-    return mock.patch.object(way, "BROKEN", {outcome.value: outcome for outcome in Outcome})
+    return mock.patch.object(service_client, "BROKEN", {outcome.value: outcome for outcome in Outcome})
 
 
 def _runs_what_was_called_off() -> Planted:
     """A request that is called off while it waits goes to work when a slot is free."""
-    called_off = door.Door._called_off
+    called_off = inbound_proxy.InboundProxy._called_off
 
-    def only_at_work(self: door.Door, visit: door.Visit) -> None:
+    def only_at_work(self: inbound_proxy.InboundProxy, visit: inbound_proxy.Visit) -> None:
         if visit in self._at_work:
             called_off(self, visit)
 
-    return mock.patch.object(door.Door, "_called_off", only_at_work)
+    return mock.patch.object(inbound_proxy.InboundProxy, "_called_off", only_at_work)
 
 
 def _hands_on_what_came_with_bad_bytes() -> Planted:
--- a/lab/exchange/fuzz_backend.py
+++ b/lab/exchange/fuzz_backend.py
@@ -23,9 +23,9 @@
 
 from hypothesis import strategies as st
 
-from cometdoor.core.shares import Descriptors
-from cometdoor.dataplane.door import Door
-from cometdoor.wire.lines import Line
+from cometdoor.dataplane.inbound_proxy import InboundProxy
+from cometdoor.host.fair_share import Descriptors
+from cometdoor.wire.connections import Line
 from cometdoor.wire.messages import Backend, Message, NotRun, Ran, Run
 from lab.exchange.backend import INSTANCE, SERVICE, answer, head, turned_away
 from lab.exchange.judge import Wrong
@@ -135,7 +135,7 @@
 class Fuzzed:
     def __init__(self, loop: ScriptedLoop) -> None:
         self.loop = loop
-        self.door = Door(loop, Descriptors(100), 2.0)
+        self.door = InboundProxy(loop, Descriptors(100), 2.0)
         self.door.know(Backend(INSTANCE, SERVICE, "127.0.0.1:80", "v1", 4, "ready"))
         self.peers: list[Peer] = []
         self.once: dict[str, bool] = {}
--- a/lab/exchange/fuzz_line.py
+++ b/lab/exchange/fuzz_line.py
@@ -13,7 +13,7 @@
 
 from hypothesis import strategies as st
 
-from cometdoor.wire.lines import Call, Lines, PeerError
+from cometdoor.wire.connections import Call, Lines, PeerError
 from cometdoor.wire.messages import BadFrame, Frame, Message, Ran, Run, Splitter, encode
 from lab.exchange.judge import Wrong
 from lab.exchange.lines import PEER, a_run
--- a/lab/exchange/lines.py
+++ b/lab/exchange/lines.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from cometdoor.core.exchange_table import Cell, Conclusion, Connection, LineEvent, LineState
-from cometdoor.dataplane.way import read
-from cometdoor.wire.lines import CONNECT_S, SILENT_S, Call, Lines, PeerError
+from cometdoor.dataplane.service_client import read
+from cometdoor.host.exchange_table import Cell, Conclusion, Connection, LineEvent, LineState
+from cometdoor.wire.connections import CONNECT_S, SILENT_S, Call, Lines, PeerError
 from cometdoor.wire.messages import Broke, Cancel, Frame, Message, NotRun, Pong, Ran, Run, Splitter, encode
 from lab.exchange.judge import Wrong, expect
 from lab.exchange.wires import ScriptedLoop, Wire, scripted
--- a/lab/exchange/note.py
+++ b/lab/exchange/note.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Any
 
-from cometdoor.core.exchange_table import Cell, Conclusion, Connection, Impossible, KeyCell, VisitCell
+from cometdoor.host.exchange_table import Cell, Conclusion, Connection, Impossible, KeyCell, VisitCell
 from lab.exchange.play import TABLES
 
 CONNECTIONS = {Connection.IN_USE: "in use", Connection.KEPT: "kept", Connection.CLOSED: "closed"}
--- a/lab/exchange/play.py
+++ b/lab/exchange/play.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cometdoor.core.exchange_table import BACKEND, CALLER, KEYS, LINE, VISIT, Impossible
+from cometdoor.host.exchange_table import BACKEND, CALLER, KEYS, LINE, VISIT, Impossible
 from lab.exchange.backend import play_backend
 from lab.exchange.callers import play_caller
 from lab.exchange.judge import Wrong
--- a/lab/exchange/visits.py
+++ b/lab/exchange/visits.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from cometdoor.core.exchange_table import Conclusion, Slot, VisitCell, VisitEvent, VisitState
-from cometdoor.core.shares import Descriptors
-from cometdoor.dataplane.door import Door
-from cometdoor.wire.lines import Line, Lines
+from cometdoor.dataplane.inbound_proxy import InboundProxy
+from cometdoor.host.exchange_table import Conclusion, Slot, VisitCell, VisitEvent, VisitState
+from cometdoor.host.fair_share import Descriptors
+from cometdoor.wire.connections import Line, Lines
 from cometdoor.wire.messages import (
     Backend,
     Broke,
@@ -30,7 +30,7 @@
 class VisitHop:
     def __init__(self, loop: ScriptedLoop) -> None:
         self.loop = loop
-        self.door = Door(loop, Descriptors(100), DRAIN_S)
+        self.door = InboundProxy(loop, Descriptors(100), DRAIN_S)
         self.door.know(self.backend())
         self.lines = Lines(loop, self._receive)
         self.wire = Wire(loop)
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -27,8 +27,8 @@
 import cometdoor.http.upstream
 from cometdoor.control.process import ControlPlane
 from cometdoor.control.write_ahead_log import WriteAheadLog
-from cometdoor.core.boot import read_boot
 from cometdoor.dataplane.process import DataPlane
+from cometdoor.host.boot import read_boot
 from lab.loop import Listener, Process, VirtualLoop
 from standins.mesh import SERVICE, Backend, Mesh
 
--- a/lab/news.py
+++ b/lab/news.py
@@ -10,9 +10,9 @@
 import random
 from collections.abc import Callable
 
-from cometdoor.news.directory import Directory
-from cometdoor.news.exchange import Exchange
-from cometdoor.wire.lines import SILENT_S, PeerError
+from cometdoor.gossip.directory import Directory
+from cometdoor.gossip.exchange import Exchange
+from cometdoor.wire.connections import SILENT_S, PeerError
 from cometdoor.wire.messages import Frame, Message, Ping, Pong, Record, encode
 from lab.timers import Timers
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,8 +27,8 @@
 
 import msgspec
 
-from cometdoor.core.evidence import Reading
-from cometdoor.core.host import Address, Host, HostSettings, OnWire
+from cometdoor.host.attempt_outcome import Reading
+from cometdoor.host.host import Address, Host, HostSettings, OnWire
 from cometdoor.planning.advice import make_advice
 from cometdoor.planning.forwarder import Forwarder
 from cometdoor.planning.judgement import State as Health
--- a/standins/sick.py
+++ b/standins/sick.py
@@ -16,9 +16,9 @@
 from random import Random
 from typing import NamedTuple
 
-from cometdoor.core.evidence import End as Ending
-from cometdoor.core.evidence import Reading, Stage, read
-from cometdoor.core.host import Address, Host, HostSettings, OnWire
+from cometdoor.host.attempt_outcome import End as Ending
+from cometdoor.host.attempt_outcome import Reading, Stage, read
+from cometdoor.host.host import Address, Host, HostSettings, OnWire
 from jasperhall import api
 from jasperhall.api import ListChanged, ListKind, Outcome, Server
 from standins.ledger import Ledger
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -16,8 +16,8 @@
 from random import Random
 from typing import Protocol
 
-from cometdoor.core.evidence import Reading
-from cometdoor.core.host import Address, Host, HostSettings, OnWire
+from cometdoor.host.attempt_outcome import Reading
+from cometdoor.host.host import Address, Host, HostSettings, OnWire
 from cometdoor.services.membership import Membership
 from jasperhall import api
 from jasperhall.api import Effect, ListChanged, ListKind, Outcome, Scope, Server, State
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from cometdoor.core.evidence import End, Reading, Stage, answered, read
-from cometdoor.core.host import Address
+from cometdoor.host.attempt_outcome import End, Reading, Stage, answered, read
+from cometdoor.host.host import Address
 from jasperhall.api import Outcome
 from standins.model import Call, Reply, ServerModel
 
--- a/stories/budget/test_budget.py
+++ b/stories/budget/test_budget.py
@@ -4,9 +4,9 @@
 
 from ward import each, test
 
-from cometdoor.budget import share
-from cometdoor.budget.pool import Pool
-from cometdoor.budget.share import Share
+from cometdoor.budget import allocation
+from cometdoor.budget.allocation import Share
+from cometdoor.budget.allocator import Pool
 from cometdoor.wire.messages import Need
 from lab.budget import RATIO, SERVICE, SLACK, SPAN_S, Town, Weather, schedule
 
@@ -85,7 +85,7 @@
 
 @test("planted: proxies that use what they have offered are found out")
 def _() -> None:
-    with mock.patch.object(share, "lent_for_s", lambda span_s: 0.0):
+    with mock.patch.object(allocation, "lent_for_s", lambda span_s: 0.0):
         town = Town(9, 1)
         for proxy in town.proxies:
             proxy.per_s = 600.0 / 9
--- a/stories/configuration/test_document.py
+++ b/stories/configuration/test_document.py
@@ -9,7 +9,7 @@
 
 from cometdoor.configuration.document import parse
 from cometdoor.configuration.routes import Routes, choose
-from cometdoor.core.schema import BadSettings
+from cometdoor.host.schema import BadSettings
 
 
 def content() -> dict[str, Any]:
--- a/stories/dataplane/test_asks.py
+++ b/stories/dataplane/test_asks.py
@@ -5,7 +5,7 @@
 
 from ward import test
 
-from cometdoor.dataplane.wayout import Ask
+from cometdoor.dataplane.outbound_proxy import Ask
 from cometdoor.http.messages import ClientRequest
 
 
--- a/stories/dataplane/test_beats.py
+++ b/stories/dataplane/test_beats.py
@@ -2,8 +2,8 @@
 
 from ward import each, raises, test
 
-from cometdoor.core.schema import BadSettings
-from cometdoor.dataplane.beats import Beat, Lives, read_beat
+from cometdoor.dataplane.heartbeats import Beat, Lives, read_beat
+from cometdoor.host.schema import BadSettings
 from cometdoor.wire.messages import Backend
 
 
--- a/stories/dataplane/test_places.py
+++ b/stories/dataplane/test_places.py
@@ -5,8 +5,8 @@
 
 from ward import each, test
 
-from cometdoor.dataplane.places import Job, Kind, Places
-from cometdoor.dataplane.throttle import LEAST, Throttle
+from cometdoor.dataplane.admission import LEAST, Throttle
+from cometdoor.dataplane.slots import Job, Kind, Places
 
 
 @test("as many go to work as the backend has places, and the one due first goes next")
--- a/stories/dataplane/test_way.py
+++ b/stories/dataplane/test_way.py
@@ -7,12 +7,12 @@
 
 from ward import each, test
 
-from cometdoor.budget.share import Share
+from cometdoor.budget.allocation import Share
 from cometdoor.configuration.document import Route
-from cometdoor.dataplane.throttle import Throttle
-from cometdoor.dataplane.way import Listed, Turn, Way, read
+from cometdoor.dataplane.admission import Throttle
+from cometdoor.dataplane.service_client import Listed, Turn, Way, read
 from cometdoor.http.messages import ClientRequest
-from cometdoor.wire.lines import Line, Lines
+from cometdoor.wire.connections import Line, Lines
 from cometdoor.wire.messages import Backend, Broke, Message, Ran
 from jasperhall.api import NEVER_RAN, Outcome
 from lab.loop import Process, VirtualLoop
--- a/stories/core/test_boot.py
+++ b/stories/host/test_boot.py
@@ -2,8 +2,8 @@
 
 from ward import each, raises, test
 
-from cometdoor.core.boot import read_boot
-from cometdoor.core.schema import BadSettings
+from cometdoor.host.boot import read_boot
+from cometdoor.host.schema import BadSettings
 
 FILE = """
 node-name = "sidecar-1"
--- a/stories/core/test_exchange_table.py
+++ b/stories/host/test_exchange_table.py
@@ -6,7 +6,7 @@
 
 from ward import each, test
 
-from cometdoor.core.exchange_table import (
+from cometdoor.host.exchange_table import (
     BACKEND,
     KEEPS,
     LINE,
--- a/stories/mesh/test_fleet.py
+++ b/stories/mesh/test_fleet.py
@@ -14,8 +14,8 @@
 from cometdoor.control.process import ControlPlane
 from cometdoor.control.rebuild import rebuild
 from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
-from cometdoor.core.listening import ListenError
 from cometdoor.dataplane.process import DataPlane
+from cometdoor.host.listening import ListenError
 from cometdoor.wire.messages import Member
 from lab.fleet import fleet
 from standins.mesh import CONTROL, INTERNAL, OUT, READY, ask, route
--- a/stories/wire/test_lines.py
+++ b/stories/wire/test_lines.py
@@ -4,7 +4,7 @@
 
 from ward import test
 
-from cometdoor.wire.lines import IDLE_S, Call, Line, Lines
+from cometdoor.wire.connections import IDLE_S, Call, Line, Lines
 from cometdoor.wire.messages import Leave, Message, Ping, Pong
 from lab.loop import Process, VirtualLoop
 
--- a/tests/discovery/test_platform.py
+++ b/tests/discovery/test_platform.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from cometdoor.core.words import read_address
 from cometdoor.discovery.platform import ListReader
+from cometdoor.host.enums import read_address
 from jasperhall import api
 from jasperhall.api import ListKind, State
 from tests.rig import FakeServer, Rig, Script, member, run
--- a/tests/core/test_evidence.py
+++ b/tests/host/test_evidence.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cometdoor.core.evidence import FRESH, KEPT, End, Reading, Stage, answered, read
+from cometdoor.host.attempt_outcome import FRESH, KEPT, End, Reading, Stage, answered, read
 from jasperhall.api import Outcome
 
 STAGES = list(Stage)
--- a/tests/core/test_keeping.py
+++ b/tests/host/test_keeping.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cometdoor.core.keeping import FIRST_S, KNOWN, Keeping, Keepings
+from cometdoor.host.connection_reuse import FIRST_S, KNOWN, Keeping, Keepings
 
 LIMITS: dict[str, Callable[[Random], float]] = {  # the age in seconds at which a connection is ended unseen
     "a box that forgets after 5 s": lambda random: 5.0,
--- a/tests/core/test_shares.py
+++ b/tests/host/test_shares.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cometdoor.core.shares import ONE_MAY_HOLD, Descriptors, Share, Stock
+from cometdoor.host.fair_share import ONE_MAY_HOLD, Descriptors, Share, Stock
 
 
 def take_all(share: Share) -> int:
--- a/tests/http/test_frontend.py
+++ b/tests/http/test_frontend.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from cometdoor.core.shares import Descriptors
+from cometdoor.host.fair_share import Descriptors
 from jasperhall import api
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, one_server, run
 from tests.rig import head_of as head
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from cometdoor.core.evidence import Reading, Stage
-from cometdoor.core.shares import Descriptors
-from cometdoor.core.words import read_address
+from cometdoor.host.attempt_outcome import Reading, Stage
+from cometdoor.host.enums import read_address
+from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.upstream import Answer, Exchange, Pool, load_of
 from jasperhall import api
 from jasperhall.api import Outcome
--- a/tests/planning/test_settings.py
+++ b/tests/planning/test_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cometdoor import cli
-from cometdoor.core.schema import BadSettings
+from cometdoor.host.schema import BadSettings
 from cometdoor.planning.framing import BadFrame, Unframer, frame
 from cometdoor.planning.settings import load_forwarders, load_planners
 from cometdoor.planning.wire import MAX_NOTE
--- a/tests/planning/test_voice.py
+++ b/tests/planning/test_voice.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from cometdoor.core.clock import now_ms
+from cometdoor.host.clock import now_ms
 from cometdoor.http.service import HttpService
 from cometdoor.planning.forwarder import Forwarder
 from cometdoor.planning.framing import frame
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -13,9 +13,9 @@
 
 import uvloop
 
-from cometdoor.core.shares import Descriptors
 from cometdoor.discovery.config import read_config
 from cometdoor.discovery.node import Node
+from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.frontend import Frontend
 from cometdoor.http.service import HttpService
 from jasperhall import api
@@ -156,7 +156,7 @@
 
     @contextmanager
     def in_place(self) -> Iterator[Script]:
-        with mock.patch("cometdoor.core.host.Balancer", lambda settings, seed: self):
+        with mock.patch("cometdoor.host.host.Balancer", lambda settings, seed: self):
             yield self
 
 
--- a/tests/services/test_changes.py
+++ b/tests/services/test_changes.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cometdoor.core.host import Host
+from cometdoor.host.host import Host
 from standins.model import Cold
 from standins.rules import check
 from tests.rig import run
--- a/tests/services/test_settings_file.py
+++ b/tests/services/test_settings_file.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cometdoor.core.schema import BadSettings, Problem
+from cometdoor.host.schema import BadSettings, Problem
 from cometdoor.services.settings import load_settings, read_settings
 
 EXAMPLE = Path(__file__).parents[2] / "deploy" / "services.example.toml"
--- a/tests/standins/test_simulation.py
+++ b/tests/standins/test_simulation.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cometdoor.core.host import Host
+from cometdoor.host.host import Host
 from cometdoor.services.membership import Membership
 from jasperhall.tries import Request
 from standins.rules import Breach
