--- a/cometdoor/control/contact.py
+++ b/cometdoor/control/contact.py
@@ -17,7 +17,7 @@
 from cometdoor.wire.messages import Member
 
 # A leader begins nothing once its newest confirmed round is older: by then others that miss it stand for
-# election. Below the second that the quarantine of retry budgets allows a deposed leader (`budget.terms`).
+# election. Below the second that the quarantine of retry budgets allows a deposed leader (`budget.lease`).
 MAJORITY_FRESH_S = ELECTION_MOST_S
 # Callers are sent to a leader that was heard within so long; who is unsure looks again a moment later.
 LEADER_FRESH_S = 2 * HEARTBEAT_S
--- a/cometdoor/wire/messages.py
+++ b/cometdoor/wire/messages.py
@@ -334,7 +334,7 @@
     service: str
     requests: float  # in the window
     wants: float  # tries in a window, beside its own part
-    offers: float  # of its own part, for as long as `budget.terms` says
+    offers: float  # of its own part, for as long as `budget.lease` says
 
 
 class AskShares(msgspec.Struct, tag="sh", array_like=True):
--- a/lab/long_run.py
+++ b/lab/long_run.py
@@ -22,13 +22,13 @@
 
 import msgspec
 
-from cometdoor.budget.pool import Pool
+from cometdoor.budget.allocator import Pool
 from cometdoor.control import write_ahead_log
 from cometdoor.control.driver import ReplicaDriver
 from cometdoor.control.membership import Sizing
 from cometdoor.control.state_machine import Verdict
 from cometdoor.control.write_ahead_log import read_folder
-from cometdoor.wire.lines import Lines
+from cometdoor.wire.connections import Lines
 from cometdoor.wire.messages import Configure, Member
 from lab.loop import Process, VirtualLoop
 
