Test: a disk that lost its promises counts so until the stranger's file is on disk

The older file used to be removed first, so that a removal that a loss of power takes back could have brought an older state to life. The story holds that the damaged file stays through a beginning that fails.

--- a/stories/control/test_write_ahead_log.py
+++ b/stories/control/test_write_ahead_log.py
@@ -176,3 +176,27 @@
         log_file.begin(first)
         log_file.close()
         assert [path.name for path in Path(name).glob("*.dat")] == ["log-000002.dat"]
+
+
+@test("a disk that lost what it had promised counts so until the stranger's file is there, whatever fails")
+def _() -> None:
+    with TemporaryDirectory() as name:
+        place = a_log_file(Path(name), 1).size
+        log_file = a_log_file(Path(name), 4)
+        log_file.close()
+        data = bytearray(dat(Path(name)).read_bytes())
+        data[place : place + BLOCK] = bytes(BLOCK)
+        dat(Path(name)).write_bytes(bytes(data))
+        log_file = WriteAheadLog(Path(name))
+        assert log_file.open().is_damaged
+        first: list[Record] = [Identity("stranger")]
+        with (
+            mock.patch.object(write_ahead_log, "sync_file", side_effect=OSError(5, "I/O error")),
+            raises(DiskError),
+        ):
+            log_file.begin(first)
+        assert read_folder(Path(name))[0].is_damaged
+        log_file.begin(first)
+        log_file.close()
+        found, _ = read_folder(Path(name))
+        assert found.held.id == "stranger" and not found.is_damaged
