Membership: late joins push nobody out, hand-overs wait for the heir, the longest log can lead

Four faults, found by the members' history, by second losses in virtual time and by the exhaustive model:

- A call to join lay with the leader for up to 2 s: a member whose disk was lost soon after its own admission was taken in again.
A join is dropped once its member is in; one from the address of a member that was just heard, or from an id that was removed because its disk is gone, is passed by.
- A leader that left named its heir at once, which mostly lacked the last entries and lost the election; the leaving one then led again, up to four times in its last 1.2 s.
The heir is named when it has the whole log (after 0.3 s in any case), who leaves does not stand, and members don't change meanwhile.
- A voter that was the first to hear that it was demoted, or a learner that had an entry no voter had, kept all others from an election and did not stand: the loss of one more stopped the group for good.
A member that hears no leader for 1.5 s stands whether it votes or not; its own vote does not count, and it hands over at once.
- The model took followers for silent that it reached in the same step, so learners were removed before they could be promoted; it no longer does.

Behaviour changes: a control plane that has got SIGTERM never stands for election.

Tests changed: a planted defect is now found by a course of its own where walks found it before, since learners are no longer removed early; walks with repairs stay as they were.

--- a/cometdoor/control/driver.py
+++ b/cometdoor/control/driver.py
@@ -182,8 +182,7 @@
     def leave(self) -> None:
         """Planned: hand over the lead, and ask to be taken out if another has come in its place."""
         self._leaving = True
-        if self.replica.role is Role.LEADER:
-            self.replica.hand_over()
+        self.replica.retire()
         self._wake()
 
     def hand_over(self) -> None:
--- a/cometdoor/control/elections.py
+++ b/cometdoor/control/elections.py
@@ -20,12 +20,14 @@
 # Until it has heard any leader in this life: where all power was gone nobody leads, and all wait. Where
 # somebody does, the prevote is denied and nothing comes of it.
 FIRST_LEAST_S, FIRST_MOST_S = 0.06, 0.25
+LAST_RESORT_S = 1.5  # 99 of 100 elections among voters are over by then
 
 
 class Elections:
     def __init__(self, replica: Replica, now: float) -> None:
         self._replica = replica
         self.leader_heard_at = -1e9
+        self._missing_since = now  # a leader
         self._deadline = now + replica.chance.uniform(FIRST_LEAST_S, FIRST_MOST_S)
         self._votes: set[str] = set()
 
@@ -44,7 +46,7 @@
         if replica.now < self._deadline:
             return
         self.postpone()
-        if replica.is_voter(replica.me.id) and not replica.storage.is_slow(replica.now):
+        if self._may_stand():
             self.stand(trial=True)
 
     def postpone(self) -> None:
@@ -55,7 +57,7 @@
         self._deadline = self._replica.now + self._replica.chance.uniform(least, most)
 
     def heard_leader(self) -> None:
-        self.leader_heard_at = self._replica.now
+        self.leader_heard_at = self._missing_since = self._replica.now
         self.postpone()
 
     # --- candidates ---
@@ -108,10 +110,21 @@
 
     def on_take_over(self, message: TakeOver) -> None:
         replica = self._replica
-        is_able = replica.is_voter(replica.me.id) and not replica.storage.is_slow(replica.now)
-        if message.term == replica.term and is_able:
+        if message.term == replica.term and replica.is_voter(replica.me.id) and self._may_stand():
             self.stand(trial=False, handed=True)
 
+    def _may_stand(self) -> bool:
+        replica = self._replica
+        if replica.is_retiring or replica.storage.is_slow(replica.now):
+            return False
+        if replica.is_voter(replica.me.id):
+            return True
+        # Whoever has the longest log that is left must be able to stand, or nobody can be elected: a learner
+        # may have an entry that no voter has, or a voter may be the first to hear that it is demoted
+        # (dissertation, 4.2.2). Its own vote does not count, and it hands over at once.
+        is_last_resort = replica.now - self._missing_since > LAST_RESORT_S
+        return is_last_resort and replica.is_member(replica.me.id)
+
     # --- voters ---
 
     # Whoever is asked answers, also one that takes itself for a learner: the candidate asks and counts by its
--- a/cometdoor/control/membership.py
+++ b/cometdoor/control/membership.py
@@ -61,6 +61,7 @@
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._joiners: dict[str, tuple[Member, float]] = {}  # by id: who asked to join, and when last
+        self._wiped: set[str] = set()  # ids removed in this term because their disks are gone
         self._leaving: dict[str, float] = {}  # by id: when it said last that it leaves
         self._proposed = 0  # index of the newest change of members that this leader proposed
         self._grew_at = 0.0  # when this leader last added a member
@@ -72,11 +73,13 @@
         other.__dict__.update(self.__dict__)
         other._replica = replica
         other._joiners = self._joiners.copy()
+        other._wiped = self._wiped.copy()
         other._leaving = self._leaving.copy()
         return other
 
     def begin_term(self) -> None:
         self._joiners.clear()
+        self._wiped.clear()
         self._leaving.clear()
         self._proposed = 0
         self._grew_at = self._replica.now
@@ -86,6 +89,10 @@
         said_at = self._leaving.get(id)
         return said_at is not None and self._replica.now - said_at < LEAVING_S
 
+    def change_is_under_way(self) -> bool:
+        """One that this leader proposed; those before it are committed once it `leads`."""
+        return self._proposed > self._replica.committed
+
     def bears_first_change(self) -> bool:
         """Whether enough voters are there for the first acknowledgement. Where no more of them come, those
         that are there do, as long as every entry is on one disk more than may be lost."""
@@ -101,9 +108,13 @@
     def join(self, join: Join) -> None:
         replica, member = self._replica, join.member
         # Who doesn't know learners would take all members for voters.
-        if replica.role is Role.LEADER and join.knows_learners and not replica.is_member(member.id):
-            self._joiners[member.id] = replace(member, voter=False), replica.now
-            self.tick()
+        if replica.role is not Role.LEADER or not join.knows_learners or replica.is_member(member.id):
+            return
+        # A call of a former life may come late, when another disk lies at its address already.
+        if member.id in self._wiped or any(map(self._is_fresh, self._members_at(member.address))):
+            return
+        self._joiners[member.id] = replace(member, voter=False), replica.now
+        self.tick()
 
     def leave(self, id: str) -> None:
         replica = self._replica
@@ -122,7 +133,7 @@
 
     def tick(self) -> None:
         replica = self._replica
-        if not replica.leads or self._proposed > replica.committed:
+        if not replica.leads or replica.is_handing_over or self.change_is_under_way():
             return
         self._forget_old_joiners()
         following = self._next_configuration()
@@ -147,9 +158,12 @@
         if len(following) > len(replica.members):
             self._grew_at = replica.now
         kept = {member.id for member in following}
-        for removed in [member.id for member in replica.members if member.id not in kept]:
-            replica.replication.progress.pop(removed, None)
-            self._leaving.pop(removed, None)
+        for removed in [member for member in replica.members if member.id not in kept]:
+            if self._is_wiped(removed):
+                self._wiped.add(removed.id)
+            replica.replication.progress.pop(removed.id, None)
+            self._leaving.pop(removed.id, None)
+        self._joiners = {id: one for id, one in self._joiners.items() if id not in kept}
         self._proposed = replica.propose(Members(following))
         replica.replication.broadcast()
 
@@ -278,9 +292,12 @@
 
     def _is_wiped(self, member: Member) -> bool:
         """Whether a later member or joiner has come at its address: its disk is gone for good."""
-        ids = [other.id for other in self._replica.members if other.address == member.address]
+        ids = [other.id for other in self._members_at(member.address)]
         ids += [one.id for one, _ in self._joiners.values() if one.address == member.address]
-        return ids[-1] != member.id
+        return ids[-1] != member.id and not self._is_fresh(member)
+
+    def _members_at(self, address: str) -> list[Member]:
+        return [member for member in self._replica.members if member.address == address]
 
     def _is_lost(self, voter: Member) -> bool:
         if voter.id == self._replica.me.id:
--- a/cometdoor/control/replica.py
+++ b/cometdoor/control/replica.py
@@ -46,6 +46,7 @@
     Vote,
 )
 
+HEIR_WAITS_S = 0.3  # for the last entries; then it is named without them
 HAND_OVER_REST_S = 2 * ELECTION_MOST_S  # nothing is accepted for so long after the lead was handed over
 
 
@@ -76,6 +77,8 @@
         self.parts = Parts(self)
         self._first_of_term = 0  # the index of this term's first entry, while this one leads
         self._handed_over_at = NEVER
+        self._heir_is_named = True
+        self.is_retiring = False  # its process ends soon: it does not stand for election
 
     def copy(self) -> Replica:
         """Independent of this one, for searches through what may come next; `chance` is shared."""
@@ -159,8 +162,10 @@
         if not self.replication.hears_majority():
             self.step_down(self.term)
             return
-        if self.storage.is_slow(now) and now - self._handed_over_at > QUORUM_S:
+        is_unfit = self.is_retiring or self.storage.is_slow(now) or not self.is_voter(self.me.id)
+        if is_unfit and now - self._handed_over_at > QUORUM_S:
             self.hand_over()
+        self._name_heir()
         self.replication.tick()
         self.membership.tick()
 
@@ -180,7 +185,7 @@
         self.replication.begin_term()
         self.parts.begin_term()
         self.membership.begin_term()
-        self._handed_over_at = NEVER
+        self._handed_over_at, self._heir_is_named = NEVER, True
         self._first_of_term = self.propose(Noop())
         self.replication.broadcast()
 
@@ -202,10 +207,26 @@
         self.elections.postpone()
 
     def hand_over(self) -> None:
-        """Leadership transfer to the voter that has most of the log and was heard lately."""
+        """Leadership transfer to a voter that was heard lately, once it has the whole log: nothing is
+        accepted meanwhile (dissertation, 3.10)."""
         if self.role is not Role.LEADER:
             return
         self._handed_over_at = self.now
+        self._heir_is_named = False
+        self._name_heir()
+
+    def retire(self) -> None:
+        """Its process is about to end."""
+        self.is_retiring = True
+        self.hand_over()
+
+    @property
+    def is_handing_over(self) -> bool:
+        return self.now - self._handed_over_at <= HAND_OVER_REST_S
+
+    def _name_heir(self) -> None:
+        if self._heir_is_named or self.role is not Role.LEADER:
+            return
         progress = self.replication.progress
         fresh = [
             member
@@ -214,8 +235,13 @@
             and not self.membership.is_leaving(member.id)
             and self.now - progress[member.id].heard_at < FRESHLY_HEARD_S
         ]
-        if fresh:
-            self.elections.hand_over_to(max(fresh, key=lambda member: progress[member.id].match))
+        if not fresh:
+            return
+        heir = max(fresh, key=lambda member: progress[member.id].match)
+        waited_s = self.now - self._handed_over_at
+        if progress[heir.id].match >= self.log.last_index or waited_s > HEIR_WAITS_S:
+            self._heir_is_named = True
+            self.elections.hand_over_to(heir)
 
     # --- changes ---
 
@@ -228,7 +254,7 @@
         return (
             self.leads
             and (self.is_established or self.membership.bears_first_change())
-            and self.now - self._handed_over_at > HAND_OVER_REST_S
+            and not self.is_handing_over
         )
 
     def propose(self, change: Change) -> int:
@@ -282,6 +308,7 @@
                 self.replication.on_append(message)
             case Appended():
                 self.replication.on_appended(message)
+                self._name_heir()
             case Install():
                 self.snapshots.on_install(message)
             case Part():
--- a/lab/exhaustive.py
+++ b/lab/exhaustive.py
@@ -187,10 +187,10 @@
             replica = self.nodes[who].replica
             assert replica is not None
             others = [place for place in up if place != who]
-            is_voter = replica.is_voter(replica.me.id)
+            is_member = replica.is_member(replica.me.id)
             for reached in _subsets(others):
                 for hangs in (-1, who, *sorted(reached)):
-                    if is_voter and reached:
+                    if is_member and reached:
                         yield Step("elect", who, reached, hangs)
                         if fine:
                             yield Step("trial", who, reached, hangs)
@@ -272,14 +272,22 @@
                 self._hand_over(step, replica)
                 return
             elif step.what in ("send", "send once"):
-                replica.begin_round()
+                self._begin_round(step, replica)
                 self._exchange(step, SENDING, 1 if step.what == "send once" else ROUNDS)
                 return
             replica.outbox.clear()
             self._sync(step, step.who)
 
-    def _tend(self, step: Step, leader: Replica) -> None:
+    def _begin_round(self, step: Step, leader: Replica) -> None:
+        """Whoever the leader reaches it has heard until now; all others have been silent for long."""
+        for place in step.reached:
+            progress = leader.replication.progress.get(self.nodes[place].id)
+            if progress is not None:
+                progress.heard_at = self.now
         leader.begin_round()
+
+    def _tend(self, step: Step, leader: Replica) -> None:
+        self._begin_round(step, leader)
         self._exchange(step, SENDING)
         for _ in range(1 if step.what == "tend once" else ROUNDS):
             if step.leaves >= 0:
@@ -297,7 +305,7 @@
                 self._exchange(step, SENDING)
 
     def _hand_over(self, step: Step, leader: Replica) -> None:
-        leader.begin_round()
+        self._begin_round(step, leader)
         self._exchange(step, SENDING)
         leader.hand_over()
         for outgoing in leader.outbox:
@@ -430,7 +438,7 @@
         return newest.members if newest is not None else self.first_members
 
     def _check_further_losses(self, logs: dict[str, Log]) -> None:
-        grants = {id: _grants(id, logs) for id in logs}
+        voters_for = {id: grants(id, logs) for id in logs}
         majorities = {id: sum(member.voter for member in log.members) // 2 + 1 for id, log in logs.items()}
         wipes = self.fault_tolerance - len(self._lost(logs))
         able: set[str] = set()
@@ -438,7 +446,7 @@
             lost = frozenset(gone)
             electable = {
                 id
-                for id, granted in grants.items()
+                for id, granted in voters_for.items()
                 if id not in lost and len(granted - lost) >= majorities[id]
             }
             if not electable and wipes >= 0:
@@ -446,7 +454,7 @@
             able |= electable
         for id in able:
             for index, (term, _) in self.committed.items():
-                if not _holds(logs[id], index, term):
+                if not holds(logs[id], index, term):
                     self._broken(f"{id} can be elected and lacks entry {index}, which was committed")
 
     def _check_counts(self, before: World, logs: dict[str, Log]) -> None:
@@ -464,7 +472,7 @@
                     self._broken(f"{node.id} leads term {replica.term} by {votes} of {len(voters)} voters")
             if earlier is not None and replica.committed > earlier.committed:
                 term = replica.log.term_at(replica.committed)
-                holding = sum(_holds(logs[id], replica.committed, term) for id in voters & logs.keys())
+                holding = sum(holds(logs[id], replica.committed, term) for id in voters & logs.keys())
                 if holding + gone < replica.majority():
                     self._broken(
                         f"entry {replica.committed} is committed by {holding} of {len(voters)} voters"
@@ -518,16 +526,16 @@
     return Member(node.id, f"a{place}", "")
 
 
-def _holds(log: Log, index: int, term: int | None) -> bool:
+def holds(log: Log, index: int, term: int | None) -> bool:
     """What a snapshot covers was committed."""
     return index <= log.base or log.term_at(index) == term
 
 
-def _grants(id: str, logs: dict[str, Log]) -> frozenset[str]:
-    """Which voters of its own configuration would vote for that one, by these logs."""
+def grants(id: str, logs: dict[str, Log]) -> frozenset[str]:
+    """Which voters of its own configuration would vote for that one, by these logs; none for a stranger."""
     log = logs[id]
     voters = [member.id for member in log.members if member.voter]
-    if id not in voters:
+    if id not in {member.id for member in log.members}:
         return frozenset()
     reach = (log.last_term, log.last_index)
     return frozenset(
--- a/lab/membership_defects.py
+++ b/lab/membership_defects.py
@@ -16,7 +16,7 @@
 from cometdoor.control.replication import Replication
 from lab.exhaustive import Broken, Limits, Step, World, explore, walk
 
-WALKS = 400  # of 24 steps; each defect without a course is found within a fourth of them
+WALKS = 400  # of 24 steps
 LIMITS = Limits(changes=3, crashes=3, wipes=3)
 
 
@@ -105,9 +105,18 @@
 LED = [step("elect", 0, 1, 2), step("send", 0, 1, 2), step("order", 0), step("send", 0, 1, 2)]
 LED_WITH_SPARE = [step("elect", 0, 1, 2, 3), step("order", 0), step("send", 0, 1, 2, 3)]
 WIPED = [*LED, step("wipe", 2), step("start", 2)]
+# The spare is promoted, and the leader has just begun to demote the silent one.
+PROMOTED = [*LED_WITH_SPARE, step("tend once", 0, 1, 3), step("send once", 0, 1, 3)]
 # Where a defect shows only after events in one certain order, that order; walks find the others.
 COURSES: dict[str, list[Step]] = {
     "a learner is promoted before it has the log": [*WIPED, step("tend", 0, 1, 2, hangs=2)],
+    "a second change begins before the first is committed": [
+        *LED_WITH_SPARE,
+        step("tend once", 0, 1, 3),
+        step("tend once", 0, 3),
+    ],
+    "a joiner votes before it has the log": [*WIPED, step("tend", 0, 1, 2, hangs=2)],
+    "a learner's disk counts for a commit": [*LED_WITH_SPARE, step("order", 0), step("send", 0, 3)],
 }
 
 
@@ -132,10 +141,17 @@
     "a wiped member is whole again": Stage([*WIPED, step("tend", 0, 1, 2)]),
     "a spare stands by": Stage(LED_WITH_SPARE, 1),
     "a spare is promoted, and nobody knows": Stage([*LED_WITH_SPARE, step("tend once", 0, 1, 3)], 1),
+    "the silent voter is about to be demoted": Stage(PROMOTED, 1),
     "a spare has taken a silent voter's place": Stage([*LED_WITH_SPARE, step("tend", 0, 1, 3)], 1),
 }
 
 
+def stage_of(defect: str) -> Stage:
+    """The end of the defect's own course."""
+    course = COURSES[defect]
+    return Stage(course, spares=int(course[: len(LED_WITH_SPARE)] == LED_WITH_SPARE))
+
+
 def explore_from(stage: str, depth: int) -> int:
     """All states that come of a stage of a repair within so many steps; how many. Raises Broken."""
     return explore(3, depth, start=STAGES[stage].world())
@@ -151,7 +167,7 @@
     with MEMBERSHIP_DEFECTS[name]():
         try:
             if name in COURSES:
-                Stage(COURSES[name]).world()
+                stage_of(name).world()
             else:
                 for seed in range(WALKS):
                     walk_with_repairs(seed)
--- a/stories/control/test_exhaustive.py
+++ b/stories/control/test_exhaustive.py
@@ -2,10 +2,20 @@
 
 from ward import each, test
 
+from cometdoor.control.roles import Role
 from lab.defects import COURSES, DEFECTS, play, shows
 from lab.exhaustive import Limits, World, explore, symmetric_key, walk
 from lab.membership_defects import COURSES as MEMBERSHIP_COURSES
-from lab.membership_defects import MEMBERSHIP_DEFECTS, STAGES, Stage, explore_from, walk_with_repairs
+from lab.membership_defects import (
+    LED_WITH_SPARE,
+    MEMBERSHIP_DEFECTS,
+    STAGES,
+    Stage,
+    explore_from,
+    stage_of,
+    step,
+    walk_with_repairs,
+)
 from lab.membership_defects import shows as shows_in_repairs
 
 
@@ -60,5 +70,22 @@
 
 @test("the sound core goes the courses of those defects unharmed")
 def _() -> None:
-    for course in MEMBERSHIP_COURSES.values():
-        Stage(course).world()
+    for name in MEMBERSHIP_COURSES:
+        stage_of(name).world()
+
+
+@test("where a learner alone has the longest log that is left it is elected, and hands over")
+def _() -> None:
+    # Given a promotion that stands on the old leader's disk alone, and the next leader's entry on the spare's
+    course = [*LED_WITH_SPARE, step("tend once", 0, 1, 3), step("elect", 1, 2), step("send", 1, 3)]
+    world = Stage([*course, step("crash", 1)], spares=1).world()
+    # When the others elect: two of four voters, then one of three, are no majority
+    for voter in (0, 2, 0, 2):
+        world = world.take(step("elect", voter, *{0, 2, 3} - {voter}))
+        assert not any(node.replica and node.replica.role is Role.LEADER for node in world.nodes)
+    # Then the learner can be
+    world = world.take(step("elect", 3, 0, 2)).take(step("elect", 3, 0, 2))
+    learner = world.nodes[3].replica
+    assert learner is not None and learner.role is Role.LEADER
+    learner.tick(world.now)
+    assert learner.is_handing_over
--- a/stories/control/test_membership.py
+++ b/stories/control/test_membership.py
@@ -97,6 +97,23 @@
     assert group.leader() is None
 
 
+@test("a leaving leader names its heir once that has the whole log, and stands no more")
+def _() -> None:
+    group = a_group(3, 1)
+    place = group.leader()
+    assert place is not None
+    leaving = leader(group)
+    for count in range(20):
+        group.propose(Claim(f"k{count}", "c", "h"))
+        group.run(0.01)
+    term = leaving.term
+    leaving.retire()
+    group.run(0.3)
+    assert group.leader() not in (None, place) and leader(group).term == term + 1
+    group.run(2.0)
+    assert leader(group).term == term + 1
+
+
 @test("a voter that falls silent is replaced by the spare, and stands by when it is back")
 def _() -> None:
     group = a_group(6, 2)
@@ -171,6 +188,20 @@
     assert len(places(group, True) & {0, 1, 2, 3}) == 1 and {4, 5} <= places(group, True)
 
 
+@test("a call to join that comes late, of a life whose disk is gone, pushes nobody out")
+def _() -> None:
+    group = a_group(3, 1)
+    wiped = a_follower(group)
+    former = next(one for one in leader(group).members if one.address == group.machines[wiped].address)
+    group.wipe(wiped)
+    group.start(wiped)
+    group.run(3.0)
+    before = leader(group).members
+    leader(group).receive(Join(former, knows_learners=True), group.now)
+    group.run(3.0)
+    assert leader(group).members == before and not leader(group).is_member(former.id)
+
+
 @test("a member of the former build is no reason for a learner that it would count as a voter")
 def _() -> None:
     group = a_group(3, 1)
