Benchmarks: all checks of the control side run in one pool, each also by itself

Cause: the figures of cuts, resends, second losses, catching up and exchanges stood in benchmarks of their own. Change: benchmarks.control runs replicas (what it was), contact, membership, catch_up, exchange and news side by side; benchmarks.membership is new. Some names of before are gone from comments.

--- a/benchmarks/catch_up.py
+++ b/benchmarks/catch_up.py
@@ -16,7 +16,9 @@
 
 import argparse
 import logging
+from dataclasses import dataclass
 from multiprocessing import get_context
+from multiprocessing.pool import Pool
 
 import structlog
 
@@ -29,11 +31,19 @@
 from lab.snapshot_schedules import snapshot_schedule
 
 SITES = (SMALL, GROWN)
-QUICK_CUTS, QUICK_SCHEDULES = 4, 40
-CUTS, SCHEDULES = 200, 4_000
 QUICK_PROCESSES = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Extent:
+    courses: int  # in which power is lost at every operation on the files
+    schedules: int  # with snapshots small enough that they are installed all the while
+
+
+QUICK = Extent(courses=4, schedules=40)
+WHOLE = Extent(courses=200, schedules=4_000)
+
+
 def _silent() -> None:
     """The driver logs each write that its disk refuses."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
@@ -73,29 +83,28 @@
     return summed
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--processes", type=int, default=QUICK_PROCESSES)
-    chosen = parser.parse_args()
-    courses, runs = (QUICK_CUTS, QUICK_SCHEDULES) if chosen.quick else (CUTS, SCHEDULES)
-    with get_context("fork").Pool(chosen.processes) as pool:
-        kept = pool.map_async(hour, [3600.0], chunksize=1)
-        away = pool.map_async(returns, SITES, chunksize=1)
-        cut = pool.map_async(cuts, range(courses), chunksize=1)
-        planted = pool.map_async(shows, list(DEFECTS), chunksize=1)
-        played = pool.map_async(schedules, range(runs), chunksize=5)
-        small, grown = away.get()
-        disk = kept.get()[0]
-        summed = total(cut.get())
-        found = planted.get()
-        installed, acknowledged, broken = zip(*played.get(), strict=True)
-    for name, what in zip(DEFECTS, found, strict=True):
-        say(f"{name}: {what[:100] or 'NOT FOUND'}")
-    for text in [*summed.broken[:5], *filter(None, broken)][:10]:
-        say(f"BROKEN: {text}")
-    report(
-        {
+class Running:
+    """All of it under way in a pool of processes."""
+
+    def __init__(self, pool: Pool, extent: Extent) -> None:
+        self._extent = extent
+        self._hour = pool.map_async(hour, [3600.0], chunksize=1)
+        self._returns = pool.map_async(returns, SITES, chunksize=1)
+        self._cuts = pool.map_async(cuts, range(extent.courses), chunksize=1)
+        self._planted = pool.map_async(shows, list(DEFECTS), chunksize=1)
+        self._schedules = pool.map_async(schedules, range(extent.schedules), chunksize=5)
+
+    def figures(self) -> dict[str, float | int | str]:
+        small, grown = self._returns.get()
+        disk = self._hour.get()[0]
+        summed = total(self._cuts.get())
+        found = self._planted.get()
+        installed, acknowledged, broken = zip(*self._schedules.get(), strict=True)
+        for name, what in zip(DEFECTS, found, strict=True):
+            say(f"{name}: {what[:100] or 'NOT FOUND'}")
+        for text in [*summed.broken[:5], *filter(None, broken)][:10]:
+            say(f"BROKEN: {text}")
+        return {
             "catch_up_s_at_1000_changes": small.seconds,
             "catch_up_bytes": small.bytes,
             "catch_up_s_at_1000_changes_grown": grown.seconds,
@@ -108,14 +117,22 @@
             "cuts_recovered": summed.recovered,
             "cuts_broken": len(summed.broken),
             "operations_refused": summed.refused,
-            "snapshot_schedules": runs,
+            "snapshot_schedules": self._extent.schedules,
             "snapshots_installed": summed.installed + sum(installed),
-            "acknowledged": sum(acknowledged),
-            "broken": sum(map(bool, broken)),
-            "planted": len(DEFECTS),
-            "planted_found": sum(map(bool, found)),
+            "snapshot_schedules_acknowledged": sum(acknowledged),
+            "snapshot_schedules_broken": sum(map(bool, broken)),
+            "catch_up_planted": len(DEFECTS),
+            "catch_up_planted_found": sum(map(bool, found)),
         }
-    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--processes", type=int, default=QUICK_PROCESSES)
+    chosen = parser.parse_args()
+    with get_context("fork").Pool(chosen.processes) as pool:
+        report(Running(pool, QUICK if chosen.quick else WHOLE).figures())
 
 
 if __name__ == "__main__":
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,237 +1,69 @@
-"""Does the core keep what it has acknowledged, and how soon is it led again?
+"""Does the control side keep what it has acknowledged, through the worst days that are known?
 
-Every state of three members to a depth, long walks, planted defects that must be found (`lab/exhaustive.py`,
-`lab/defects.py`), thousands of schedules in virtual time with losses (`lab/core.py`), histories of clients
-that must be one register's (`lab/histories.py`), a loss of power at every block of a member's file, and how a
-configuration reaches 12, 100 and 1,000 processes (`benchmarks/news.py`). Times are virtual. A state that lies
-behind two first events counts for each: every process explores behind its own. Of five members states that
-differ only in who is who are one.
+All checks of it side by side in one pool of processes: replicas in every course (`benchmarks/replicas.py`),
+cut off and asked all the while, orders sent again (`benchmarks/contact.py`), a second loss after each kind of
+repair (`benchmarks/membership.py`), hundreds of changes and losses of power (`benchmarks/catch_up.py`), wrong
+answers and calls sent twice (`benchmarks/exchange.py`), and how a configuration reaches 12, 100 and 1,000
+processes (`benchmarks/news.py`). Each of them can be run by itself. Times are virtual.
 
-    python -m benchmarks.control [--quick] [--schedules COUNT] [--depth STEPS]
+    python -m benchmarks.control [--quick] [--processes COUNT]
 """
 
 from __future__ import annotations
 
 import argparse
 import os
-from collections.abc import Sequence
+from collections.abc import Mapping
+from dataclasses import asdict
 from multiprocessing import get_context
-from pathlib import Path
-from tempfile import TemporaryDirectory
 
-from benchmarks import news
-from benchmarks.report import report, say
-from cometdoor.control.durable import HardState, Identity, LogEntries
-from cometdoor.control.write_ahead_log import BLOCK, WriteAheadLog, read_folder
-from cometdoor.wire.messages import Claim, Entry
-from lab import exhaustive
-from lab.defects import DEFECTS, shows
-from lab.exhaustive import Limits, World, explore, firsts, symmetric_key, walk
-from lab.histories import watched_schedule
-from lab.replica_group import Broken, ReplicaGroup, schedule
+from benchmarks import catch_up, contact, exchange, membership, news, replicas
+from benchmarks.report import report
 
-MEMBERS = 3
-LOAD_PER_S = 154  # claims, as many as the busier of the users' sites orders
-LOADED_S = 4.0
 
+def exchange_figures(examples: int) -> dict[str, int]:
+    """With a name of their own for the planted defects."""
+    figures = asdict(exchange.measure(examples))
+    planted, found = figures.pop("planted"), figures.pop("planted_found")
+    return {**figures, "exchange_planted": planted, "exchange_planted_found": found}
 
-Counted = tuple[int, str]  # how many, and what did not hold; empty: all did
 
+def with_sums(figures: Mapping[str, float | int | str]) -> dict[str, float | int | str]:
+    """And how many defects were planted and found in all."""
 
-def states(job: tuple[int, int]) -> Counted:
-    first, depth = job
-    try:
-        return explore(MEMBERS, depth, first=first), ""
-    except exhaustive.Broken as broken:
-        return 0, str(broken)
+    def total(ending: str) -> int:
+        return sum(int(value) for name, value in figures.items() if name.endswith(ending))
 
-
-def states_of_five(job: tuple[int, int]) -> Counted:
-    """Five members, states that differ only in who is who taken for one."""
-    first, depth = job
-    try:
-        return explore(5, depth, first=first, key_of=symmetric_key), ""
-    except exhaustive.Broken as broken:
-        return 0, f"of five: {broken}"
-
-
-def steps(seed: int) -> Counted:
-    try:
-        return walk(3 if seed % 2 else 5, seed, 24, Limits(3, 4, 1)), ""
-    except exhaustive.Broken as broken:
-        return 0, f"walk {seed}: {broken}"
-
-
-def acknowledged(seed: int) -> Counted:
-    try:
-        return len(schedule(seed, 3 if seed % 2 else 5, 6.0).acknowledged), ""
-    except Broken as broken:
-        return 0, str(broken)
-
-
-def linearizable(seed: int) -> Counted:
-    try:
-        return len(watched_schedule(seed, 3 if seed % 2 else 5).history), ""
-    except Broken as broken:
-        return 0, str(broken)
-
-
-def tell(results: Sequence[Counted]) -> tuple[int, list[str]]:
-    """The sum, and all that did not hold."""
-    broken = [text for _, text in results if text]
-    for text in broken[:5]:
-        say(f"BROKEN: {text}")
-    return sum(count for count, _ in results), broken
-
-
-def election_s(seed: int) -> float:
-    """From the loss of a leader until another may accept."""
-    core = ReplicaGroup(seed, MEMBERS)
-    core.run_until_led()
-    core.run(1.0 + core.chance.random())
-    leader = core.leader()
-    assert leader is not None
-    core.kill(leader)
-    return core.run_until_led()
-
-
-def commits_and_syncs(seed: int) -> tuple[int, int]:
-    """Under load, at the leader's disk."""
-    core = ReplicaGroup(seed, MEMBERS)
-    core.run_until_led()
-    core.run(1.0)
-    leader = core.leader()
-    assert leader is not None
-    for machine in core.machines:
-        machine.sync_s = 0.03  # a disk in trouble: what comes meanwhile goes together
-    before, ordered, began = core.machines[leader].disk.numbers, len(core.acknowledged), core.now
-    proposed = 0
-    while core.now < began + LOADED_S:
-        while proposed < (core.now - began) * LOAD_PER_S:
-            proposed += 1
-            core.propose(Claim(f"k{proposed}", f"c{proposed}", "h"))
-        core.run(0.005)
-    return len(core.acknowledged) - ordered, core.machines[leader].disk.numbers - before
-
-
-def power_cuts() -> tuple[int, int]:
-    """A member's file cut at each block, at each third also inside: tried, and found as far as synced."""
-    with TemporaryDirectory() as name:
-        folder = Path(name)
-        log_file = WriteAheadLog(folder)
-        log_file.open()
-        log_file.begin([Identity("me"), HardState(1, "me")])
-        sizes = [log_file.size]
-        for index in range(1, 121):
-            log_file.put([LogEntries([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
-            sizes.append(log_file.size)
-        log_file.close()
-        path = next(folder.glob("*.dat"))
-        whole = path.read_bytes()
-        tried = recovered = 0
-        for place in range(0, len(whole) + 1, BLOCK):
-            for cut in {place, max(place - 200, 0)} if place % (3 * BLOCK) == 0 else {place}:
-                tried += 1
-                path.write_bytes(whole[:cut])
-                found, _ = read_folder(folder)
-                # A value may be whole before its last block is full: what was synced is the least.
-                synced = sum(size <= cut for size in sizes)
-                recovered += (
-                    not found.is_damaged
-                    and found.last >= synced
-                    and ([entry.index for entry in found.held.entries] == list(range(1, max(found.last, 1))))
-                )
-        return tried, recovered
-
-
-def flipped_bits() -> tuple[int, int]:
-    """A bit flipped in each value of a member's file, in its head and in its body: tried, and told from what
-    a loss of power leaves, or without an entry that was not written."""
-    with TemporaryDirectory() as name:
-        folder = Path(name)
-        log_file = WriteAheadLog(folder)
-        log_file.open()
-        log_file.begin([Identity("me"), HardState(1, "me")])
-        places = [0]
-        for index in range(1, 121):
-            places.append(log_file.size)
-            log_file.put([LogEntries([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
-        log_file.close()
-        path = next(folder.glob("*.dat"))
-        whole = path.read_bytes()
-        tried = told = 0
-        for number, place in enumerate(places, 1):
-            for byte in (1, 6, 14, 24, 40):
-                tried += 1
-                data = bytearray(whole)
-                data[place + byte] ^= 1 << (byte % 8)
-                path.write_bytes(bytes(data))
-                found, _ = read_folder(folder)
-                # The last value has none behind it that calls it synced: it counts as torn.
-                told += found.is_damaged if number < len(places) else found.last == number - 1
-        return tried, told
+    return {
+        **figures,
+        "planted": total("_planted"),
+        "planted_found": total("_planted_found") + total("mutations_found"),
+    }
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--schedules", type=int, default=20_000)
-    parser.add_argument("--depth", type=int, default=4)
+    parser.add_argument("--processes", type=int, default=os.cpu_count())
     chosen = parser.parse_args()
-    schedules, walks, elections, histories = (
-        (2_000, 1_000, 400, 60) if chosen.quick else (chosen.schedules, 40_000, 4_000, 4_000)
-    )
-    count = len(list(World.of(MEMBERS).choices()))
-    five_depth = 2 if chosen.quick else 3
-    with get_context("fork").Pool(os.cpu_count()) as pool:
+    quick = chosen.quick
+    examples = exchange.QUICK_EXAMPLES if quick else exchange.LONG_EXAMPLES
+    with get_context("fork").Pool(chosen.processes) as pool:
+        # What takes one process longest comes first.
         told = pool.map_async(news.figures, news.SIZES[::-1], chunksize=1)
-        explored = pool.map_async(states, [(first, chosen.depth) for first in range(count)], chunksize=1)
-        five = pool.map_async(states_of_five, [(first, five_depth) for first in firsts(5)], chunksize=1)
-        planted = pool.map_async(shows, list(DEFECTS), chunksize=1)
-        walked = pool.map_async(steps, range(walks), chunksize=20)
-        kept = pool.map_async(acknowledged, range(schedules), chunksize=10)
-        seen = pool.map_async(linearizable, range(histories), chunksize=5)
-        led = pool.map_async(election_s, range(elections), chunksize=10)
-        loaded = pool.map_async(commits_and_syncs, range(8), chunksize=1)
-        tried, recovered = power_cuts()
-        flipped, found_flipped = flipped_bits()
-        found = planted.get()
-        for name, what in zip(DEFECTS, found, strict=True):
-            say(f"{name}: {what[:100] or 'NOT FOUND'}")
-        commits, syncs = (sum(column) for column in zip(*loaded.get(), strict=True))
-        times = sorted(led.get())
-        (explored_sum, one), (walked_sum, two), (kept_sum, three), (calls, four) = (
-            tell(results.get()) for results in (explored, walked, kept, seen)
-        )
-        of_five, fifth = tell(five.get())
-        broken = [*one, *two, *three, *four, *fifth]
-        report(
-            {
-                "states_explored": explored_sum,
-                "depth": chosen.depth,
-                "states_of_five": of_five,
-                "depth_of_five": five_depth,
-                "steps_walked": walked_sum,
-                "mutations_planted": len(DEFECTS),
-                "mutations_found": sum(bool(what) for what in found),
-                "schedules": schedules,
-                "acknowledged": kept_sum,
-                "histories": histories,
-                "calls": calls,
-                "not_linearizable": len(four),
-                "broken": len(broken),
-                "acknowledged_lost": sum("lost" in text or "lacks" in text for text in broken),
-                "two_leaders_in_a_term": sum("two leaders" in text for text in broken),
-                "power_cuts_tried": tried,
-                "power_cuts_recovered": recovered,
-                "bits_flipped": flipped,
-                "bits_told": found_flipped,
-                "commits_per_sync": commits / syncs,
-                "election_s_p50": times[len(times) // 2],
-                "election_s_p99": times[int(len(times) * 0.99)],
-                **news.tell(told.get()[::-1]),
-            }
-        )
+        exchanges = pool.apply_async(exchange_figures, (examples,))
+        running: list[catch_up.Running | contact.Running | membership.Running | replicas.Running] = [
+            catch_up.Running(pool, catch_up.QUICK if quick else catch_up.WHOLE),
+            contact.Running(pool, contact.QUICK if quick else contact.WHOLE),
+            membership.Running(pool, membership.QUICK if quick else membership.WHOLE),
+            replicas.Running(pool, replicas.QUICK if quick else replicas.WHOLE),
+        ]
+        figures: dict[str, float | int | str] = {}
+        for part in running:
+            figures |= part.figures()
+        figures |= exchanges.get()
+        figures |= news.tell(told.get()[::-1])
+    report(with_sums(figures))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,123 @@
+"""What does a second loss cost after each kind of repair, and are members changed as they should be?
+
+Plays of two losses with every kind of repair between them (`lab/second_losses.py`), whose histories of
+members are checked against a sequential group (`lab/member_histories.py`); repairs searched through from
+stages where they are under way and in long walks, and planted defects that must be found
+(`lab/membership_defects.py`).
+Times are virtual.
+
+    python -m benchmarks.membership [--quick] [--plays COUNT]
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from multiprocessing import get_context
+from multiprocessing.pool import Pool
+
+from benchmarks.report import report, say
+from lab import exhaustive
+from lab.membership_defects import MEMBERSHIP_DEFECTS, STAGES, explore_from, shows, walk_with_repairs
+from lab.second_losses import Outcome, play_of, run_play
+
+
+@dataclass(frozen=True, slots=True)
+class Extent:
+    plays: int
+    stage_depth: int  # of the search from each stage of a repair
+    walks: int
+
+
+QUICK = Extent(plays=120, stage_depth=1, walks=200)
+WHOLE = Extent(plays=6_000, stage_depth=2, walks=10_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Searched:
+    """States or steps, and what did not hold; empty: all did."""
+
+    count: int
+    broken: str = ""
+
+
+def second_loss(number: int) -> Outcome:
+    return run_play(play_of(number))
+
+
+def stage(job: tuple[str, int]) -> Searched:
+    try:
+        return Searched(explore_from(*job))
+    except exhaustive.Broken as broken:
+        return Searched(0, f"stage {job[0]}: {broken}")
+
+
+def walk(seed: int) -> Searched:
+    try:
+        return Searched(walk_with_repairs(seed))
+    except exhaustive.Broken as broken:
+        return Searched(0, f"walk {seed}: {broken}")
+
+
+class Running:
+    """All of it under way in a pool of processes."""
+
+    def __init__(self, pool: Pool, extent: Extent) -> None:
+        self._extent = extent
+        stages = [(name, extent.stage_depth) for name in STAGES]
+        self._stages = pool.map_async(stage, stages, chunksize=1)
+        self._planted = pool.map_async(shows, list(MEMBERSHIP_DEFECTS), chunksize=1)
+        self._plays = pool.map_async(second_loss, range(extent.plays), chunksize=2)
+        self._walks = pool.map_async(walk, range(extent.walks), chunksize=10)
+
+    def figures(self) -> dict[str, float | int | str]:
+        outcomes, found = self._plays.get(), self._planted.get()
+        explored, walked = self._stages.get(), self._walks.get()
+        broken = [one.broken for one in [*explored, *walked] if one.broken]
+        for text in [*broken, *(one.problem for one in outcomes if one.problem)][:10]:
+            say(f"BROKEN: {text}")
+        for name, what in zip(MEMBERSHIP_DEFECTS, found, strict=True):
+            say(f"{name}: {what[:100] or 'NOT FOUND'}")
+        return {
+            "second_losses_tried": len(outcomes),
+            "second_losses_survived": sum(not one.problem for one in outcomes),
+            **_short(outcomes),
+            "repair_states": sum(one.count for one in explored),
+            "repair_depth": self._extent.stage_depth,
+            "repair_steps_walked": sum(one.count for one in walked),
+            "repairs_broken": len(broken),
+            "membership_planted": len(MEMBERSHIP_DEFECTS),
+            "membership_planted_found": sum(map(bool, found)),
+        }
+
+
+def _short(outcomes: Sequence[Outcome]) -> dict[str, float | int | str]:
+    """From the return of what was lost, for how long fewer further losses could be borne than are asked."""
+    figures: dict[str, float | int | str] = {}
+    survived = [one for one in outcomes if not one.problem]
+    for losses in sorted({one.play.fault_tolerance for one in survived}):
+        ordered = sorted(
+            (one for one in survived if one.play.fault_tolerance == losses), key=lambda one: one.short_s
+        )
+        name = f"short_after_{losses}_lost_s"
+        figures[f"{name}_p50"] = ordered[len(ordered) // 2].short_s
+        figures[f"{name}_worst"] = ordered[-1].short_s
+        figures[f"{name}_worst_path"] = " + ".join(ordered[-1].play.paths)
+    return figures
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--plays", type=int)
+    chosen = parser.parse_args()
+    extent = QUICK if chosen.quick else WHOLE
+    extent = replace(extent, plays=chosen.plays or extent.plays)
+    with get_context("fork").Pool(os.cpu_count()) as pool:
+        report(Running(pool, extent).figures())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/replicas.py
@@ -0,0 +1,263 @@
+"""Does a group of replicas keep what it has acknowledged, and how soon is it led again?
+
+Every state of three members to a depth, long walks, planted defects that must be found (`lab/exhaustive.py`,
+`lab/defects.py`), thousands of schedules in virtual time with losses (`lab/replica_group.py`), histories of
+clients that must be one register's (`lab/histories.py`) and a loss of power at every block of a replica's
+file. Times are virtual. A state that lies behind two first events counts for each: every process explores
+behind its own. Of five members states that differ only in who is who are one.
+
+    python -m benchmarks.replicas [--quick] [--schedules COUNT] [--depth STEPS]
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from multiprocessing import get_context
+from multiprocessing.pool import Pool
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from benchmarks.report import report, say
+from cometdoor.control.durable import HardState, Identity, LogEntries
+from cometdoor.control.write_ahead_log import BLOCK, WriteAheadLog, read_folder
+from cometdoor.wire.messages import Claim, Entry
+from lab import exhaustive
+from lab.defects import DEFECTS, shows
+from lab.exhaustive import Limits, World, explore, firsts, symmetric_key, walk
+from lab.histories import watched_schedule
+from lab.replica_group import Broken, ReplicaGroup, schedule
+
+MEMBERS = 3
+LOAD_PER_S = 154  # claims, as many as the busier of the users' sites orders
+LOADED_S = 4.0
+
+
+Counted = tuple[int, str]  # how many, and what did not hold; empty: all did
+
+
+def states(job: tuple[int, int]) -> Counted:
+    first, depth = job
+    try:
+        return explore(MEMBERS, depth, first=first), ""
+    except exhaustive.Broken as broken:
+        return 0, str(broken)
+
+
+def states_of_five(job: tuple[int, int]) -> Counted:
+    """Five members, states that differ only in who is who taken for one."""
+    first, depth = job
+    try:
+        return explore(5, depth, first=first, key_of=symmetric_key), ""
+    except exhaustive.Broken as broken:
+        return 0, f"of five: {broken}"
+
+
+def steps(seed: int) -> Counted:
+    try:
+        return walk(3 if seed % 2 else 5, seed, 24, Limits(3, 4, 1)), ""
+    except exhaustive.Broken as broken:
+        return 0, f"walk {seed}: {broken}"
+
+
+def acknowledged(seed: int) -> Counted:
+    try:
+        return len(schedule(seed, 3 if seed % 2 else 5, 6.0).acknowledged), ""
+    except Broken as broken:
+        return 0, str(broken)
+
+
+def linearizable(seed: int) -> Counted:
+    try:
+        return len(watched_schedule(seed, 3 if seed % 2 else 5).history), ""
+    except Broken as broken:
+        return 0, str(broken)
+
+
+def tell(results: Sequence[Counted]) -> tuple[int, list[str]]:
+    """The sum, and all that did not hold."""
+    broken = [text for _, text in results if text]
+    for text in broken[:5]:
+        say(f"BROKEN: {text}")
+    return sum(count for count, _ in results), broken
+
+
+def election_s(seed: int) -> float:
+    """From the loss of a leader until another may accept."""
+    core = ReplicaGroup(seed, MEMBERS)
+    core.run_until_led()
+    core.run(1.0 + core.chance.random())
+    leader = core.leader()
+    assert leader is not None
+    core.kill(leader)
+    return core.run_until_led()
+
+
+def commits_and_syncs(seed: int) -> tuple[int, int]:
+    """Under load, at the leader's disk."""
+    core = ReplicaGroup(seed, MEMBERS)
+    core.run_until_led()
+    core.run(1.0)
+    leader = core.leader()
+    assert leader is not None
+    for machine in core.machines:
+        machine.sync_s = 0.03  # a disk in trouble: what comes meanwhile goes together
+    before, ordered, began = core.machines[leader].disk.numbers, len(core.acknowledged), core.now
+    proposed = 0
+    while core.now < began + LOADED_S:
+        while proposed < (core.now - began) * LOAD_PER_S:
+            proposed += 1
+            core.propose(Claim(f"k{proposed}", f"c{proposed}", "h"))
+        core.run(0.005)
+    return len(core.acknowledged) - ordered, core.machines[leader].disk.numbers - before
+
+
+def power_cuts() -> tuple[int, int]:
+    """A member's file cut at each block, at each third also inside: tried, and found as far as synced."""
+    with TemporaryDirectory() as name:
+        folder = Path(name)
+        log_file = WriteAheadLog(folder)
+        log_file.open()
+        log_file.begin([Identity("me"), HardState(1, "me")])
+        sizes = [log_file.size]
+        for index in range(1, 121):
+            log_file.put([LogEntries([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
+            sizes.append(log_file.size)
+        log_file.close()
+        path = next(folder.glob("*.dat"))
+        whole = path.read_bytes()
+        tried = recovered = 0
+        for place in range(0, len(whole) + 1, BLOCK):
+            for cut in {place, max(place - 200, 0)} if place % (3 * BLOCK) == 0 else {place}:
+                tried += 1
+                path.write_bytes(whole[:cut])
+                found, _ = read_folder(folder)
+                # A value may be whole before its last block is full: what was synced is the least.
+                synced = sum(size <= cut for size in sizes)
+                recovered += (
+                    not found.is_damaged
+                    and found.last >= synced
+                    and ([entry.index for entry in found.held.entries] == list(range(1, max(found.last, 1))))
+                )
+        return tried, recovered
+
+
+def flipped_bits() -> tuple[int, int]:
+    """A bit flipped in each value of a member's file, in its head and in its body: tried, and told from what
+    a loss of power leaves, or without an entry that was not written."""
+    with TemporaryDirectory() as name:
+        folder = Path(name)
+        log_file = WriteAheadLog(folder)
+        log_file.open()
+        log_file.begin([Identity("me"), HardState(1, "me")])
+        places = [0]
+        for index in range(1, 121):
+            places.append(log_file.size)
+            log_file.put([LogEntries([Entry(index, 1, Claim(f"k{index}", "c" * (40 * (index % 40)), "h"))])])
+        log_file.close()
+        path = next(folder.glob("*.dat"))
+        whole = path.read_bytes()
+        tried = told = 0
+        for number, place in enumerate(places, 1):
+            for byte in (1, 6, 14, 24, 40):
+                tried += 1
+                data = bytearray(whole)
+                data[place + byte] ^= 1 << (byte % 8)
+                path.write_bytes(bytes(data))
+                found, _ = read_folder(folder)
+                # The last value has none behind it that calls it synced: it counts as torn.
+                told += found.is_damaged if number < len(places) else found.last == number - 1
+        return tried, told
+
+
+@dataclass(frozen=True, slots=True)
+class Extent:
+    depth: int  # of the search through three members
+    five_depth: int  # and through five
+    schedules: int
+    walks: int
+    elections: int
+    histories: int
+
+
+QUICK = Extent(depth=4, five_depth=2, schedules=2_000, walks=1_000, elections=400, histories=60)
+WHOLE = Extent(depth=4, five_depth=3, schedules=20_000, walks=40_000, elections=4_000, histories=4_000)
+
+
+class Running:
+    """All of it under way in a pool of processes."""
+
+    def __init__(self, pool: Pool, extent: Extent) -> None:
+        self._extent = extent
+        firsts_of_three = [(first, extent.depth) for first in range(len(list(World.of(MEMBERS).choices())))]
+        firsts_of_five = [(first, extent.five_depth) for first in firsts(5)]
+        self._explored = pool.map_async(states, firsts_of_three, chunksize=1)
+        self._of_five = pool.map_async(states_of_five, firsts_of_five, chunksize=1)
+        self._planted = pool.map_async(shows, list(DEFECTS), chunksize=1)
+        self._walked = pool.map_async(steps, range(extent.walks), chunksize=20)
+        self._kept = pool.map_async(acknowledged, range(extent.schedules), chunksize=10)
+        self._seen = pool.map_async(linearizable, range(extent.histories), chunksize=5)
+        self._led = pool.map_async(election_s, range(extent.elections), chunksize=10)
+        self._loaded = pool.map_async(commits_and_syncs, range(8), chunksize=1)
+        self._power_cuts = pool.apply_async(power_cuts)
+        self._flipped_bits = pool.apply_async(flipped_bits)
+
+    def figures(self) -> dict[str, float | int | str]:
+        extent = self._extent
+        found = self._planted.get()
+        for name, what in zip(DEFECTS, found, strict=True):
+            say(f"{name}: {what[:100] or 'NOT FOUND'}")
+        explored, in_states = tell(self._explored.get())
+        of_five, in_five = tell(self._of_five.get())
+        walked, in_walks = tell(self._walked.get())
+        kept, in_schedules = tell(self._kept.get())
+        calls, in_histories = tell(self._seen.get())
+        broken = [*in_states, *in_five, *in_walks, *in_schedules, *in_histories]
+        commits, syncs = (sum(column) for column in zip(*self._loaded.get(), strict=True))
+        times = sorted(self._led.get())
+        tried, recovered = self._power_cuts.get()
+        flipped, found_flipped = self._flipped_bits.get()
+        return {
+            "states_explored": explored,
+            "depth": extent.depth,
+            "states_of_five": of_five,
+            "depth_of_five": extent.five_depth,
+            "steps_walked": walked,
+            "mutations_planted": len(DEFECTS),
+            "mutations_found": sum(map(bool, found)),
+            "schedules": extent.schedules,
+            "acknowledged": kept,
+            "histories": extent.histories,
+            "calls": calls,
+            "not_linearizable": len(in_histories),
+            "broken": len(broken),
+            "acknowledged_lost": sum("lost" in text or "lacks" in text for text in broken),
+            "two_leaders_in_a_term": sum("two leaders" in text for text in broken),
+            "power_cuts_tried": tried,
+            "power_cuts_recovered": recovered,
+            "bits_flipped": flipped,
+            "bits_told": found_flipped,
+            "commits_per_sync": commits / syncs,
+            "election_s_p50": times[len(times) // 2],
+            "election_s_p99": times[int(len(times) * 0.99)],
+        }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--schedules", type=int)
+    parser.add_argument("--depth", type=int)
+    chosen = parser.parse_args()
+    extent = QUICK if chosen.quick else WHOLE
+    extent = replace(
+        extent, schedules=chosen.schedules or extent.schedules, depth=chosen.depth or extent.depth
+    )
+    with get_context("fork").Pool(os.cpu_count()) as pool:
+        report(Running(pool, extent).figures())
+
+
+if __name__ == "__main__":
+    main()
--- a/cometdoor/control/rebuild.py
+++ b/cometdoor/control/rebuild.py
@@ -70,14 +70,14 @@
             unsure.append(entry.change.revision)
     state.close_keys()
     new = replace(me, id=secrets.token_hex(6))
-    vault = WriteAheadLog(target)
-    vault.open()
-    vault.begin(
+    log_file = WriteAheadLog(target)
+    log_file.open()
+    log_file.begin(
         [
             Identity(new.id),
             HardState(max(holding.held.term for _, holding in read) + 1, ""),
             Snapshot(last, term, (new,), state.image(), alone=True),
         ]
     )
-    vault.close()
+    log_file.close()
     return Rebuilt(source, new.id, best.members, last, best.held.committed, state.revision, unsure, len(read))
--- a/lab/claims.py
+++ b/lab/claims.py
@@ -17,7 +17,7 @@
 WAY_S = 0.0009  # one way between zones; within one a tenth
 SYNC_S = 0.001
 MEMBERS = 3
-ELECTION_S = 0.58  # until another leads, as lab/core.py has it in the median
+ELECTION_S = 0.58  # until another leads, as lab/replica_group.py has it in the median
 LEASE_S = 2.0  # of a holder; its range waits for the end of that
 HANDS_S = 0.00015  # of a process, for a message: read, decide, write
 
--- a/lab/keys.py
+++ b/lab/keys.py
@@ -1,8 +1,8 @@
 """Keyed operations over proxies and a core that fail, in virtual time.
 
 `Operations` at each proxy, `Replica` and `StateMachine` at each member of the core, disks and lines as in
-`lab/core.py`. Clients ask for each key several times, at any proxy; backends run what they are sent, lose
-answers, or turn it away. A schedule is right if no key runs twice within the window, all who are answered for
+`lab/replica_group.py`. Clients ask for each key several times, at any proxy; backends run what they are
+sent, lose answers, or turn it away. A schedule is right if no key runs twice within the window, all who are answered for
 a key get the same answer, and nobody is told that it did not run where it did and no try of it goes on.
 """
 
