--- a/lab/keys.py
+++ b/lab/keys.py
@@ -2,8 +2,9 @@
 
 `Operations` at each proxy, `Replica` and `StateMachine` at each member of the core, disks and lines as in
 `lab/replica_group.py`. Clients ask for each key several times, at any proxy; backends run what they are
-sent, lose answers, or turn it away. A schedule is right if no key runs twice within the window, all who are answered for
-a key get the same answer, and nobody is told that it did not run where it did and no try of it goes on.
+sent, lose answers, or turn it away. A schedule is right if no key runs twice within the window, all who are
+answered for a key get the same answer, and nobody is told that it did not run where it did and no try of it
+goes on.
 """
 
 from __future__ import annotations
