Story: the time of a service client's story is virtual from its beginning

Cause: the story built its client on the machine's clock and replaced that clock after; for the module time ran back by as much as the machine had been up, which overflows from about an hour and a half on. Change: the clock is replaced first; what is asserted is the same.

--- a/stories/dataplane/test_service_client.py
+++ b/stories/dataplane/test_service_client.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from unittest import mock
 
 from ward import each, test
@@ -37,8 +39,8 @@
 class Hop:
     """A way at machine `a` to one backend, whose door is at machine `b` and answers by `reply`."""
 
-    def __init__(self, reply: Message | None = None) -> None:
-        self.loop = VirtualLoop()
+    def __init__(self, loop: VirtualLoop, reply: Message | None = None) -> None:
+        self.loop = loop
         self.came: list[Message] = []
         self.reply = reply
         here, there = Process("a", "caller"), Process("b", "door")
@@ -81,10 +83,18 @@
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
 
+@contextmanager
+def a_hop() -> Iterator[Hop]:
+    """On virtual time from the beginning: a clock that is replaced later would run back for the module, by as
+    much as the machine has been up."""
+    loop = VirtualLoop()
+    with mock.patch.object(time, "monotonic", loop.time):
+        yield Hop(loop)
+
+
 @test("{kind}: an attempt whose time was up while its line was still dialled has not run")
 def _(kind: str = each("idempotent", "non_idempotent")) -> None:
-    hop = Hop()
-    with mock.patch.object(time, "monotonic", hop.loop.time):
+    with a_hop() as hop:
         hop.loop.cuts = {("a", "b"), ("b", "a")}
         caller = hop.ask(kind, left_ms=400.0)
         hop.wait(0.39)
@@ -95,8 +105,7 @@
 
 @test("{kind}: an attempt that left and was never answered may have run")
 def _(kind: str = each("idempotent", "non_idempotent")) -> None:
-    hop = Hop()
-    with mock.patch.object(time, "monotonic", hop.loop.time):
+    with a_hop() as hop:
         caller = hop.ask(kind, left_ms=400.0)
         hop.wait(1.0)
     assert caller.told == ["failed"] and hop.came
