Exchange tables: one a file, and a starting process loads only the one that it looks up

Change: host/exchange/ has cells, backend, lines, visits, callers and keys; upstream imports backend alone.

--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -1,6 +1,6 @@
 """Is a wrong answer given, or a call sent twice, whatever a peer does on any hop?
 
-Every cell of the tables in `core/exchange_table.py` played against the code by a scripted peer, plans drawn
+Every cell of the tables in `host/exchange/` played against the code by a scripted peer, plans drawn
 by `hypothesis` for backends, lines and callers, and planted defects that must be found (`lab/exchange/`).
 
     python -m benchmarks.exchange [--quick] [--examples COUNT]
--- a/cometdoor/http/upstream.py
+++ b/cometdoor/http/upstream.py
@@ -18,7 +18,7 @@
 
 from cometdoor.host.attempt_outcome import End, Reading, Stage, answered, read
 from cometdoor.host.connection_reuse import Keepings
-from cometdoor.host.exchange_table import KEEPS, BackendEvent, BackendState
+from cometdoor.host.exchange.backend import KEEPS, BackendEvent, BackendState
 from cometdoor.host.fair_share import Places
 from cometdoor.host.host import Address
 from cometdoor.http.messages import MAX_ANSWER, MAX_BODY, MAX_HEAD, Headers, read_number
--- a/lab/exchange/backend.py
+++ b/lab/exchange/backend.py
@@ -7,13 +7,8 @@
 from typing import cast
 
 from cometdoor.dataplane.inbound_proxy import InboundProxy
-from cometdoor.host.exchange_table import (
-    BackendEvent,
-    BackendState,
-    Cell,
-    Conclusion,
-    Connection,
-)
+from cometdoor.host.exchange.backend import BackendEvent, BackendState
+from cometdoor.host.exchange.cells import Cell, Conclusion, Connection
 from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.messages import MAX_ANSWER
 from cometdoor.wire.connections import Line
--- a/lab/exchange/callers.py
+++ b/lab/exchange/callers.py
@@ -5,7 +5,8 @@
 import re
 
 from cometdoor.dataplane.outbound_proxy import MeshReader
-from cometdoor.host.exchange_table import CallerEvent, CallerState, Cell, Conclusion, Connection
+from cometdoor.host.exchange.callers import CallerEvent, CallerState
+from cometdoor.host.exchange.cells import Cell, Conclusion, Connection
 from cometdoor.host.fair_share import Descriptors
 from cometdoor.http.caller import ClientConnection
 from cometdoor.http.frontend import Frontend
--- a/lab/exchange/keys.py
+++ b/lab/exchange/keys.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cometdoor.host.exchange_table import KeyAction, KeyCell, KeyEvent, KeyState
+from cometdoor.host.exchange.keys import KeyAction, KeyCell, KeyEvent, KeyState
 from cometdoor.keys.operations import (
     Action,
     Answer,
--- a/lab/exchange/lines.py
+++ b/lab/exchange/lines.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from cometdoor.dataplane.service_client import read
-from cometdoor.host.exchange_table import Cell, Conclusion, Connection, LineEvent, LineState
+from cometdoor.host.exchange.cells import Cell, Conclusion, Connection
+from cometdoor.host.exchange.lines import LineEvent, LineState
 from cometdoor.wire.connections import CONNECT_S, SILENT_S, Call, Lines, PeerError
 from cometdoor.wire.messages import Broke, Cancel, Frame, Message, NotRun, Pong, Ran, Run, Splitter, encode
 from lab.exchange.judge import Wrong, expect
--- a/lab/exchange/note.py
+++ b/lab/exchange/note.py
@@ -10,7 +10,9 @@
 from enum import Enum
 from typing import Any
 
-from cometdoor.host.exchange_table import Cell, Conclusion, Connection, Impossible, KeyCell, VisitCell
+from cometdoor.host.exchange.cells import Cell, Conclusion, Connection, Impossible
+from cometdoor.host.exchange.keys import KeyCell
+from cometdoor.host.exchange.visits import VisitCell
 from lab.exchange.play import TABLES
 
 CONNECTIONS = {Connection.IN_USE: "in use", Connection.KEPT: "kept", Connection.CLOSED: "closed"}
--- a/lab/exchange/play.py
+++ b/lab/exchange/play.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cometdoor.host.exchange_table import BACKEND, CALLER, KEYS, LINE, VISIT, Impossible
+from cometdoor.host.exchange.backend import BACKEND
+from cometdoor.host.exchange.callers import CALLER
+from cometdoor.host.exchange.cells import Impossible
+from cometdoor.host.exchange.keys import KEYS
+from cometdoor.host.exchange.lines import LINE
+from cometdoor.host.exchange.visits import VISIT
 from lab.exchange.backend import play_backend
 from lab.exchange.callers import play_caller
 from lab.exchange.judge import Wrong
--- a/lab/exchange/visits.py
+++ b/lab/exchange/visits.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from cometdoor.dataplane.inbound_proxy import InboundProxy
-from cometdoor.host.exchange_table import Conclusion, Slot, VisitCell, VisitEvent, VisitState
+from cometdoor.host.exchange.cells import Conclusion
+from cometdoor.host.exchange.visits import Slot, VisitCell, VisitEvent, VisitState
 from cometdoor.host.fair_share import Descriptors
 from cometdoor.wire.connections import Line, Lines
 from cometdoor.wire.messages import (
--- a/stories/host/test_exchange_table.py
+++ b/stories/host/test_exchange_table.py
@@ -6,19 +6,9 @@
 
 from ward import each, test
 
-from cometdoor.host.exchange_table import (
-    BACKEND,
-    KEEPS,
-    LINE,
-    BackendEvent,
-    BackendState,
-    Cell,
-    Conclusion,
-    Connection,
-    LineEvent,
-    LineState,
-    Resend,
-)
+from cometdoor.host.exchange.backend import BACKEND, KEEPS, BackendEvent, BackendState
+from cometdoor.host.exchange.cells import Cell, Conclusion, Connection, Resend
+from cometdoor.host.exchange.lines import LINE, LineEvent, LineState
 from lab.exchange.defects import COURSES, DEFECTS, shows
 from lab.exchange.fuzz import fuzz
 from lab.exchange.fuzz_backend import play as play_plan
