Story: a learner that is sent nothing is made so by a patch that always ends

Cause: the method was set and set back by hand, past the type checker. Change: mock.patch.object for the same span; what is asserted is the same.

--- a/stories/control/test_membership.py
+++ b/stories/control/test_membership.py
@@ -1,5 +1,7 @@
 """Voters and learners: who counts, when one is promoted, and how a lost voter is replaced."""
 
+from unittest import mock
+
 import msgspec
 from ward import each, test
 
@@ -148,15 +150,12 @@
             append_to(self, member, heartbeat)
 
     group.wipe(wiped)
-    Replication.append_to = to_voters  # type: ignore[method-assign]
-    try:
+    with mock.patch.object(Replication, "append_to", to_voters):
         group.start(wiped)
         group.run(2.0)
         # Then it doesn't vote, and the old id is gone
         assert wiped in places(group, voter=False) and len(places(group, True)) == machines - 1
         assert not leader(group).is_member(id)
-    finally:
-        Replication.append_to = append_to  # type: ignore[method-assign]
     # When it is sent the log it votes again
     group.run(1.0)
     assert len(places(group, True)) == machines
