Sight: phases of attempts, and why peer connections close

Cause: the log can't tell a congested link from a slow backend or short slots. Change: attempts carry their time in the queue and at the backend; connections count closes by reason and the longest ping.

--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -231,6 +231,8 @@
     def _report(self) -> None:
         self.outbound_proxy.report()
         self.inbound_proxy.report()
+        if counts := self.connections.statistics.report():
+            log.info("peer connections", **counts)
         self._loop.call_later(REPORT_INTERVAL_S, self._report)
 
     # --- shutdown ---
--- a/cometdoor/dataplane/service_client.py
+++ b/cometdoor/dataplane/service_client.py
@@ -183,8 +183,12 @@
         forward_request = self._new_forward_request(server, request, expires_at_ms, throttle)
         forward_request.is_retry = exchange.possible_executions > 0
 
+        sent_at_ms = now_ms()
+
         def on_reply(reply: Message | PeerError) -> None:
             result, response = read_reply(reply)
+            if response is not None:
+                self._statistics.on_response(response, now_ms() - sent_at_ms)
             exchange.on_attempt_ended(result, response)
             if result.outcome is not Outcome.OK:
                 self._budget_share.record_unmet_demand(now_ms() / 1000.0)
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -10,7 +10,7 @@
 import asyncio
 
 from cometdoor.host.address import parse_address
-from cometdoor.wire.call_control import Ping
+from cometdoor.wire.connection_statistics import ConnectionStatistics
 from cometdoor.wire.frames import Frame, Message
 from cometdoor.wire.peer_connection import (
     KEEPALIVE_TIMEOUT_S,
@@ -48,6 +48,7 @@
         """
         self.loop = loop
         self.handler = handler
+        self.statistics = ConnectionStatistics()
         self.last_call_id = 0  # ids rise over all connections together; see `PeerConnection.was_sent`
         self._outbound: dict[tuple[str, str], PeerConnection] = {}  # by peer and channel
         self._inbound: dict[PeerConnection, None] = {}
@@ -173,5 +174,5 @@
             if silent_for_s > KEEPALIVE_TIMEOUT_S:
                 connection.close("keepalive timeout", "answer")
             elif silent_for_s > KEEPALIVE_PING_AFTER_S:
-                connection.write(Frame(0, False, Ping()))
+                connection.ping()
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -17,6 +17,7 @@
 
 from cometdoor.errors import CometdoorError
 from cometdoor.wire.call_control import CancelCall, Ping, Pong
+from cometdoor.wire.connection_statistics import ConnectionStatistics
 from cometdoor.wire.frames import Frame, FrameDecoder, FrameError, Message, encode
 
 KEEPALIVE_TIMEOUT_S = 1.0  # after this time without a byte while a reply is awaited the connection is closed
@@ -93,6 +94,7 @@
     loop: asyncio.AbstractEventLoop
     handler: Handler  # called with each message that is no reply
     last_call_id: int  # of the newest call on any connection
+    statistics: ConnectionStatistics
 
     def discard(self, connection: PeerConnection) -> None:
         """Forget a connection that is closed."""
@@ -115,6 +117,7 @@
         self._is_flush_scheduled = False
         self._last_sent_id = 0  # calls with higher ids have not been written here
         self.last_received_at = self.last_used_at = connections.loop.time()
+        self._pinged_at: float | None = None  # when the oldest ping was sent after which nothing has arrived
 
     # --- asyncio.Protocol ---
 
@@ -137,6 +140,9 @@
     def data_received(self, data: bytes) -> None:
         """Dispatch the messages that are complete; close the connection on any that is invalid."""
         self.last_received_at = self._connections.loop.time()
+        if self._pinged_at is not None:
+            self._connections.statistics.on_silence_ended(self.last_received_at - self._pinged_at)
+            self._pinged_at = None
         try:
             frames = self._frame_decoder.feed(data)
         except FrameError as error:
@@ -174,6 +180,12 @@
         else:
             self._connections.handler(message, self, frame.call_id)
 
+    def ping(self) -> None:
+        """Ask the peer, which has been silent, whether it is alive."""
+        if self._pinged_at is None:
+            self._pinged_at = self._connections.loop.time()
+        self.write(Frame(0, False, Ping()))
+
     def respond(self, call_id: int, message: Message) -> None:
         """Reply to a call that arrived on this connection; dropped if the connection is closed.
 
@@ -240,6 +252,7 @@
             return
         self.is_closed = True
         was_open = self.is_open
+        self._connections.statistics.on_closed(reason if was_open else "connecting failed")
         self._connections.discard(self)
         if self._transport is not None:
             self._transport.abort()
