--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -22,6 +22,7 @@
 from cometdoor.gossip.directory import Directory
 from cometdoor.gossip.server import GossipServer
 from cometdoor.host.fair_share import DescriptorQuota
+from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.host.listening import ListenStep, listen_all
 from cometdoor.host.node_settings import NodeSettings
 from cometdoor.host.settings_validation import SettingsError
@@ -79,7 +80,8 @@
         self._loop = loop
         self._is_shutting_down = False
         self._refresh_scheduled = False
-        self.connections = PeerConnections(loop, self._receive)
+        self._link = LinkScheduler(loop, node_settings.limits.bandwidth_mbps, node_settings.ip_address)
+        self.connections = PeerConnections(loop, self._receive, self._link)
         internal_address = node_settings.internal_address(ROLE)
         incarnation = secrets.token_hex(4)
         record = NodeRecord(
@@ -107,7 +109,12 @@
         )
         self._reader = OutboundRequestReader()
         self.outbound_frontend = Frontend(
-            loop, self._reader, descriptors, self.outbound_proxy, ClientLimits(16 << 10, 64 << 20, 3.2, 15.5)
+            loop,
+            self._reader,
+            descriptors,
+            self.outbound_proxy,
+            ClientLimits(16 << 10, 64 << 20, 3.2, 15.5),
+            link=self._link,
         )
         self.backend_frontend = Frontend(
             loop, JsonApiReader(MAX_HEARTBEAT_BYTES), descriptors, BackendApi(self.backend_lifecycle)
--- /dev/null
+++ b/cometdoor/host/link_scheduler.py
@@ -0,0 +1,189 @@
+"""Scheduling of what a process sends over its machine's link: short messages at once, large ones in chunks.
+
+Without it a large message is handed to the kernel whole, and every message to any other machine waits until
+the link has sent it: 200 ms for 90 kB at 3.5 Mbit/s. Large messages are sent one after the other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any
+
+from cometdoor.host.link_budget import LinkBudget
+
+MIN_WAIT_S = 0.001  # timers are no finer
+
+
+class LinkScheduler:
+    """Owner of a link's budget and of the queue of connections that have large messages to send.
+
+    Parameters
+    ----------
+    bandwidth_mbps
+        Bandwidth of the link; 0: it is not limited, and nothing is scheduled.
+    local_host
+        The machine's own IP address, at which connections don't use the link.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, bandwidth_mbps: float, local_host: str) -> None:
+        self._loop = loop
+        self._local_host = local_host
+        self._budget = LinkBudget(bandwidth_mbps, loop.time()) if bandwidth_mbps > 0 else None
+        self._queue: deque[ScheduledTransport] = deque()
+        self._timer: asyncio.TimerHandle | None = None
+        self.queued_bytes = 0  # of large messages, that wait for the link
+
+    def wrap(self, transport: asyncio.Transport) -> asyncio.Transport:
+        """Return a transport that sends over this link; the same one if it does not use the link."""
+        peer = transport.get_extra_info("peername")
+        if self._budget is None or (peer and peer[0] == self._local_host):
+            return transport
+        return ScheduledTransport(transport, self, self._budget.chunk_bytes)
+
+    def on_written(self, size: int) -> None:
+        """Count bytes that a connection has written at once."""
+        assert self._budget is not None
+        self._budget.spend(size, self._loop.time())
+
+    def enqueue(self, transport: ScheduledTransport) -> None:
+        """Add a connection that has a large message to send."""
+        self._queue.append(transport)
+        if self._timer is None:
+            self._send_chunks()
+
+    def _send_chunks(self) -> None:
+        """Send chunks until the link is busy; then wait until it is free."""
+        assert self._budget is not None
+        self._timer = None
+        while self._queue:
+            wait_s = self._budget.seconds_until_free(self._loop.time())
+            if wait_s > 0.0:
+                self._timer = self._loop.call_later(max(wait_s, MIN_WAIT_S), self._send_chunks)
+                return
+            transport = self._queue[0]
+            size, is_message_sent = transport.send_chunk(self._budget.chunk_bytes)
+            self._budget.spend_chunk(size, self._loop.time())
+            if is_message_sent:
+                self._queue.popleft()
+                if transport.has_queued:
+                    self._queue.append(transport)
+
+
+class ScheduledTransport(asyncio.Transport):
+    """A transport whose large writes are sent in chunks as the link permits; the order of writes is kept."""
+
+    def __init__(self, transport: asyncio.Transport, scheduler: LinkScheduler, max_short_bytes: int) -> None:
+        super().__init__()
+        self._transport = transport
+        self._scheduler = scheduler
+        self._max_short_bytes = max_short_bytes
+        self._queued: deque[tuple[int, bytes]] = deque()  # key and bytes, the first one perhaps in part sent
+        self._offset = 0  # bytes of the first one that were sent
+        self._ends_with_eof = self._is_closing = False
+
+    @property
+    def has_queued(self) -> bool:
+        """Whether some bytes wait for the link."""
+        return bool(self._queued)
+
+    def write(self, data: Any) -> None:
+        """Send bytes: at once if they are short and nothing is queued before them."""
+        self.write_message(0, data)
+
+    def write_message(self, key: int, data: bytes) -> None:
+        """Send bytes that `discard` may remove by their key while they are queued; 0: no key."""
+        if self._is_closing or self._ends_with_eof or not data:
+            return
+        if not self._queued and len(data) <= self._max_short_bytes:
+            self._scheduler.on_written(len(data))
+            self._transport.write(data)
+            return
+        self._queued.append((key, bytes(data)))
+        self._scheduler.queued_bytes += len(data)
+        if len(self._queued) == 1:
+            self._scheduler.enqueue(self)
+
+    def discard(self, key: int) -> bool:
+        """Remove a queued message of which nothing was sent; return whether there was one."""
+        for index, (queued_key, data) in enumerate(self._queued):
+            if queued_key == key and (index or not self._offset):
+                del self._queued[index]
+                self._scheduler.queued_bytes -= len(data)
+                return True
+        return False
+
+    def send_chunk(self, max_bytes: int) -> tuple[int, bool]:
+        """Send a part of the first queued message; return its size, and whether the message is sent."""
+        if self._transport.is_closing():
+            self._drop_queued()
+        if not self._queued:
+            return 0, True
+        _, data = self._queued[0]
+        chunk = data[self._offset : self._offset + max_bytes]
+        self._transport.write(chunk)
+        self._scheduler.queued_bytes -= len(chunk)
+        self._offset += len(chunk)
+        if self._offset < len(data):
+            return len(chunk), False
+        self._queued.popleft()
+        self._offset = 0
+        if not self._queued:
+            self._end()
+        return len(chunk), True
+
+    def _end(self) -> None:
+        """Do what was asked for after the last write."""
+        if self._ends_with_eof and not self._transport.is_closing():
+            self._transport.write_eof()
+        if self._is_closing:
+            self._transport.close()
+
+    def _drop_queued(self) -> None:
+        self._scheduler.queued_bytes -= sum(len(data) for _, data in self._queued) - self._offset
+        self._queued.clear()
+        self._offset = 0
+
+    def write_eof(self) -> None:
+        """Close for writing, once all is sent."""
+        if not self._ends_with_eof:
+            self._ends_with_eof = True
+            if not self._queued:
+                self._transport.write_eof()
+
+    def close(self) -> None:
+        """Close, once all is sent."""
+        self._is_closing = True
+        if not self._queued:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once; what is queued is dropped."""
+        self._is_closing = True
+        self._drop_queued()
+        self._transport.abort()
+
+    def is_closing(self) -> bool:
+        """Return whether it is closed, or closes once all is sent."""
+        return self._is_closing or self._transport.is_closing()
+
+    def get_write_buffer_size(self) -> int:
+        """Return how many bytes were written and not yet handed to the kernel."""
+        queued = sum(len(data) for _, data in self._queued) - self._offset
+        return self._transport.get_write_buffer_size() + queued
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return information about the connection."""
+        return self._transport.get_extra_info(name, default)
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Set the limits at which the protocol is told to pause writing, without what is queued here."""
+        self._transport.set_write_buffer_limits(high=high, low=low)
+
+    def pause_reading(self) -> None:
+        """Stop reading."""
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._transport.resume_reading()
--- a/cometdoor/host/node_settings.py
+++ b/cometdoor/host/node_settings.py
@@ -35,6 +35,7 @@
     file_descriptors: int = aliased("file-descriptors", default=1024)
     memory_mb: float = aliased("memory-mb", default=256)
     disk_mb: float = aliased("disk-mb", default=0)
+    bandwidth_mbps: float = aliased("bandwidth-mbps", default=0)  # of the machine's link; 0: not limited
 
 
 @dataclass(frozen=True)
--- a/cometdoor/http/client_connection.py
+++ b/cometdoor/http/client_connection.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from cometdoor.host.link_scheduler import ScheduledTransport
 from cometdoor.http.connection_owner import ClientConnectionOwner
 from cometdoor.http.messages import (
     BODILESS_STATUSES,
@@ -81,6 +82,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of an accepted socket."""
         self._transport = cast(asyncio.Transport, transport)
+        if self._owner.link is not None:
+            self._transport = self._owner.link.wrap(self._transport)
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
@@ -360,10 +363,15 @@
         if self.request is not None or self._pipelined or self._is_in_request or self._is_finished():
             return False
         assert self._transport is not None
+        if self._waits_for_link():
+            return False
         return not is_readable(self._transport)
 
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle or its client reads no responses; return whether it did."""
+        if self._waits_for_link():
+            self._timeouts.move_to(self._timeouts.idle, self)
+            return False
         if self._is_writing_paused or (
             self._transport is not None and self._transport.get_write_buffer_size()
         ):
@@ -375,6 +383,10 @@
             return False
         return True
 
+    def _waits_for_link(self) -> bool:
+        """Return whether a part of the last response waits for the machine's link, not for the client."""
+        return isinstance(self._transport, ScheduledTransport) and self._transport.has_queued
+
     def on_linger_timeout(self) -> None:
         """Abort the connection, unless its client is still reading the last response."""
         if (
--- a/cometdoor/http/connection_owner.py
+++ b/cometdoor/http/connection_owner.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Protocol, TypeVar
 
+from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.http.client_limits import ClientLimits
 from cometdoor.http.connection_timeouts import ConnectionTimeouts, TimedConnection
 from cometdoor.http.messages import ClientRequest, RequestReader
@@ -37,6 +38,7 @@
     is_draining: bool
     timeouts: ConnectionTimeouts[ConnectionT]
     with_unread_responses: dict[ConnectionT, None]
+    link: LinkScheduler | None
 
     def on_closed(self, connection: ConnectionT) -> None:
         """Remove a closed connection."""
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -10,6 +10,7 @@
 
 from cometdoor.host.address import Address
 from cometdoor.host.fair_share import DescriptorQuota, client_connection_limit
+from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.client_limits import ClientLimits
 from cometdoor.http.connection_owner import RequestHandler
@@ -47,6 +48,8 @@
         What each connection waits for, and since when.
     with_unread_responses : dict[ClientConnection, None]
         Connections whose clients have not read all of their responses.
+    link : LinkScheduler | None
+        Schedules what is sent to clients; None: it is sent at once.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -59,6 +62,7 @@
     connections: dict[ClientConnection, None] = field(default_factory=dict)
     timeouts: ConnectionTimeouts[ClientConnection] = field(init=False)
     with_unread_responses: dict[ClientConnection, None] = field(default_factory=dict)
+    link: LinkScheduler | None = None
     _listeners: list[socket.socket] = field(default_factory=list)
     _is_accepting: bool = False
     _last_sweep_at: float = 0.0
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -10,6 +10,7 @@
 import asyncio
 
 from cometdoor.host.address import parse_address
+from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.wire.connection_statistics import ConnectionStatistics
 from cometdoor.wire.frames import Frame, Message
 from cometdoor.wire.peer_connection import (
@@ -25,6 +26,9 @@
 # A ping is sent after this time without a byte while a reply is awaited. Three pings remain unanswered before
 # `KEEPALIVE_TIMEOUT_S`; a busy peer answers up to 0.3 s late.
 KEEPALIVE_PING_AFTER_S = 0.35
+# A connection without a byte for this long is closed although its peer's machine sends on others. It is
+# silent for over `KEEPALIVE_TIMEOUT_S` where large messages to others precede its own on a busy link.
+LIVE_PEER_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 0.8
 # After a failed dial calls to the peer fail at once for this time: each would cost a handshake.
 RECONNECT_BACKOFF_S = 0.15
@@ -35,7 +39,9 @@
 class PeerConnections:
     """Owns all connections of one process, by peer and channel; dials them when they are needed."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, handler: Handler) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, handler: Handler, link: LinkScheduler | None = None
+    ) -> None:
         """Prepare without listening.
 
         Parameters
@@ -45,10 +51,14 @@
         handler : Handler
             Called with each message that arrives and is no reply: the message, its connection, and the
             number of its call for `PeerConnection.respond` (0: it awaits no reply).
+        link : LinkScheduler | None
+            Schedules what is sent; None: it is sent at once.
         """
+        self.link = link or LinkScheduler(loop, 0.0, "")
         self.loop = loop
         self.handler = handler
         self.statistics = ConnectionStatistics()
+        self.last_received_from: dict[str, float] = {}
         self.last_call_id = 0  # ids rise over all connections together; see `PeerConnection.was_sent`
         self._outbound: dict[tuple[str, str], PeerConnection] = {}  # by peer and channel
         self._inbound: dict[PeerConnection, None] = {}
@@ -171,7 +181,10 @@
                     )
                 continue
             silent_for_s = now - connection.last_received_at
-            if silent_for_s > KEEPALIVE_TIMEOUT_S:
+            machine_silent_for_s = now - self.last_received_from.get(connection.machine, 0.0)
+            if silent_for_s > LIVE_PEER_TIMEOUT_S or (
+                silent_for_s > KEEPALIVE_TIMEOUT_S and machine_silent_for_s > KEEPALIVE_TIMEOUT_S
+            ):
                 connection.close("keepalive timeout", "answer")
             elif silent_for_s > KEEPALIVE_PING_AFTER_S:
                 connection.ping()
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -16,12 +16,16 @@
 import structlog
 
 from cometdoor.errors import CometdoorError
+from cometdoor.host.link_scheduler import LinkScheduler, ScheduledTransport
 from cometdoor.wire.call_control import CancelCall, Ping, Pong
 from cometdoor.wire.connection_statistics import ConnectionStatistics
 from cometdoor.wire.frames import Frame, FrameDecoder, FrameError, Message, encode
 
-KEEPALIVE_TIMEOUT_S = 1.0  # after this time without a byte while a reply is awaited the connection is closed
+# After this time without a byte from the peer's machine, on any connection, a connection on which a reply is
+# awaited is closed.
+KEEPALIVE_TIMEOUT_S = 1.0
 WRITE_BUFFER_HIGH_WATER_BYTES = 1 << 20
+LARGE_FRAME_BYTES = 4096  # larger frames are written one by one where the link is scheduled
 log = structlog.get_logger()
 
 
@@ -95,6 +99,8 @@
     handler: Handler  # called with each message that is no reply
     last_call_id: int  # of the newest call on any connection
     statistics: ConnectionStatistics
+    last_received_from: dict[str, float]  # by machine: when anything arrived from it, on any connection
+    link: LinkScheduler
 
     def discard(self, connection: PeerConnection) -> None:
         """Forget a connection that is closed."""
@@ -105,6 +111,7 @@
 
     def __init__(self, connections: PeerConnectionOwner, peer: str) -> None:
         self.peer = peer  # "ip:port" that was dialled; empty if the peer opened it
+        self.machine = ""  # the peer's IP address, once the connection is open
         self.pending_calls: dict[int, PendingCall] = {}
         # By id of a call of the peer: called if the peer cancels it or the connection closes.
         self.cancel_callbacks: dict[int, Callable[[], None]] = {}
@@ -112,7 +119,7 @@
         self.is_open = False
         self._connections = connections
         self._frame_decoder = FrameDecoder()
-        self._outgoing: list[bytes] = []
+        self._outgoing: list[tuple[int, bytes]] = []  # call id of a reply, else 0, and the encoded frame
         self._transport: asyncio.Transport | None = None
         self._is_flush_scheduled = False
         self._last_sent_id = 0  # calls with higher ids have not been written here
@@ -123,7 +130,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options and write what was queued while the peer was dialled."""
-        self._transport = cast(asyncio.Transport, transport)
+        self._transport = self._connections.link.wrap(cast(asyncio.Transport, transport))
+        self.machine = str((transport.get_extra_info("peername") or ("",))[0])
         raw_socket = transport.get_extra_info("socket")
         raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -140,6 +148,7 @@
     def data_received(self, data: bytes) -> None:
         """Dispatch the messages that are complete; close the connection on any that is invalid."""
         self.last_received_at = self._connections.loop.time()
+        self._connections.last_received_from[self.machine] = self.last_received_at
         if self._pinged_at is not None:
             self._connections.statistics.on_silence_ended(self.last_received_at - self._pinged_at)
             self._pinged_at = None
@@ -177,6 +186,8 @@
             on_cancel = self.cancel_callbacks.pop(message.call_id, None)
             if on_cancel is not None:
                 on_cancel()
+            elif isinstance(self._transport, ScheduledTransport):
+                self._transport.discard(message.call_id)  # its reply, if the link has sent none of it
         else:
             self._connections.handler(message, self, frame.call_id)
 
@@ -199,7 +210,7 @@
         """Queue a frame for the next flush, and return its bytes, which identify it for `remove_unsent`."""
         data = encode(frame)
         if not self.is_closed:
-            self._outgoing.append(data)
+            self._outgoing.append((frame.call_id if frame.is_reply else 0, data))
             if self.is_open and not self._is_flush_scheduled:
                 self._is_flush_scheduled = True
                 self._connections.loop.call_soon(self._flush)
@@ -211,7 +222,7 @@
         It guards against a race: a request that is cancelled while the connection is being dialled would
         otherwise be executed once the connection is open.
         """
-        for index, queued in enumerate(self._outgoing):
+        for index, (_, queued) in enumerate(self._outgoing):
             if queued is data:
                 del self._outgoing[index]
                 return True
@@ -232,7 +243,17 @@
                 return  # the transport accepts nothing more: what is queued here is never sent
             outgoing, self._outgoing = self._outgoing, []
             self._last_sent_id = self._connections.last_call_id
-            self._transport.write(outgoing[0] if len(outgoing) == 1 else b"".join(outgoing))
+            if isinstance(self._transport, ScheduledTransport):
+                self._write_scheduled(self._transport, outgoing)
+            else:
+                self._transport.write(b"".join([data for _, data in outgoing]))
+
+    def _write_scheduled(self, transport: ScheduledTransport, outgoing: list[tuple[int, bytes]]) -> None:
+        """Write short frames together, and each large one by itself, so that it can be discarded."""
+        transport.write(b"".join([data for _, data in outgoing if len(data) <= LARGE_FRAME_BYTES]))
+        for reply_id, data in outgoing:
+            if len(data) > LARGE_FRAME_BYTES:
+                transport.write_message(reply_id, data)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the transport's write buffer."""
--- a/simulation/virtual_transport.py
+++ b/simulation/virtual_transport.py
@@ -80,6 +80,8 @@
     # --- asyncio's calls ---
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        if name == "peername" and self.peer is not None:
+            return self.peer.process.machine, 0
         return VirtualSocket(self) if name == "socket" else default
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
