--- a/cometdoor/dataplane/inbound_proxy.py
+++ b/cometdoor/dataplane/inbound_proxy.py
@@ -211,7 +211,9 @@
         outcome = result.outcome
         self._release_slot(request, completed=outcome is Outcome.OK)
         if response is not None and outcome in (Outcome.OK, Outcome.ERROR):
-            self._finish(request, self._new_forward_response(request, response))
+            self._finish(
+                request, ForwardResponse(response.status, end_to_end_headers(response.headers), response.body)
+            )
         elif result.is_not_executed:
             if outcome is Outcome.CONNECT_FAILED:
                 log.info("backend unreachable", step="connect", peer=request.forward_request.instance)
@@ -224,16 +226,6 @@
             )
         self._start_queued()
 
-    def _new_forward_response(self, request: InboundRequest, response: Response) -> ForwardResponse:
-        slot_request = request.slot_request
-        return ForwardResponse(
-            response.status,
-            end_to_end_headers(response.headers),
-            response.body,
-            slot_request.started_at_ms - slot_request.arrived_at_ms,
-            now_ms() - slot_request.started_at_ms,
-        )
-
     def _abandon_stalled(self) -> None:
         """Abort requests without a complete response `STALLED_AFTER_DEADLINE_MS` after their deadline.
 
--- a/cometdoor/dataplane/service_client.py
+++ b/cometdoor/dataplane/service_client.py
@@ -188,7 +188,7 @@
         def on_reply(reply: Message | PeerError) -> None:
             result, response = read_reply(reply)
             if response is not None:
-                self._statistics.on_response(response, now_ms() - sent_at_ms)
+                self._statistics.on_response(now_ms() - sent_at_ms)
             exchange.on_attempt_ended(result, response)
             if result.outcome is not Outcome.OK:
                 self._budget_share.record_unmet_demand(now_ms() / 1000.0)
--- a/cometdoor/dataplane/slots.py
+++ b/cometdoor/dataplane/slots.py
@@ -124,6 +124,7 @@
         self._counts: Counter[str] = Counter()
         self._shed_groups: dict[tuple[RequestKind, Hashable], None] = {}  # oldest first
         self._execution_ms = DecayingAverage()
+        self._wait_ms = DecayingAverage()
         self._last_number = 0
 
     def new_request(
@@ -215,6 +216,7 @@
 
     def _start(self, request: SlotRequest, now: float) -> None:
         request.started_at_ms = now
+        self._wait_ms.add(now - request.arrived_at_ms, now)
         self.in_flight += 1
         self._kinds.record_decision(request, True, now)
         self._counts[f"{request.kind.label()} started"] += 1
@@ -256,7 +258,13 @@
     def report(self, now: float) -> dict[str, float]:
         """Return counts since the last report, for the log: by kind, started, shed and overdue requests."""
         counts, self._counts = self._counts, Counter()
-        return {**counts, "mean_execution_ms": round(self.mean_execution_ms(now), 1)} if counts else {}
+        if not counts:
+            return {}
+        return {
+            **counts,
+            "mean_wait_ms": round(self._wait_ms.mean(0.0, 1.0, now), 1),
+            "mean_execution_ms": round(self.mean_execution_ms(now), 1),
+        }
 
     def cancel(self, request: SlotRequest) -> bool:
         """Remove a request from the queue; return whether it was queued."""
--- a/cometdoor/gossip/anti_entropy.py
+++ b/cometdoor/gossip/anti_entropy.py
@@ -22,7 +22,7 @@
 # the other side. Once the newest suspicion is older than `LONG_SUSPECTED_S`, the nodes are tried seldom,
 # since most nodes suspected for so long never return.
 SEED_PARTNER_SHARE = 0.1
-SUSPECTED_PARTNER_SHARE, LONG_SUSPECTED_PARTNER_SHARE, LONG_SUSPECTED_S = 0.25, 0.03, 60.0
+SUSPECTED_PARTNER_SHARE, LONG_SUSPECTED_PARTNER_SHARE, LONG_SUSPECTED_S = 0.5, 0.03, 60.0
 FULL_SYNC_BELOW_SHARE = 0.5  # a peer with less than this share of our record count is sent all records
 MONITORED_SUCCESSORS = 2  # on the ring: each node monitors this many, and is monitored by as many
 
--- a/cometdoor/host/link_scheduler.py
+++ b/cometdoor/host/link_scheduler.py
@@ -34,12 +34,16 @@
         self._timer: asyncio.TimerHandle | None = None
         self.queued_bytes = 0  # of large messages, that wait for the link
 
-    def wrap(self, transport: asyncio.Transport) -> asyncio.Transport:
-        """Return a transport that sends over this link; the same one if it does not use the link."""
+    def wrap(self, transport: asyncio.Transport, keeps_order: bool = True) -> asyncio.Transport:
+        """Return a transport that sends over this link; the same one if it does not use the link.
+
+        `keeps_order`: writes stay in order; else each is a whole message, and a short one goes before large
+        ones of which nothing was sent.
+        """
         peer = transport.get_extra_info("peername")
         if self._budget is None or (peer and peer[0] == self._local_host):
             return transport
-        return ScheduledTransport(transport, self, self._budget.chunk_bytes)
+        return ScheduledTransport(transport, self, self._budget.chunk_bytes, keeps_order)
 
     def on_written(self, size: int) -> None:
         """Count bytes that a connection has written at once."""
@@ -71,13 +75,20 @@
 
 
 class ScheduledTransport(asyncio.Transport):
-    """A transport whose large writes are sent in chunks as the link permits; the order of writes is kept."""
-
-    def __init__(self, transport: asyncio.Transport, scheduler: LinkScheduler, max_short_bytes: int) -> None:
+    """A transport whose large writes are sent in chunks as the link permits."""
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        scheduler: LinkScheduler,
+        max_short_bytes: int,
+        keeps_order: bool,
+    ) -> None:
         super().__init__()
         self._transport = transport
         self._scheduler = scheduler
         self._max_short_bytes = max_short_bytes
+        self._keeps_order = keeps_order
         self._queued: deque[tuple[int, bytes]] = deque()  # key and bytes, the first one perhaps in part sent
         self._offset = 0  # bytes of the first one that were sent
         self._ends_with_eof = self._is_closing = False
@@ -88,18 +99,22 @@
         return bool(self._queued)
 
     def write(self, data: Any) -> None:
-        """Send bytes: at once if they are short and nothing is queued before them."""
+        """Send bytes: at once if they are short and need not wait for what is queued."""
         self.write_message(0, data)
 
     def write_message(self, key: int, data: bytes) -> None:
         """Send bytes that `discard` may remove by their key while they are queued; 0: no key."""
         if self._is_closing or self._ends_with_eof or not data:
             return
-        if not self._queued and len(data) <= self._max_short_bytes:
+        is_short = len(data) <= self._max_short_bytes
+        if is_short and (not self._queued or not (self._keeps_order or self._offset)):
             self._scheduler.on_written(len(data))
             self._transport.write(data)
             return
-        self._queued.append((key, bytes(data)))
+        if is_short and not self._keeps_order:
+            self._queued.insert(1, (key, bytes(data)))  # behind the message that was sent in part
+        else:
+            self._queued.append((key, bytes(data)))
         self._scheduler.queued_bytes += len(data)
         if len(self._queued) == 1:
             self._scheduler.enqueue(self)
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -181,7 +181,9 @@
                     )
                 continue
             silent_for_s = now - connection.last_received_at
-            machine_silent_for_s = now - self.last_received_from.get(connection.machine, 0.0)
+            machine_silent_for_s = now - self.last_received_from.get(
+                connection.machine, connection.last_received_at
+            )
             if silent_for_s > LIVE_PEER_TIMEOUT_S or (
                 silent_for_s > KEEPALIVE_TIMEOUT_S and machine_silent_for_s > KEEPALIVE_TIMEOUT_S
             ):
--- a/cometdoor/wire/forwarding.py
+++ b/cometdoor/wire/forwarding.py
@@ -34,8 +34,6 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes
-    queued_ms: float = 0.0  # time in the inbound proxy's queue
-    executed_ms: float = 0.0  # time from the request's start at the backend to its complete response
 
 
 class NotExecuted(msgspec.Struct, tag="n", array_like=True):
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -130,7 +130,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options and write what was queued while the peer was dialled."""
-        self._transport = self._connections.link.wrap(cast(asyncio.Transport, transport))
+        self._transport = self._connections.link.wrap(cast(asyncio.Transport, transport), keeps_order=False)
         self.machine = str((transport.get_extra_info("peername") or ("",))[0])
         raw_socket = transport.get_extra_info("socket")
         raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/simulation/exchange/peer_calls.py
+++ b/simulation/exchange/peer_calls.py
@@ -101,6 +101,7 @@
                 self.transport().close_by_peer()
             case PeerCallEvent.PEER_TIMED_OUT:
                 self.call.connection.last_received_at -= 2 * KEEPALIVE_TIMEOUT_S
+                self.connections.last_received_from.clear()  # nothing came on other connections either
                 self.connections._sweep()
                 if not self.call.connection.pending_calls:
                     self.call.connection.close(
--- a/tests/host/test_golden_boot.py
+++ b/tests/host/test_golden_boot.py
@@ -23,6 +23,9 @@
 
 FIXTURES = Path(__file__).parent / "fixtures"
 FIXTURE = load(FIXTURES / "boot.json")
+# Keys of `limits` that were added since, at its end, with their defaults: no file of that commit has them.
+ADDED_LIMITS = {"bandwidth-mbps": 0}
+LIMITS_POSITION = -2
 FILES = pytest.mark.parametrize("name", FIXTURE["files"])
 
 
@@ -42,8 +45,12 @@
 
 @FILES
 def test_golden_settings_files_are_read_to_the_same_values(name: str) -> None:
-    assert node_settings(name).to_dict() == FIXTURE["files"][name]["values"]
-    assert plain(node_settings(name)) == FIXTURE["files"][name]["positions"]
+    values, positions = node_settings(name).to_dict(), plain(node_settings(name))
+    assert [positions[LIMITS_POSITION].pop() for _ in ADDED_LIMITS] == [*reversed(ADDED_LIMITS.values())]
+    for key, value in ADDED_LIMITS.items():
+        assert values["limits"].pop(key) == value
+    assert values == FIXTURE["files"][name]["values"]
+    assert positions == FIXTURE["files"][name]["positions"]
 
 
 @FILES
