Soak over real processes, invariants, and what else waits for a link

Cause: a cancellation could overtake its large call, a shutdown could drop replies that wait for the link, and nothing counted what must hold.

--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -261,6 +261,7 @@
         while self._loop.time() < final_response_at and (
             self.outbound_proxy.open_requests()
             or self.inbound_proxy.in_flight_count()
+            or self._link.queued_bytes
             or self.outbound_frontend.connections
         ):
             self.outbound_frontend.close_idle()
--- a/cometdoor/host/link_scheduler.py
+++ b/cometdoor/host/link_scheduler.py
@@ -122,7 +122,7 @@
     def discard(self, key: int) -> bool:
         """Remove a queued message of which nothing was sent; return whether there was one."""
         for index, (queued_key, data) in enumerate(self._queued):
-            if queued_key == key and (index or not self._offset):
+            if key and queued_key == key and (index or not self._offset):
                 del self._queued[index]
                 self._scheduler.queued_bytes -= len(data)
                 return True
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -79,6 +79,8 @@
         self.connection.pending_calls.pop(self.call_id, None)
         if not self.was_sent() and self.connection.remove_unsent(self.encoded_frame):
             return True
+        if self.connection.discard_queued(-self.call_id):
+            return True
         self.connection.write(Frame(0, False, CancelCall(self.call_id)))
         return False
 
@@ -119,7 +121,8 @@
         self.is_open = False
         self._connections = connections
         self._frame_decoder = FrameDecoder()
-        self._outgoing: list[tuple[int, bytes]] = []  # call id of a reply, else 0, and the encoded frame
+        # Encoded frames, each with the id of its call: the peer's call, or the negative of one of this side.
+        self._outgoing: list[tuple[int, bytes]] = []
         self._transport: asyncio.Transport | None = None
         self._is_flush_scheduled = False
         self._last_sent_id = 0  # calls with higher ids have not been written here
@@ -186,8 +189,8 @@
             on_cancel = self.cancel_callbacks.pop(message.call_id, None)
             if on_cancel is not None:
                 on_cancel()
-            elif isinstance(self._transport, ScheduledTransport):
-                self._transport.discard(message.call_id)  # its reply, if the link has sent none of it
+            else:
+                self.discard_queued(message.call_id)  # its reply
         else:
             self._connections.handler(message, self, frame.call_id)
 
@@ -210,7 +213,7 @@
         """Queue a frame for the next flush, and return its bytes, which identify it for `remove_unsent`."""
         data = encode(frame)
         if not self.is_closed:
-            self._outgoing.append((frame.call_id if frame.is_reply else 0, data))
+            self._outgoing.append((frame.call_id if frame.is_reply else -frame.call_id, data))
             if self.is_open and not self._is_flush_scheduled:
                 self._is_flush_scheduled = True
                 self._connections.loop.call_soon(self._flush)
@@ -251,9 +254,17 @@
     def _write_scheduled(self, transport: ScheduledTransport, outgoing: list[tuple[int, bytes]]) -> None:
         """Write short frames together, and each large one by itself, so that it can be discarded."""
         transport.write(b"".join([data for _, data in outgoing if len(data) <= LARGE_FRAME_BYTES]))
-        for reply_id, data in outgoing:
+        for key, data in outgoing:
             if len(data) > LARGE_FRAME_BYTES:
-                transport.write_message(reply_id, data)
+                transport.write_message(key, data)
+
+    def discard_queued(self, key: int) -> bool:
+        """Discard a large frame that waits for the link if none of it was sent; return whether there was one.
+
+        Guards against a cancellation that overtakes its call: short frames go before large ones that wait.
+        `key`: the id of a call of the peer, for its reply, or the negative of one of this side.
+        """
+        return isinstance(self._transport, ScheduledTransport) and self._transport.discard(key)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the transport's write buffer."""
--- a/simulation/mesh.py
+++ b/simulation/mesh.py
@@ -30,6 +30,7 @@
 from cometdoor.control.process import ControlPlane
 from cometdoor.control.write_ahead_log import WriteAheadLog
 from cometdoor.dataplane.process import DataPlane
+from cometdoor.host import invariants
 from cometdoor.host.node_settings import read_node_settings
 from simulation.event_loop import VirtualLoop
 from simulation.virtual_transport import Process, VirtualListener
@@ -75,7 +76,7 @@
 
     # --- processes ---
 
-    async def launch(self, address: str) -> None:
+    async def launch(self, address: str, is_first: bool = True) -> None:
         role, path = self.settings(address)
         node_settings = replace(
             read_node_settings(path.read_bytes(), str(path), role),
@@ -209,3 +210,4 @@
             for log_file in mesh.log_files:
                 log_file.close()
             loop.close()
+        assert not invariants.violations(), str(invariants.violations())
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -122,9 +122,12 @@
         bandwidth_mbps = self.bandwidth_mbps if role == "dataplane" else 0.0
         return role, settings(self.folder, role, address, seeds, service, bandwidth_mbps)
 
-    async def launch(self, address: str) -> None:
+    async def launch(self, address: str, is_first: bool = True) -> None:
+        """Start the process of an address; if it is not the first one, its log goes on."""
         role, path = self.settings(address)
-        with (self.folder / f"{address}.log").open("wb") as log:
+        if not is_first:
+            path.write_text(path.read_text().replace("initial-start = true", "initial-start = false"))
+        with (self.folder / f"{address}.log").open("wb" if is_first else "ab") as log:
             self.processes[address] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/standins/mesh_backend.py
+++ b/standins/mesh_backend.py
@@ -76,6 +76,9 @@
             self._heartbeat_task.cancel()
         if self._server is not None:
             self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
         for writer in list(self._connections):
             writer.transport.abort()
 
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,209 @@
+"""A soak test: the mesh as real processes under random, overlapping troubles, with its invariants on.
+
+Six data planes with narrow links, of which two serve files and the rates that searches look up; three
+control planes. For each seed two or three troubles overlap in each round. Afterwards, in calm:
+
+- no answer belonged to another request, no key was executed twice, nothing ran at another instance;
+- no process has logged an error, which a violated invariant is, and none has ended by itself;
+- nearly all requests of the calm seconds at the end are served.
+
+A cut between two processes that run needs privileges on loopback; a process that is paused for longer than
+the keepalive timeout stands for it. The simulated meshes (`simulation/mesh.py`) have real cuts.
+
+    python -m standins.soak [--quick] [--seeds N] [--first SEED]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from standins.mesh import Mesh, route
+
+BANDWIDTH_MBPS = 3.5
+ROUNDS, ROUND_S = 3, 4.0
+CALM_BEFORE_S, CALM_S = 4.0, 4.0
+REQUESTS_PER_S = {"search": 12.0, "keyed": 8.0, "maps": 4.0}
+MAP_BYTES = 60_000
+MIN_CALM_SHARE = 0.98
+ROUTES = [
+    route("search", service="search", more={"priority": 2, "target-latency-s": 1.0}),
+    route("keyed", "keyed", "search"),
+    route("rates", service="files", more={"target-latency-s": 0.2, "timeout-s": 0.6}),
+    route("maps", "download", "files", {"priority": 2, "target-latency-s": 1.4}),
+]
+
+
+class Soak:
+    """One mesh and the troubles of one seed; owner of the traffic and of what was observed."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.mesh = Mesh(folder, core=3, planes=6)
+        self.mesh.bandwidth_mbps = BANDWIDTH_MBPS
+        self.history: list[str] = []
+        self.problems: list[str] = []
+        self.results: list[tuple[float, str, int]] = []  # start, kind, last status
+        self._ended_on_purpose: set[int] = set()  # process ids
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._troubles: list[Callable[[], object]] = [
+            lambda: self._kill(self.rng.choice(self.mesh.planes)),
+            lambda: self._kill(self.rng.choice(self.mesh.core)),
+            lambda: self._pause(self.rng.choice(self.mesh.planes)),
+            lambda: self._pause(self.rng.choice(self.mesh.core)),
+            self._drop_responses,
+            self._reset_backend_connections,
+        ]
+        for index, address in enumerate(self.mesh.planes):
+            backend = self.mesh.backends[address]
+            backend.service = "files" if index % 3 == 2 else "search"
+            backend.body_bytes = {"maps": MAP_BYTES}
+            if backend.service == "search":
+                backend.calls = ["/rates/1", "/rates/2"]
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- troubles ---
+
+    def _note(self, text: str) -> None:
+        self.history.append(f"{time.monotonic():.2f} {text}")
+
+    def _is_running(self, address: str) -> bool:
+        process = self.mesh.processes[address]
+        return process.returncode is None and process.pid not in self._ended_on_purpose
+
+    def _kill(self, address: str) -> None:
+        if not self._is_running(address):
+            return
+        process, after_s = self.mesh.processes[address], self.rng.uniform(0.2, 2.0)
+        self._note(f"{address} is killed, and started again after {after_s:.2f} s")
+        self._ended_on_purpose.add(process.pid)
+        process.kill()
+
+        async def restart() -> None:
+            await process.wait()
+            await asyncio.sleep(after_s)
+            await self.mesh.launch(address, is_first=False)
+
+        self._start(restart())
+
+    def _pause(self, address: str) -> None:
+        if not self._is_running(address):
+            return
+        process, for_s = self.mesh.processes[address], self.rng.uniform(0.3, 3.5)
+        self._note(f"{address} is paused for {for_s:.2f} s")
+        process.send_signal(signal.SIGSTOP)
+
+        async def resume() -> None:
+            await asyncio.sleep(for_s)
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+
+        self._start(resume())
+
+    def _drop_responses(self) -> None:
+        address = self.rng.choice(self.mesh.planes)
+        self._note(f"the backend at {address} loses its next five responses")
+        self.mesh.backends[address].responses_to_drop = 5
+
+    def _reset_backend_connections(self) -> None:
+        address = self.rng.choice(self.mesh.planes)
+        self._note(f"the backend at {address} resets its connections")
+        self.mesh.backends[address].reset_connections()
+
+    async def _make_troubles(self) -> None:
+        for _ in range(ROUNDS):
+            for trouble in self.rng.sample(self._troubles, self.rng.choice((2, 3))):
+                trouble()
+                await asyncio.sleep(self.rng.uniform(0.0, 0.4))
+            await asyncio.sleep(ROUND_S)
+
+    # --- traffic ---
+
+    async def _request(self, kind: str, number: int) -> None:
+        started_at = time.monotonic()
+        key = f"k-{number // 2}" if kind == "keyed" else ""  # each key is sent twice
+        status = await self.mesh.request(self.rng.choice(self.mesh.planes), kind, key, max_attempts=3)
+        self.results.append((started_at, kind, status))
+
+    async def _send(self, kind: str, per_s: float, until: float) -> None:
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            self._start(self._request(kind, number))
+            await asyncio.sleep(self.rng.expovariate(per_s))
+
+    async def run(self) -> None:
+        """Play the seed; what is wrong is in `problems` afterwards."""
+        await self.mesh.start()
+        try:
+            assert await self.mesh.configure(1, 0, routes=ROUTES) == 200 and await self.mesh.wait_ready()
+            await asyncio.sleep(1.0)
+            calm_from = time.monotonic() + ROUNDS * (ROUND_S + 0.6) + CALM_BEFORE_S
+            await asyncio.gather(
+                self._make_troubles(),
+                *(self._send(kind, per_s, calm_from + CALM_S) for kind, per_s in REQUESTS_PER_S.items()),
+            )
+            while self._tasks:
+                await asyncio.wait(self._tasks)
+            self._check_calm(calm_from)
+            self._check_processes()
+            self.problems += self.mesh.find_violations()
+        finally:
+            await self.mesh.stop()
+
+    # --- checks ---
+
+    def _check_calm(self, calm_from: float) -> None:
+        calm = [(kind, status) for started_at, kind, status in self.results if started_at >= calm_from]
+        unserved = [f"{kind}: {status}" for kind, status in calm if status != 200]
+        if not calm or len(unserved) > (1.0 - MIN_CALM_SHARE) * len(calm):
+            self.problems.append(f"{len(unserved)} of {len(calm)} not served in calm: {unserved[:5]}")
+
+    def _check_processes(self) -> None:
+        for address, process in self.mesh.processes.items():
+            if process.returncode is not None and process.pid not in self._ended_on_purpose:
+                self.problems.append(f"{address} ended by itself: {process.returncode}")
+            for line in (self.mesh.folder / f"{address}.log").read_text().splitlines():
+                if not line.startswith("{") or json.loads(line).get("level") == "error":
+                    self.problems.append(f"{address}: {line[:300]}")
+
+
+def soak(seed: int) -> list[str]:
+    """Play one seed, print its result, and return its problems."""
+    with tempfile.TemporaryDirectory(prefix="cometdoor-soak-") as name:
+        one = Soak(Path(name), seed)
+        asyncio.run(one.run())
+    served = sum(status == 200 for _, _, status in one.results)
+    print(f"seed {seed}: {served} of {len(one.results)} served, {len(one.problems)} problems", flush=True)
+    for text in one.problems and [*one.history, *one.problems]:
+        print(f"    {text}", flush=True)
+    return one.problems
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="one seed")
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    arguments = parser.parse_args()
+    seeds = range(arguments.first, arguments.first + (1 if arguments.quick else arguments.seeds))
+    failed = [seed for seed in seeds if soak(seed)]
+    print(json.dumps({"seeds": len(seeds), "failed": failed}))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/stories/wire/test_connections.py
+++ b/stories/wire/test_connections.py
@@ -4,6 +4,7 @@
 
 from ward import test
 
+from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.wire.call_control import Ping, Pong
 from cometdoor.wire.connections import IDLE_TIMEOUT_S, PeerConnections
 from cometdoor.wire.consensus import LeaveRequest
@@ -16,20 +17,26 @@
 class Pair:
     """Connections of process `a`, which calls, and of process `b`, which records what it receives."""
 
-    def __init__(self) -> None:
+    def __init__(self, bandwidth_mbps: float = 0.0) -> None:
         self.loop = VirtualLoop()
+        self.reply: Message = Pong()
         self.received: list[Message] = []
         self.replies: list[object] = []
         self.a, self.b = Process("a", "caller"), Process("b", "called")
-        self.caller = PeerConnections(self.loop, lambda message, connection, call_id: None)
-        self.called = PeerConnections(self.loop, self._receive)
+        self.link = LinkScheduler(self.loop, bandwidth_mbps, "b")  # of the called machine
+        self.caller = PeerConnections(
+            self.loop,
+            lambda message, connection, call_id: None,
+            LinkScheduler(self.loop, bandwidth_mbps, "a"),
+        )
+        self.called = PeerConnections(self.loop, self._receive, self.link)
         self.loop.run_as(self.a, lambda: self.caller.listen("a", 1))
         self.loop.run_as(self.b, lambda: self.called.listen("b", 1))
         self.wait(0.1)
 
     def _receive(self, message: Message, connection: PeerConnection, call_id: int) -> None:
         self.received.append(message)
-        connection.respond(call_id, Pong())
+        connection.respond(call_id, self.reply)
 
     def wait(self, seconds: float) -> None:
         self.loop.run_until_complete(asyncio.sleep(seconds))
@@ -85,3 +92,38 @@
     pair.call(LeaveRequest("two"))
     pair.wait(1.0)
     assert pair.received == [LeaveRequest("one"), LeaveRequest("two")]
+
+
+@test(
+    "a large call that is cancelled while it waits for the link never arrives, nor its cancellation before it"
+)
+def _() -> None:
+    # Given a link that is busy with another large call
+    pair = Pair(bandwidth_mbps=3.5)
+    pair.call(LeaveRequest("x" * 200_000))
+    waiting = pair.call(LeaveRequest("y" * 200_000))
+    pair.wait(0.05)
+    # When the one that waits is cancelled
+    assert pair.cancel(waiting), "none of it was sent"
+    pair.wait(2.0)
+    # Then only the other one arrives
+    assert [type(message) for message in pair.received] == [LeaveRequest]
+    assert pair.received == [LeaveRequest("x" * 200_000)]
+
+
+@test("a large reply that is no longer wanted is not sent")
+def _() -> None:
+    # Given a peer whose link is busy with the reply to one call while that to another waits
+    pair = Pair(bandwidth_mbps=3.5)
+    pair.reply = LeaveRequest("z" * 200_000)
+    pair.call(LeaveRequest("one"))
+    second = pair.call(LeaveRequest("two"))
+    pair.wait(0.1)
+    assert pair.link.queued_bytes > 200_000
+    # When the caller cancels the second one
+    pair.cancel(second)
+    pair.wait(0.1)
+    # Then only the first reply is still being sent
+    assert pair.link.queued_bytes < 200_000
+    pair.wait(2.0)
+    assert len(pair.replies) == 1 and pair.link.queued_bytes == 0
