Two tests stand on their own: a connection for their asks, a network for their mesh

Cause: a story asked a paused member over the connection that gossip uses, which its keepalive closes at a time that gossip's choice of partners decides; the soak used the addresses of the demo and failed to bind beside another. Change: a channel of its own, with the same assertions; addresses by process.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -97,12 +97,15 @@
 
 
 class Mesh:
-    """The processes of a mesh on loopback, one address each."""
+    """The processes of a mesh on loopback, one address each.
 
-    def __init__(self, folder: Path, core: int = 3, planes: int = 4) -> None:
+    `network`: the first two numbers of their addresses; two meshes at a time need different ones.
+    """
+
+    def __init__(self, folder: Path, core: int = 3, planes: int = 4, network: str = "127.0") -> None:
         self.folder = folder
-        self.core = [f"127.0.1.{index}" for index in range(1, core + 1)]
-        self.planes = [f"127.0.2.{index}" for index in range(1, planes + 1)]
+        self.core = [f"{network}.1.{index}" for index in range(1, core + 1)]
+        self.planes = [f"{network}.2.{index}" for index in range(1, planes + 1)]
         self.traffic_log = TrafficLog()
         self.backends = {address: Backend(address, self.traffic_log) for address in self.planes}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -18,6 +18,7 @@
 import argparse
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -48,7 +49,8 @@
 
     def __init__(self, folder: Path, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.mesh = Mesh(folder, core=3, planes=6)
+        # A network of its own for each process and seed: tests and soaks may run at the same time.
+        self.mesh = Mesh(folder, core=3, planes=6, network=f"127.{1 + (os.getpid() + seed) % 254}")
         self.mesh.bandwidth_mbps = BANDWIDTH_MBPS
         self.history: list[str] = []
         self.problems: list[str] = []
--- a/stories/control/test_leader_contact.py
+++ b/stories/control/test_leader_contact.py
@@ -66,10 +66,9 @@
         async def ask_frozen() -> list[int]:
             asks = [asyncio.create_task(frozen.request_once(old, None)) for _ in range(3)]
             asks += [asyncio.create_task(frozen.request_once(old, Order(1, 2, make_body(2, "other"))))]
-            plane.connections.call(
-                internal_address, ClaimRequest([Claim("key", "claim", "holder")]), replies.append
-            )
-            plane.connections.call(internal_address, LeaseRequest("life", -1.0, []), replies.append)
+            # On a connection of their own: the one that gossip uses is closed at some time, for its silence.
+            for message in (ClaimRequest([Claim("key", "claim", "holder")]), LeaseRequest("life", -1.0, [])):
+                plane.connections.call(internal_address, message, replies.append, channel="asks")
             await asyncio.sleep(0.5)
             mesh.thaw(old)
             return [call.status for call in await asyncio.gather(*asks)]
