--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,43 @@
+"""The list of tests that are known to fail: what a line says, and what is rejected."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tools.known_red import LIST, MAX_TESTS, known_red
+
+
+def test_each_line_gives_a_test_its_cause_and_its_issue(tmp_path: Path) -> None:
+    path = tmp_path / "KNOWN-RED.txt"
+    path.write_text(
+        "tests/test_a.py::test_b | the cause | issue 7\n\na story's sentence | another | issue 8\n"
+    )
+    assert known_red(path) == {
+        "tests/test_a.py::test_b": "the cause (issue 7)",
+        "a story's sentence": "another (issue 8)",
+    }
+
+
+def test_without_the_file_no_test_is_passed_over(tmp_path: Path) -> None:
+    assert known_red(tmp_path / "KNOWN-RED.txt") == {}
+
+
+@pytest.mark.parametrize("line", ["a test", "a test | a cause", "a test | | issue 7", " | a cause | issue 7"])
+def test_a_line_without_a_part_is_rejected_with_its_number(tmp_path: Path, line: str) -> None:
+    path = tmp_path / "KNOWN-RED.txt"
+    path.write_text(f"one | cause | issue 1\n{line}\n")
+    with pytest.raises(ValueError, match=r"KNOWN-RED\.txt:2: "):
+        known_red(path)
+
+
+def test_more_tests_than_may_be_listed_are_rejected(tmp_path: Path) -> None:
+    path = tmp_path / "KNOWN-RED.txt"
+    path.write_text("".join(f"test {index} | cause | issue 1\n" for index in range(MAX_TESTS + 1)))
+    with pytest.raises(ValueError, match="at most"):
+        known_red(path)
+
+
+def test_the_list_of_this_repository_can_be_read() -> None:
+    assert len(known_red(LIST)) <= MAX_TESTS
