Review, case 3: orders are never answered after target-latency-s is set to 0

Cause: a configuration may set a route's target-latency-s to 0; the data plane's request class refuses it by an exception for each request. A keyed operation is RUNNING by then, so that nothing ends it.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,148 +1,97 @@
-"""Fault: uploads inside `max-body-bytes` take the proxies over `memory-mb`, and the machine ends them.
+"""CONFIG: after a change that sets a route's `target-latency-s` to 0, its orders are never answered.
 
-24 clients of one machine upload a body of 5 MiB each at the same time, 120 MiB together; so it goes in turn
-on two machines. The stand-in of the machines does what DEPLOY says: it kills a process that goes over its
-`memory-mb`, and starts it again. Meanwhile other clients place orders with keys.
+The change is acknowledged. Each order that comes then has no answer half a second after its route's
+`timeout-s`, nor later. When the operator has set the target back, tries with the same keys are in vain.
 """
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections import Counter
-from pathlib import Path
+from dataclasses import dataclass
 
-from review.stand_ins import BROKEN, HELD, MEMORY_MB, NOT_RUN, Answer, Deployment, document, main, route
+from review.stand_ins import BOUNDS, BROKEN, HELD, NOT_RUN, Deployment, document, main, route
 
 SERVICE = "seats"
-PIECE = b"x" * (64 << 10)
-BODY_KIB = 5 << 10  # `max-body-bytes` is 64 MiB
-SMALL_BODY_KIB = 64
-CLIENTS = 24  # that upload at the same time, on one machine
-ROUNDS = 2
-UPLOAD_DEADLINE_MS = 10_000
-MAX_TRIES = 3
-ENDS_ALLOWED = 2  # "if processes end by themselves three times"
-POLL_S = 0.002
-
-
-def peak_memory_mb(pid: int) -> float:
-    """Return the most memory that a process has had, as the kernel counts it."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024.0
-    return 0.0
-
-
-class Machines:
-    """The machines' rule about memory, applied to the proxies."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        self.deployment = deployment
-        self.kills: Counter[str] = Counter()
-        self.peaks: dict[str, float] = {}
-
-    async def watch(self) -> None:
-        """Kill each proxy that goes over `memory-mb`."""
-        killed: set[int] = set()
-        while True:
-            for address in self.deployment.sidecars:
-                process = self.deployment.processes[address]
-                if process.returncode is not None or process.pid in killed:
-                    continue
-                try:
-                    peak = peak_memory_mb(process.pid)
-                except OSError:
-                    continue
-                self.peaks[address] = max(peak, self.peaks.get(address, 0.0))
-                if peak > MEMORY_MB["dataplane"]:
-                    killed.add(process.pid)
-                    self.kills[address] += 1
-                    self.deployment.record.add(
-                        f"machine {address}: its proxy has {peak:.0f} MB, over memory-mb = "
-                        f"{MEMORY_MB['dataplane']}, and is killed"
-                    )
-                    process.kill()
-            await asyncio.sleep(POLL_S)
-
-
-async def place_orders(deployment: Deployment, statuses: Counter[int]) -> None:
-    """Place orders with keys on all machines; each that fails is tried again with its key."""
-    count = 0
-    while True:
-        count += 1
-        deployment.start_task(place_order(deployment, count, statuses))
-        await asyncio.sleep(0.05)
+TIMEOUT_S = 2.0  # `timeout-s` of the route
+DEADLINE_MS = 4000  # of the clients
+TARGET_S, OTHER_TARGET_S = 0.3, 0.4
+ORDERS = 24
+LATE_S = 0.5  # after `timeout-s`
+ALLOWED_WITHOUT_ANSWER = 7  # "eight or more of them, and over a quarter"
 
 
-async def place_order(deployment: Deployment, number: int, statuses: Counter[int]) -> None:
-    """Place one order, with three tries at most within its deadline."""
-    address = deployment.sidecars[number % len(deployment.sidecars)]
-    until = time.monotonic() + 4.0
-    answer = Answer(0)
-    for _ in range(MAX_TRIES):
-        answer = await deployment.request(address, "/order/1", key=f"o-{number}", body=[b"one seat"])
-        if answer.status == 200 or time.monotonic() > until:
-            break
-        await asyncio.sleep(0.3)
-    statuses[answer.status] += 1
-    deployment.record.add(
-        f"order: key o-{number}, id {answer.fields['sent-attempt']}, at {address} -> {answer.status} "
-        f"{answer.error}"
-    )
+@dataclass
+class Outcome:
+    """The end of one try: its status (0: no answer) and how long it took."""
+
+    status: int
+    seconds: float
 
 
-async def upload(deployment: Deployment, address: str, size_kib: int) -> None:
-    """Upload one body; it is not tried again."""
-    deployment.record.add(f"client at {address}: an upload of {size_kib} KiB begins")
+async def place_order(deployment: Deployment, key: str, machine: int, text: str) -> Outcome:
+    """Send one order and wait for its answer until its deadline."""
+    address = deployment.sidecars[machine % len(deployment.sidecars)]
+    sent_at = time.monotonic()
     answer = await deployment.request(
-        address, "/upload/1", body=[PIECE] * (size_kib // 64), deadline_ms=UPLOAD_DEADLINE_MS
+        address, "/order/1", key=key, deadline_ms=DEADLINE_MS, body=[b"one seat"]
     )
+    seconds = time.monotonic() - sent_at
     deployment.record.add(
-        f"client at {address}: upload {answer.fields['sent-attempt']} -> {answer.status} {answer.error}"
+        f"{text}: key {key}, id {answer.fields['sent-attempt']}, at {address} -> {answer.status} after "
+        f"{seconds:.2f} s {answer.error}"
     )
+    return Outcome(answer.status, seconds)
+
+
+async def place_orders(deployment: Deployment, name: str, text: str) -> list[Outcome]:
+    """Send some orders to all machines in turn."""
+    tasks = []
+    for index in range(ORDERS):
+        tasks.append(asyncio.create_task(place_order(deployment, f"{name}-{index}", index, text)))
+        await asyncio.sleep(0.05)
+    return await asyncio.gather(*tasks)
+
+
+async def change_target(deployment: Deployment, revision: int, target_s: float) -> int:
+    """Send a configuration with that target for the orders' route, and wait until it is in force."""
+    routes = [route("order", "keyed", SERVICE, TIMEOUT_S, target_latency_s=target_s)]
+    answer = await deployment.replace(document(revision, routes, [SERVICE]), revision - 1)
+    await asyncio.sleep(BOUNDS["config-apply-s"] + 1.0)
+    return answer.status
 
 
 async def case(deployment: Deployment, has_trouble: bool) -> int:
     """Play the case."""
     record = deployment.record
-    for backend in deployment.backends.values():
-        backend.service_time_s = 0.1
-    routes = [
-        route("order", "keyed", SERVICE),
-        route("upload", "non_idempotent", SERVICE, UPLOAD_DEADLINE_MS / 1000.0),
-    ]
-    answer = await deployment.replace(document(1, routes, [SERVICE]), 0)
-    if answer.status != 200 or not await deployment.wait_ready():
+    if await change_target(deployment, 1, TARGET_S) != 200 or not await deployment.wait_ready():
         return NOT_RUN
-    await asyncio.sleep(2.0)
-    machines = Machines(deployment)
-    statuses: Counter[int] = Counter()
-    deployment.start_task(machines.watch())
-    orders = deployment.start_task(place_orders(deployment, statuses))
-    await asyncio.sleep(1.0)
-    size_kib = BODY_KIB if has_trouble else SMALL_BODY_KIB
-    for _ in range(ROUNDS):
-        for address in deployment.sidecars[:2]:
-            await asyncio.gather(*(upload(deployment, address, size_kib) for _ in range(CLIENTS)))
-            await asyncio.sleep(3.0)
-            if not await deployment.wait_ready():
-                return NOT_RUN
-            await asyncio.sleep(2.0)
-    orders.cancel()
-    await asyncio.sleep(5.0)
-    for run in deployment.runs():
-        record.add(f"run: key {run.key or '-'}, id {run.attempt}, at {run.instance}, {run.body_bytes} bytes")
-    record.add(f"orders by their last status (0: no answer): {dict(statuses)}")
-    record.add(f"peak memory of the proxies in MB: { ({a: round(mb) for a, mb in machines.peaks.items()}) }")
-    if len(deployment.ended) != sum(machines.kills.values()):
-        record.add(f"processes ended that were not over memory-mb: {deployment.ended}")
-    ends = sum(machines.kills.values())
+    before = await place_orders(deployment, "before", "order")
+    if any(outcome.status != 200 for outcome in before):
+        return NOT_RUN
+    if await change_target(deployment, 2, 0 if has_trouble else OTHER_TARGET_S) != 200:
+        return HELD  # a refusal breaks nothing
+    during = await place_orders(deployment, "during", "order after the change")
+    without_answer = [
+        outcome for outcome in during if not outcome.status or outcome.seconds > TIMEOUT_S + LATE_S
+    ]
     record.add(
-        f"proxies that the machines ended for their memory: {ends} times, on {len(machines.kills)} machines"
+        f"{len(without_answer)} of {ORDERS} orders had no final answer {LATE_S} s after the route's timeout-s"
     )
-    if ends > ENDS_ALLOWED and len(machines.kills) >= 2:
-        record.add("Fault: processes ended by themselves three times or more, on two machines or more")
+    if await change_target(deployment, 3, TARGET_S) != 200:
+        return NOT_RUN
+    again = await place_orders(deployment, "during", "tried again after the target was set back")
+    after = await place_orders(deployment, "after", "new order after the target was set back")
+    for name, outcomes in (("tried again", again), ("new", after)):
+        served = sum(outcome.status == 200 for outcome in outcomes)
+        record.add(f"after the target was set back, {name}: {served} of {ORDERS} served")
+    for run in deployment.runs():
+        record.add(f"run: key {run.key}, id {run.attempt}, at {run.instance}")
+    if deployment.ended:
+        record.add(f"processes that ended: {deployment.ended}")
+        return NOT_RUN
+    if len(without_answer) > ALLOWED_WITHOUT_ANSWER and 4 * len(without_answer) > ORDERS:
+        record.add("CONFIG: no final answer 0.5 s after the route's timeout-s")
         return BROKEN
     return HELD
 
