Keys: the idempotency window counts from the executed attempt, not the first claim

Cause: a proxy executed a later attempt under the claim of the rejected one, without the control plane. Claim and record expired 65 s after the first attempt, 30 s after the execution.

Change: an attempt is executed only under a claim that was submitted or renewed after the attempt had arrived. It also holds for a claim whose reply was lost, a client that left while its key was claimed, attempts that waited behind rejected ones, and the owner of an expired claim. Claims are given up within 2.9 s, so that the slack of 5 s covers a repeat's claim and the clock's 2 s. The cost is one claim for such attempts.

--- a/cometdoor/control/state_machine.py
+++ b/cometdoor/control/state_machine.py
@@ -132,8 +132,8 @@
         if stored is None and self.is_claiming_suspended:
             return ApplyResult(False, self.revision, KEYS_CLOSED)
         if stored is None or (change.supersedes and stored.claim == change.supersedes):
-            # The window counts from the first claim; one that supersedes a claim that never ran starts a
-            # new window.
+            # The window counts from the claim. A claim that supersedes one that was never executed, which may
+            # be itself, starts a new window.
             self.keys.pop(change.key, None)
             stored = self.keys[change.key] = StoredClaim(change.claim_id, change.owner, self.now_ms)
         return ApplyResult(stored.claim == change.claim_id, self.revision, stored.owner, stored.claim)
--- a/cometdoor/dataplane/keyed_requests.py
+++ b/cometdoor/dataplane/keyed_requests.py
@@ -48,7 +48,8 @@
 
     def on_rejected(self, retry_after_ms: float) -> None:
         """Release the key, since nothing was executed."""
-        self._keyed_requests.carry_out(self._keyed_requests.operations.on_not_executed(self._key))
+        now = self._keyed_requests.time()
+        self._keyed_requests.carry_out(self._keyed_requests.operations.on_not_executed(self._key, now))
 
     def on_failed(self) -> None:
         """Record that the operation may have been executed."""
@@ -90,6 +91,10 @@
         self._start_execution = start_execution
         self._expire()
 
+    def time(self) -> float:
+        """Return the time in seconds."""
+        return self._loop.time()
+
     def accept(self, outbound_request: OutboundRequest) -> None:
         """Accept an attempt with an idempotency key; it is answered even if no outcome is known in time."""
         outbound_request.timer = self._loop.call_later(
@@ -97,7 +102,7 @@
             self._on_timeout,
             outbound_request,
         )
-        self.carry_out(self.operations.on_attempt(outbound_request.key, outbound_request, self._loop.time()))
+        self.carry_out(self.operations.on_attempt(outbound_request.key, outbound_request, self.time()))
 
     def _on_timeout(self, outbound_request: OutboundRequest) -> None:
         outbound_request.timer = None
@@ -138,13 +143,17 @@
         key = action.key
         self._claim_client.claim(
             Claim(key, action.claim_id, self._internal_address, action.supersedes),
-            lambda owner, claim_id: self.carry_out(self.operations.on_claimed(key, owner, claim_id)),
+            lambda owner, claim_id: self.carry_out(
+                self.operations.on_claimed(key, owner, claim_id, self.time())
+            ),
         )
 
     def _query_owner(self, action: QueryOwner) -> None:
         def on_reply(reply: Message | PeerError) -> None:
             operation_reply = reply if isinstance(reply, OperationReply) else None
-            self.carry_out(self.operations.on_owner_reply(action.key, action.claim_id, operation_reply))
+            self.carry_out(
+                self.operations.on_owner_reply(action.key, action.claim_id, operation_reply, self.time())
+            )
 
         if action.owner == self._internal_address:
             # An earlier incarnation of this proxy claimed the key, and the outcome was lost when it ended.
@@ -155,7 +164,7 @@
             self._loop.call_soon(on_reply, call)
 
     def _expire(self) -> None:
-        self.operations.expire(self._loop.time())
+        self.operations.expire(self.time())
         self._loop.call_later(KEY_EXPIRY_INTERVAL_S, self._expire)
 
 
--- a/cometdoor/host/exchange/keyed_operations.py
+++ b/cometdoor/host/exchange/keyed_operations.py
@@ -113,8 +113,9 @@
         KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.NEW, reported="unrun"),
     },
     KeyedOperationState.NOT_STARTED: {
+        # The claim is renewed first: its window began before this attempt arrived.
         KeyedOperationEvent.ATTEMPT_ARRIVED: KeyedOperationCell(
-            KeyedOperationState.RUNNING, (KeyedOperationAction.EXECUTE,)
+            KeyedOperationState.CLAIMING, (KeyedOperationAction.CLAIM,)
         ),
         KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.NEW, reported="unrun"),
     },
@@ -126,7 +127,7 @@
             KeyedOperationState.DONE, (KeyedOperationAction.RESPOND, KeyedOperationAction.RESPOND)
         ),
         KeyedOperationEvent.NOT_EXECUTED: KeyedOperationCell(
-            KeyedOperationState.RUNNING, (KeyedOperationAction.REJECT, KeyedOperationAction.EXECUTE)
+            KeyedOperationState.CLAIMING, (KeyedOperationAction.REJECT, KeyedOperationAction.CLAIM)
         ),
         KeyedOperationEvent.FAILED: KeyedOperationCell(
             KeyedOperationState.UNKNOWN, (KeyedOperationAction.UNKNOWN, KeyedOperationAction.UNKNOWN)
--- a/cometdoor/keys/actions.py
+++ b/cometdoor/keys/actions.py
@@ -17,7 +17,8 @@
 
     key: str
     claim_id: str
-    supersedes: str = ""  # id of another proxy's claim that was released without execution
+    # Id of another proxy's claim that was released without execution, or of this claim itself to renew it.
+    supersedes: str = ""
 
 
 @dataclass(frozen=True)
--- a/cometdoor/keys/claims.py
+++ b/cometdoor/keys/claims.py
@@ -16,7 +16,9 @@
 from cometdoor.wire.log_entries import Claim
 from cometdoor.wire.peer_connection import PeerError, PendingCall
 
-CLAIM_DEADLINE_S = 3.0  # about the longest deadline of requests with keys
+# Claims that are not confirmed by then are given up. It is part of `IDEMPOTENCY_WINDOW_SLACK_MS`: a repeated
+# attempt at the end of the window may be claimed this much later.
+CLAIM_DEADLINE_S = 2.9
 RETRY_DELAY_S = 0.06  # delay before the next attempt if no replica could order the claims
 CALL_TIMEOUT_S = 0.7  # timeout of one attempt, after which another replica is tried
 # The first attempts follow redirects to another leader immediately, later ones after a delay: during a leader
@@ -64,7 +66,8 @@
             self._schedule_retry()
             return
         self._call = call
-        self._timer = client.loop.call_later(CALL_TIMEOUT_S, self._on_timeout, peer)
+        timeout_at = min(client.loop.time() + CALL_TIMEOUT_S, self._deadline)
+        self._timer = client.loop.call_at(timeout_at, self._on_timeout, peer)
 
     def _on_timeout(self, peer: str) -> None:
         if self._call is not None:
@@ -98,7 +101,8 @@
             self._schedule_retry()
 
     def _schedule_retry(self) -> None:
-        self._client.loop.call_later(RETRY_DELAY_S, self.send)
+        loop = self._client.loop
+        loop.call_at(min(loop.time() + RETRY_DELAY_S, self._deadline), self.send)
 
 
 class ClaimClient:
@@ -124,7 +128,7 @@
         self._queued_claims: list[PendingClaim] = []
 
     def claim(self, claim: Claim, on_claimed: OnClaimed) -> None:
-        """Submit a claim; `on_claimed` is called once, at most one attempt later than `CLAIM_DEADLINE_S`."""
+        """Submit a claim; `on_claimed` is called once, within `CLAIM_DEADLINE_S`."""
         self._queued_claims.append(PendingClaim(claim, on_claimed))
         if len(self._queued_claims) == 1:
             self.loop.call_soon(self._send)
--- a/cometdoor/keys/operation_stages.py
+++ b/cometdoor/keys/operation_stages.py
@@ -26,7 +26,8 @@
 class OperationEvent(Enum):
     """Events that may move an operation to another stage."""
 
-    ATTEMPT = "an attempt arrives"
+    ATTEMPT = "an attempt arrives that is not covered by the last claim"
+    EXECUTION_STARTED = "an attempt that is covered by the claim is executed"
     CLAIM_GRANTED = "the key is claimed here"
     CLAIM_LOST = "another proxy owns the key"
     CLAIM_NOT_ORDERED = "the claim could not be ordered"
@@ -47,9 +48,10 @@
     (_Stage.CLAIMING, _Event.CLAIM_GRANTED): _Stage.NOT_STARTED,
     (_Stage.CLAIMING, _Event.CLAIM_LOST): _Stage.REMOTE,
     (_Stage.CLAIMING, _Event.CLAIM_NOT_ORDERED): _Stage.CLAIM_UNKNOWN,
-    (_Stage.CLAIM_UNKNOWN, _Event.ATTEMPT): _Stage.CLAIMING,  # under the same claim id
+    (_Stage.CLAIM_UNKNOWN, _Event.ATTEMPT): _Stage.CLAIMING,  # with a claim that supersedes itself
     (_Stage.CLAIM_UNKNOWN, _Event.RELEASED): _Stage.FORGOTTEN,
-    (_Stage.NOT_STARTED, _Event.ATTEMPT): _Stage.RUNNING,
+    (_Stage.NOT_STARTED, _Event.ATTEMPT): _Stage.CLAIMING,  # with a claim that supersedes itself
+    (_Stage.NOT_STARTED, _Event.EXECUTION_STARTED): _Stage.RUNNING,
     (_Stage.NOT_STARTED, _Event.RELEASED): _Stage.FORGOTTEN,
     (_Stage.RUNNING, _Event.EXECUTED): _Stage.DONE,
     (_Stage.RUNNING, _Event.NOT_EXECUTED): _Stage.NOT_STARTED,
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -2,8 +2,12 @@
 
 A claim on a key is on disk at a majority of the control plane before the request is sent to a backend. A
 repeated attempt at any proxy gets the response of the first execution, or an error that states whether the
-request may have been executed. An operation that was never executed may be executed under the same claim by
-the next attempt here, or by another proxy with a claim that supersedes this one.
+request may have been executed. An operation that was never executed may be executed for the next attempt
+here, once the claim is renewed, or by another proxy with a claim that supersedes this one.
+
+The control plane counts the window from the claim, and clients count it from the attempt that was executed.
+So an attempt is executed only under a claim that was submitted or renewed after the attempt had arrived: the
+window of the claim then ends later than that of the client.
 
 Methods take events and the time in seconds, and return the actions to carry out. `operation_stages` defines
 the stages of an operation and the events that move it from one to the next.
@@ -34,16 +38,24 @@
 WINDOW_SLACK_S = 5.0  # records outlive the window by this: clocks differ, and claims take some time
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingAttempt(Generic[WaiterT]):
+    """An attempt that waits for the outcome of an operation."""
+
+    waiter: WaiterT
+    arrived_at: float  # seconds
+
+
 @dataclass
 class Operation(Generic[WaiterT]):
     """Record of one key's operation."""
 
     key: str
     claim_id: str  # id of this proxy's latest claim on the key
-    started_at: float  # seconds
+    claimed_at: float  # when the claim was submitted or renewed last, seconds
     stage: OperationStage = OperationStage.CLAIMING
     response: ForwardResponse | None = None
-    waiters: list[WaiterT] = field(default_factory=list)  # attempts that wait for the outcome
+    waiting: list[WaitingAttempt[WaiterT]] = field(default_factory=list)  # by time of arrival
     executing_waiter: WaiterT | None = None  # attempt whose request is being executed
     # Callbacks that send the outcome to other proxies which have queried it.
     outcome_listeners: list[Callable[[OperationReply], None]] = field(default_factory=list)
@@ -61,11 +73,11 @@
             Random id of this process. It is part of claim ids, so that no claim is mistaken for one of a
             former incarnation.
         window_s : float
-            Time after the first attempt in which a repeated one is recognised, in seconds.
+            Time after an executed attempt in which a repeated one is recognised, in seconds.
         """
         self._incarnation = incarnation
         self._window_s = window_s + WINDOW_SLACK_S
-        self._operations: dict[str, Operation[WaiterT]] = {}  # oldest first
+        self._operations: dict[str, Operation[WaiterT]] = {}  # by time of the claim, oldest first
         self._last_claim_number = 0
         self._counts: Counter[str] = Counter()
 
@@ -97,7 +109,8 @@
         """Start the operation of a key, or join the existing one."""
         operation = self._operations.get(key)
         if operation is None:
-            operation = self._operations[key] = Operation(key, self._new_claim_id(), now, waiters=[waiter])
+            operation = self._operations[key] = Operation(key, self._new_claim_id(), now)
+            operation.waiting.append(WaitingAttempt(waiter, now))
             return [SubmitClaim(key, operation.claim_id)]
         match operation.stage:
             case OperationStage.DONE:
@@ -107,14 +120,11 @@
             case OperationStage.UNKNOWN:
                 self._counts["repeat_unknown"] += 1
                 return [ReportUnknown(waiter)]
-            case OperationStage.NOT_STARTED:
-                return self._execute(operation, waiter)
-            case OperationStage.CLAIM_UNKNOWN:
-                self._advance(operation, OperationEvent.ATTEMPT)
-                operation.waiters.append(waiter)
-                return [SubmitClaim(key, operation.claim_id)]
+            case OperationStage.NOT_STARTED | OperationStage.CLAIM_UNKNOWN:
+                operation.waiting.append(WaitingAttempt(waiter, now))
+                return self._renew_claim(operation, now)
             case _:
-                operation.waiters.append(waiter)
+                operation.waiting.append(WaitingAttempt(waiter, now))
                 return []
 
     def abandon(self, key: str, waiter: WaiterT, is_timed_out: bool = False) -> list[Action[WaiterT]]:
@@ -130,28 +140,53 @@
             True if the client is still connected and gets an answer, False if it has disconnected.
         """
         operation = self._operations.get(key)
-        if operation is None or waiter not in operation.waiters:
+        if operation is None:
             return []
-        operation.waiters.remove(waiter)
-        if not is_timed_out:
+        remaining = [attempt for attempt in operation.waiting if attempt.waiter != waiter]
+        was_waiting = len(remaining) < len(operation.waiting)
+        operation.waiting = remaining
+        if not was_waiting or not is_timed_out:
             return []
         # While claiming, nothing was executed. After that another attempt may be executing.
         is_claiming = operation.stage is OperationStage.CLAIMING
         self._counts["claim_too_late" if is_claiming else "at_work"] += 1
         return [Reject(waiter) if is_claiming else ReportInProgress(waiter)]
 
-    def _execute(self, operation: Operation[WaiterT], waiter: WaiterT) -> list[Action[WaiterT]]:
+    def _submit_claim(
+        self, operation: Operation[WaiterT], supersedes: str, now: float
+    ) -> list[Action[WaiterT]]:
+        # The record outlives the window of the claim, which begins now; the oldest record stays first.
+        operation.claimed_at = now
+        self._operations[operation.key] = self._operations.pop(operation.key)
+        return [SubmitClaim(operation.key, operation.claim_id, supersedes)]
+
+    def _renew_claim(self, operation: Operation[WaiterT], now: float) -> list[Action[WaiterT]]:
+        """Claim the key once more for attempts that arrived after the last claim.
+
+        A claim that supersedes itself begins a new window, or takes effect if it never did or has expired.
+        """
         self._advance(operation, OperationEvent.ATTEMPT)
-        operation.executing_waiter = waiter
-        return [Execute(operation.key, waiter)]
+        return self._submit_claim(operation, operation.claim_id, now)
+
+    def _execute_next(self, operation: Operation[WaiterT], now: float) -> list[Action[WaiterT]]:
+        """Execute the first waiting attempt, or renew the claim if it is older than that attempt."""
+        if operation.waiting[0].arrived_at > operation.claimed_at:
+            return self._renew_claim(operation, now)
+        self._advance(operation, OperationEvent.EXECUTION_STARTED)
+        operation.executing_waiter = operation.waiting.pop(0).waiter
+        return [Execute(operation.key, operation.executing_waiter)]
+
+    def _pop_waiters(self, operation: Operation[WaiterT]) -> list[WaiterT]:
+        waiters = [attempt.waiter for attempt in operation.waiting]
+        operation.waiting = []
+        return waiters
 
     def _reject_all(self, operation: Operation[WaiterT]) -> list[Action[WaiterT]]:
-        waiters, operation.waiters = operation.waiters, []
-        return [Reject(waiter) for waiter in waiters]
+        return [Reject(waiter) for waiter in self._pop_waiters(operation)]
 
     # --- claims ---
 
-    def on_claimed(self, key: str, owner: str, claim_id: str) -> list[Action[WaiterT]]:
+    def on_claimed(self, key: str, owner: str, claim_id: str, now: float) -> list[Action[WaiterT]]:
         """Process the control plane's answer to a claim.
 
         Parameters
@@ -161,19 +196,21 @@
         owner, claim_id : str
             Current owner of the key and id of its claim. The id is empty if the claim could not be ordered;
             the claim may still take effect then, unless the owner is `KEYS_CLOSED`.
+        now : float
+            The time in seconds.
         """
         operation = self._operations.get(key)
         if operation is None or operation.stage is not OperationStage.CLAIMING:
             return []
         if not claim_id:
             self._advance(operation, OperationEvent.CLAIM_NOT_ORDERED)
-            self._counts["claim_not_ordered"] += len(operation.waiters)
+            self._counts["claim_not_ordered"] += len(operation.waiting)
             self._notify_listeners(operation)
             return self._reject_all(operation)
         if claim_id == operation.claim_id:
             self._advance(operation, OperationEvent.CLAIM_GRANTED)
-            if operation.waiters:
-                return self._execute(operation, operation.waiters.pop(0))
+            if operation.waiting:
+                return self._execute_next(operation, now)
             self._notify_listeners(operation)
             return []
         self._advance(operation, OperationEvent.CLAIM_LOST)
@@ -182,7 +219,9 @@
             respond(OperationReply("running"))  # as in `on_outcome_query`
         return [QueryOwner(key, owner, claim_id)]
 
-    def on_owner_reply(self, key: str, claim_id: str, reply: OperationReply | None) -> list[Action[WaiterT]]:
+    def on_owner_reply(
+        self, key: str, claim_id: str, reply: OperationReply | None, now: float
+    ) -> list[Action[WaiterT]]:
         """Process the reply of the proxy that owns the key, which is None if it did not reply."""
         operation = self._operations.get(key)
         event = _owner_reply_event(reply)
@@ -192,8 +231,8 @@
             return self._complete(operation, reply.response)
         if event is OperationEvent.OWNER_RELEASED:
             operation.claim_id = self._new_claim_id()
-            return [SubmitClaim(key, operation.claim_id, supersedes=claim_id)]
-        waiters, operation.waiters = operation.waiters, []
+            return self._submit_claim(operation, claim_id, now)
+        waiters = self._pop_waiters(operation)
         if event is OperationEvent.OWNER_RUNNING:
             self._counts["at_work"] += len(waiters)
             return [ReportInProgress(waiter) for waiter in waiters]
@@ -215,12 +254,12 @@
 
     def _complete(self, operation: Operation[WaiterT], response: ForwardResponse) -> list[Action[WaiterT]]:
         operation.response = response
-        waiters, operation.waiters = operation.waiters, []
+        waiters = self._pop_waiters(operation)
         self._notify_listeners(operation)
         return [Respond(waiter, response) for waiter in waiters]
 
-    def on_not_executed(self, key: str) -> list[Action[WaiterT]]:
-        """Release the key, or execute the next waiting attempt: no backend executed the request."""
+    def on_not_executed(self, key: str, now: float) -> list[Action[WaiterT]]:
+        """Release the key, or go on with the next waiting attempt: no backend executed the request."""
         operation = self._operations.get(key)
         if operation is None or not self._advance(operation, OperationEvent.NOT_EXECUTED):
             return []
@@ -229,8 +268,8 @@
         if operation.outcome_listeners:
             self._notify_listeners(operation)
             return actions + self._reject_all(operation)
-        if operation.waiters:
-            return actions + self._execute(operation, operation.waiters.pop(0))
+        if operation.waiting:
+            return actions + self._execute_next(operation, now)
         return actions
 
     def on_execution_failed(self, key: str) -> list[Action[WaiterT]]:
@@ -240,8 +279,7 @@
             return []
         waiter, operation.executing_waiter = operation.executing_waiter, None
         waiters = [waiter] if waiter is not None else []
-        waiters += operation.waiters
-        operation.waiters = []
+        waiters += self._pop_waiters(operation)
         self._counts["run_failed"] += len(waiters)
         self._notify_listeners(operation)
         return [ReportUnknown(waiter) for waiter in waiters]
@@ -273,10 +311,10 @@
             respond(reply)
 
     def expire(self, now: float) -> None:
-        """Remove operations older than the window, except those that are being executed."""
+        """Remove operations whose claim is older than the window, except those that are being executed."""
         for key in list(self._operations):
             operation = self._operations[key]
-            if operation.started_at + self._window_s > now:
+            if operation.claimed_at + self._window_s > now:
                 break
             if operation.stage is not OperationStage.RUNNING:
                 del self._operations[key]
--- a/cometdoor/wire/log_entries.py
+++ b/cometdoor/wire/log_entries.py
@@ -43,7 +43,8 @@
     key: str
     claim_id: str
     owner: str  # internal address of the claiming proxy
-    supersedes: str = ""  # id of a claim whose owner released it without executing
+    # Id of a claim whose owner released it without executing, or the id of this claim to renew its window.
+    supersedes: str = ""
 
 
 class ClockAdvance(msgspec.Struct, tag="e4", array_like=True, frozen=True):
--- a/simulation/exchange/planted_defects.py
+++ b/simulation/exchange/planted_defects.py
@@ -148,7 +148,11 @@
 
 def _executes_failed_key_again() -> PlantedDefect:
     """Treats a failed execution of a key as if the request had not been executed."""
-    return mock.patch.object(KeyedOperations, "on_execution_failed", KeyedOperations.on_not_executed)
+
+    def release(operations: KeyedOperations[Any], key: str) -> list[Any]:
+        return operations.on_not_executed(key, now=0.0)
+
+    return mock.patch.object(KeyedOperations, "on_execution_failed", release)
 
 
 def _keeps_released_key() -> PlantedDefect:
--- a/stories/mesh/test_keyed_requests.py
+++ b/stories/mesh/test_keyed_requests.py
@@ -84,3 +84,22 @@
         mesh.wait(1.5)
         assert mesh.run(mesh.request(partitioned, "keyed", "k-cut")) == 200
         assert not mesh.find_violations(), mesh.find_violations()
+
+
+# Guards against TWICE: an order that was rejected at first, and ran later, ran again after its claim expired.
+@test("a key whose first attempt was rejected runs once, whatever time passed until it ran")
+def _() -> None:
+    with simulated_mesh(seed=12) as mesh:
+        mesh.run(mesh.start_configured())
+        for address in mesh.planes:
+            mesh.kill_backend(address)
+        assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-late", max_attempts=1)) == 503
+        mesh.wait(35.0)
+        for address in mesh.planes:
+            mesh.replace_backend(address)
+        mesh.wait(3.0)
+        assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-late")) == 200
+        mesh.wait(37.0)
+        assert mesh.run(mesh.request(mesh.planes[1], "keyed", "k-late")) == 200
+        assert mesh.traffic_log.runs_by_key["k-late"] == 1
+        assert not mesh.find_violations(), mesh.find_violations()
