Core: values that can't be encoded are rejected before the log, and end no timer

Cause: the number was in the leader's log before anyone knew whether it can be encoded. Every write and every message of that log failed; the disk writer ended, and the replica's timer, set anew only after its turn. The next try did the same to the next leader. On related paths a heartbeat with such a number or with a surrogate that stands alone ended the gossip of its proxy, and a whole number beyond floats or an index of thousands of digits closed the operator's connection.

Change: whole numbers beyond 64 bits and texts that are not Unicode are problems with a path where they are read; an unknown base is 412. A change is encoded once before it enters the log. A message that can't be encoded is dropped alone. Repeating timers go on after a failed call (RepeatingTimer, in place of seven copies). A disk writer that fails for another reason than the disk ends its process, which loses nothing that was acknowledged.

--- a/cometdoor/budget/lease_client.py
+++ b/cometdoor/budget/lease_client.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from cometdoor.budget.share import BudgetShare
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.wire.budget import LeaseGrant, LeaseRequest
 from cometdoor.wire.call_control import CallRejected
 from cometdoor.wire.connections import PeerConnections
@@ -66,7 +67,8 @@
         self._leader_time_s = -1.0  # time in the last grant of the leader; -1 without one
         self._leader = ""
         self._reported_at = 0.0
-        self._timer = loop.call_later(TICK_INTERVAL_S, self._tick)
+        self._timer = RepeatingTimer(loop, TICK_INTERVAL_S, self._tick)
+        self._timer.start_after_interval()
 
     def for_service(self, service: str) -> BudgetShare:
         """Return the share of a service, which is created at the first call."""
@@ -80,7 +82,7 @@
 
     def stop(self) -> None:
         """Stop the reports."""
-        self._timer.cancel()
+        self._timer.stop()
 
     def report(self) -> dict[str, float]:
         """Return the floors that leases, offers or repeated calls have changed, by service, for the log."""
@@ -91,7 +93,6 @@
         }
 
     def _tick(self) -> None:
-        self._timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
         now = self._loop.time()
         proxy_count = self._proxy_count()
         is_short_of_budget = any(
--- a/cometdoor/cli/daemons.py
+++ b/cometdoor/cli/daemons.py
@@ -39,8 +39,10 @@
     logging.basicConfig(stream=sys.stderr, level=logging.WARNING)
 
 
-async def serve(node_settings: NodeSettings, role: str) -> None:
-    """Run the daemon of a role until SIGTERM or SIGINT, then shut it down gracefully.
+async def serve(node_settings: NodeSettings, role: str) -> int:
+    """Run the daemon of a role until SIGTERM, SIGINT or its own failure, then shut it down gracefully.
+
+    Returns the exit status: 1 after a failure, else 0.
 
     Raises
     ------
@@ -52,6 +54,13 @@
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    has_failed = False
+
+    def on_failed() -> None:
+        nonlocal has_failed
+        has_failed = True
+        stop_requested.set()
+
     daemon: DataPlane | ControlPlane
     if role == "dataplane":
         from cometdoor.dataplane.process import DataPlane
@@ -61,6 +70,7 @@
         from cometdoor.control.process import ControlPlane
 
         daemon = ControlPlane(node_settings, loop)
+        daemon.on_failed = on_failed
     # Added before the daemon starts, since a SIGHUP without a handler would end the process.
     loop.add_signal_handler(signal.SIGHUP, reload_settings, daemon, role)
     await daemon.start()
@@ -69,6 +79,7 @@
     await stop_requested.wait()
     log.info("shutting down", role=role, node=node_settings.node_name)
     await daemon.shutdown(node_settings.bound_value("grace-s", 6.0))
+    return 1 if has_failed else 0
 
 
 def reload_settings(daemon: DataPlane | ControlPlane, role: str) -> None:
@@ -96,7 +107,10 @@
 
 
 def run(role: str) -> int:
-    """Run a daemon; return its exit status: 1 if it can't listen, 2 for invalid settings, else 0."""
+    """Run a daemon; return its exit status.
+
+    1 if it can't listen or has failed, 2 for invalid settings, else 0.
+    """
     import uvloop
 
     configure_logging()
@@ -107,7 +121,7 @@
         return 2
     status = 0
     try:
-        uvloop.run(serve(node_settings, role))
+        status = uvloop.run(serve(node_settings, role))
     except* (ListenError, OSError) as group:
         for failure in group.exceptions:
             print(f"cometdoor {role}: {failure}", file=sys.stderr)
--- a/cometdoor/control/admin_api.py
+++ b/cometdoor/control/admin_api.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -25,16 +26,20 @@
 )
 from cometdoor.control.replica_server import ReplicaServer
 from cometdoor.control.state_machine import ApplyResult
-from cometdoor.host.settings_validation import SettingsError
+from cometdoor.host.settings_validation import MAX_WHOLE_NUMBER, SettingsError
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.json_api import JSON_HEADERS, path_segments, respond_error
 from cometdoor.http.messages import ClientRequest
-from cometdoor.wire.log_entries import ConfigurationChange
+from cometdoor.wire.log_entries import ConfigurationChange, UnencodableChangeError
 
 CONFIGURATION_MAX_BYTES = 8 << 20  # thousands of routes take less than 1 MiB
 LEADER_WAIT_MAX_S = 0.6  # how long a call waits for an election; callers have a timeout of about a second
 LEADER_POLL_INTERVAL_S = 0.03
 RETRY_AFTER_S = 0.2  # sent with each 503 response
+INDEX_PATTERN = re.compile(r"[0-9]{1,20}")  # an index in the log; 20 digits write any number of 64 bits
+MAX_REVISION_DIGITS = len(str(MAX_WHOLE_NUMBER))
+UNKNOWN_REVISION = -1  # never in force: revisions start at 1, and 0 stands for none
+BASE_VERSION_PATTERN = re.compile(rb"-?[0-9]+")
 log = structlog.get_logger()
 
 RequestHandler = Callable[[ClientConnection, ClientRequest], None]
@@ -61,6 +66,17 @@
     return ReplaceResponse(412, f"version {result.revision} is in force, not {change.base_revision}")
 
 
+def read_base_version(value: bytes) -> int:
+    """Return the revision that a change builds on, 0 without a value.
+
+    A number that no revision can have stands for a revision that is not in force.
+    """
+    digits = value.lstrip(b"0") or b"0"
+    if digits.startswith(b"-") or len(digits) > MAX_REVISION_DIGITS or int(digits) > MAX_WHOLE_NUMBER:
+        return UNKNOWN_REVISION
+    return int(digits)
+
+
 class AdminApi:
     """Answers the calls of operators that arrive at the HTTP frontend of this control plane."""
 
@@ -79,7 +95,7 @@
                 self._handle_as_leader(connection, request, self._describe)
             case (b"GET", ("Core.Describe",)):
                 self._respond_confirmed(connection, request, partial(describe_group, self._replica_server))
-            case (b"GET", ("Core.Log", after)) if after.isdigit():
+            case (b"GET", ("Core.Log", after)) if INDEX_PATTERN.fullmatch(after):
                 self._respond_confirmed(
                     connection, request, partial(describe_log, self._replica_server, int(after))
                 )
@@ -142,9 +158,7 @@
             )
 
     def _replace(self, connection: ClientConnection, request: ClientRequest) -> None:
-        try:
-            base = int(request.trace) if request.trace else 0
-        except ValueError:
+        if request.trace and not BASE_VERSION_PATTERN.fullmatch(request.trace):
             self._reject(connection, request, "Cometdoor-Base-Version is not an integer")
             return
         try:
@@ -158,7 +172,7 @@
             )
             self._reject(connection, request, str(error))
             return
-        change = ConfigurationChange(base, document.revision, request.body)
+        change = ConfigurationChange(read_base_version(request.trace), document.revision, request.body)
 
         def on_applied(result: ApplyResult | None) -> None:
             if connection.request is not request:
@@ -172,7 +186,10 @@
                 retry_after_s = RETRY_AFTER_S if response.status == 503 else 0.0
                 respond_error(response.status, response.text, connection, retry_after_s)
 
-        self._replica_server.propose(change, on_applied)
+        try:
+            self._replica_server.propose(change, on_applied)
+        except UnencodableChangeError as error:
+            self._reject(connection, request, str(error))
 
     def _reject(self, connection: ClientConnection, request: ClientRequest, text: str) -> None:
         """Reject an invalid call with 400, but only in contact with a majority.
--- a/cometdoor/control/disk_writer.py
+++ b/cometdoor/control/disk_writer.py
@@ -31,14 +31,22 @@
         An opened log; nothing else may write to it.
     on_written : Callable[[int], None]
         Called after each write, with the number of records of the `StorageQueue` batch that it contained.
+    on_failed : Callable[[], None]
+        Called when a write failed for another reason than the disk, so that repeating it would not help.
+        The writer accepts no more writes; what was not written was never acknowledged.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, log_file: WriteAheadLog, on_written: Callable[[int], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        log_file: WriteAheadLog,
+        on_written: Callable[[int], None],
+        on_failed: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._log_file = log_file
         self._on_written = on_written
+        self._on_failed = on_failed
         self._executor = ThreadPoolExecutor(1, "disk")
         self.is_writing = False  # while True the caller must not submit another write
         self.has_written = False  # a write of this incarnation has succeeded
@@ -75,7 +83,8 @@
             self._loop.call_later(WRITE_RETRY_DELAY_S, self._submit, write, count)
             return
         if error is not None:
-            log.error("disk writer failed; nothing more is written until a restart", error=repr(error))
-            raise error
+            log.error("disk writer failed; the process ends", step="write", error=repr(error))
+            self._on_failed()
+            return
         self.is_writing, self.has_written = False, True
         self._on_written(count)
--- a/cometdoor/control/leader_requests.py
+++ b/cometdoor/control/leader_requests.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from functools import partial
 
+import structlog
+
 from cometdoor.budget.allocator import BudgetAllocator
 from cometdoor.control.leader_contact import ContactStatus, LeaderContact
 from cometdoor.control.replica import Replica
@@ -18,9 +20,11 @@
 from cometdoor.wire.consensus import LeaderReply, LeaderRequest
 from cometdoor.wire.frames import Message
 from cometdoor.wire.keys import ClaimReply, ClaimRequest, KeyOwner
-from cometdoor.wire.log_entries import Change, Claim
+from cometdoor.wire.log_entries import Change, Claim, UnencodableChangeError
 from cometdoor.wire.peer_connection import PeerConnection
 
+log = structlog.get_logger()
+
 OnApplied = Callable[[ApplyResult | None], None]  # None: the outcome is unknown to this replica
 
 
@@ -34,7 +38,7 @@
     contact_status : Callable[[], ContactStatus]
         Returns whether this replica leads at this moment, or the leader that it follows.
     propose : Callable[[Change, OnApplied], None]
-        Proposes a change; called only in contact with a majority.
+        Proposes a change; called only in contact with a majority. Raises UnencodableChangeError.
     """
 
     def __init__(
@@ -102,4 +106,8 @@
                 connection.respond(call_id, ClaimReply(owners))
 
         for index, claim in enumerate(claims):
-            self._propose(claim, partial(on_applied, index))
+            try:
+                self._propose(claim, partial(on_applied, index))
+            except UnencodableChangeError as error:
+                log.warning("claim rejected", step=error.step, peer=claim.owner, error=str(error))
+                on_applied(index, None)
--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -39,6 +40,7 @@
 
     def __init__(self, node_settings: NodeSettings, loop: asyncio.AbstractEventLoop) -> None:
         self.node_settings = self.latest_settings = node_settings  # in use, and as last read
+        self.on_failed: Callable[[], None] = lambda: None  # called when the process must be restarted
         self._loop = loop
         control = node_settings.listen_addresses.control_plane
         assert control is not None and node_settings.data_directory is not None
@@ -52,6 +54,7 @@
             Member("", own_address, control, node_settings.node_name, node_settings.zone),
             node_settings.bound_value("idempotency-window-s", 60.0),
             on_changed=self._on_replica_changed,
+            on_disk_writer_failed=self._on_disk_writer_failed,
             seeds=seeds,
             new_budget_allocator=lambda now: BudgetAllocator(
                 node_settings.bound_value("retry-budget-ratio", 0.2),
@@ -117,6 +120,9 @@
         if not self.replica_server.receive(message, connection, call_id):
             self.gossip_server.receive(message, connection, call_id)
 
+    def _on_disk_writer_failed(self) -> None:
+        self.on_failed()
+
     def _on_node_record(self, record: NodeRecord) -> None:
         if record.role == ROLE:
             self.replica_server.update_seeds([record.address])
--- a/cometdoor/control/replica_server.py
+++ b/cometdoor/control/replica_server.py
@@ -32,6 +32,7 @@
 from cometdoor.control.snapshots import is_compaction_due
 from cometdoor.control.state_machine import StateMachine
 from cometdoor.control.write_ahead_log import WriteAheadLog
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.wire.connections import PeerConnections
 from cometdoor.wire.consensus import (
     AppendEntries,
@@ -46,7 +47,7 @@
     TransferChunkAck,
 )
 from cometdoor.wire.frames import Message
-from cometdoor.wire.log_entries import Change, Member
+from cometdoor.wire.log_entries import Change, Member, check_encodable
 from cometdoor.wire.peer_connection import PeerConnection
 
 TICK_INTERVAL_S = 0.03  # of the replica's timer; must be below PAUSE_DETECTION_S of `leader_contact`
@@ -86,6 +87,8 @@
         Idempotency window.
     on_changed : Callable[[], None]
         Called when the configuration in force or the leadership of this replica changed.
+    on_disk_writer_failed : Callable[[], None]
+        Called when nothing more can be written, so that the process must be restarted.
     new_budget_allocator : Callable[[float], BudgetAllocator]
         Creates the retry budget's allocator when this replica begins to lead, given the time in seconds.
     seeds : list[str]
@@ -110,6 +113,7 @@
         idempotency_window_s: float,
         *,
         on_changed: Callable[[], None],
+        on_disk_writer_failed: Callable[[], None],
         new_budget_allocator: Callable[[float], BudgetAllocator],
         seeds: list[str],
         bootstraps: bool,
@@ -131,10 +135,10 @@
         self._new_budget_allocator = new_budget_allocator
         self._was_leading = False
         self._is_turn_scheduled = False
-        self._tick_timer: asyncio.TimerHandle | None = None
+        self._tick_timer = RepeatingTimer(loop, TICK_INTERVAL_S, self._tick)
         # Each incarnation writes a file of its own. Until its first batch is synced, the older file is valid.
         self._initial_records = self.replica.compact()
-        self._disk_writer = DiskWriter(loop, self.log_file, self._on_written)
+        self._disk_writer = DiskWriter(loop, self.log_file, self._on_written, on_disk_writer_failed)
         log.info(
             "data directory read; starting as a member of the replica group",
             id=self.replica.me.id,
@@ -160,12 +164,11 @@
     def start(self) -> None:
         """Begin a new log file and start the timer."""
         self._disk_writer.rotate(self._initial_records, 0)
-        self._tick()
+        self._tick_timer.start()
 
     def stop(self) -> None:
         """Stop the timer and the disk writer."""
-        if self._tick_timer is not None:
-            self._tick_timer.cancel()
+        self._tick_timer.stop()
         self._disk_writer.stop()
 
     # --- requests of this process ---
@@ -192,13 +195,21 @@
         return self._loop.time() - progress.last_seen_at
 
     def propose(self, change: Change, on_applied: OnApplied) -> None:
-        """Propose a change; `on_applied` is called once, with None if the outcome is unknown here."""
+        """Propose a change; `on_applied` is called once, with None if the outcome is unknown here.
+
+        Raises
+        ------
+        UnencodableChangeError
+            If the change can't be stored and sent; it was not proposed.
+        """
         if self.contact_status().contact is not LeaderContact.LEADING:
             on_applied(None)
             return
         self._propose_as_leader(change, on_applied)
 
     def _propose_as_leader(self, change: Change, on_applied: OnApplied) -> None:
+        # An entry of the log that can't be encoded would fail every later write and message.
+        check_encodable(change)
         self._pending_requests.propose(self.replica, change, on_applied)
         self._schedule_turn()
 
@@ -254,7 +265,6 @@
                 accepts=replica.may_accept(),
             )
         self._run_turn()
-        self._tick_timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
 
     def _request_membership(self, now: float) -> None:
         # No requests before this incarnation's file is complete: until then it must not acknowledge anything.
--- a/cometdoor/dataplane/keyed_requests.py
+++ b/cometdoor/dataplane/keyed_requests.py
@@ -13,6 +13,7 @@
 from cometdoor.dataplane.backend_responses import ATTEMPT_ID_HEADER
 from cometdoor.dataplane.outbound_request import OutboundRequest
 from cometdoor.host.interfaces import ResponseListener
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.http.messages import ClientRequest
 from cometdoor.keys import actions as key_actions
 from cometdoor.keys.actions import Execute, QueryOwner, SubmitClaim
@@ -89,7 +90,7 @@
         self._internal_address = internal_address
         self._claim_client = ClaimClient(loop, connections, replica_addresses)
         self._start_execution = start_execution
-        self._expire()
+        RepeatingTimer(loop, KEY_EXPIRY_INTERVAL_S, self._expire).start()
 
     def time(self) -> float:
         """Return the time in seconds."""
@@ -165,7 +166,6 @@
 
     def _expire(self) -> None:
         self.operations.expire(self.time())
-        self._loop.call_later(KEY_EXPIRY_INTERVAL_S, self._expire)
 
 
 def respond_under_own_id(waiter: OutboundRequest, response: ForwardResponse) -> None:
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -25,6 +25,7 @@
 from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.host.listening import ListenStep, listen_all
 from cometdoor.host.node_settings import NodeSettings
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.host.settings_validation import SettingsError
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.client_limits import ClientLimits
@@ -146,8 +147,8 @@
             }
         )
         self.gossip_server.start()
-        self._refresh_endpoints_periodically()
-        self._report()
+        RepeatingTimer(self._loop, ENDPOINT_REFRESH_INTERVAL_S, self._refresh_endpoints).start()
+        RepeatingTimer(self._loop, REPORT_INTERVAL_S, self._report).start()
 
     def apply_settings(self, node_settings: NodeSettings) -> None:
         """Apply a reloaded settings file: seed nodes immediately; other settings apply at the next start."""
@@ -235,16 +236,11 @@
             backends.sort(key=lambda endpoint: endpoint.backend.instance)
         self.outbound_proxy.update_endpoints(backend_endpoints)
 
-    def _refresh_endpoints_periodically(self) -> None:
-        self._refresh_endpoints()
-        self._loop.call_later(ENDPOINT_REFRESH_INTERVAL_S, self._refresh_endpoints_periodically)
-
     def _report(self) -> None:
         self.outbound_proxy.report()
         self.inbound_proxy.report()
         if counts := self.connections.statistics.report():
             log.info("peer connections", **counts)
-        self._loop.call_later(REPORT_INTERVAL_S, self._report)
 
     # --- shutdown ---
 
--- a/cometdoor/gossip/server.py
+++ b/cometdoor/gossip/server.py
@@ -6,6 +6,7 @@
 
 from cometdoor.gossip.configuration_exchange import ConfigurationExchange, OnFetched
 from cometdoor.gossip.directory import Directory, GossipRequest
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.wire.call_control import Ping, Pong
 from cometdoor.wire.connections import PeerConnections
 from cometdoor.wire.frames import Message
@@ -37,21 +38,19 @@
         self._configurations = ConfigurationExchange(loop, connections, on_fetched)
         self._loop = loop
         self._connections = connections
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = RepeatingTimer(loop, TICK_INTERVAL_S, self._tick)
 
     def start(self) -> None:
         """Start the timer."""
-        self._tick()
+        self._timer.start()
 
     def stop(self) -> None:
         """Stop the timer; messages are still answered."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.stop()
 
     def _tick(self) -> None:
         self.directory.tick(self._loop.time())
         self.flush()
-        self._timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
 
     def flush(self) -> None:
         """Send the directory's updates and requests."""
--- a/cometdoor/host/dataclass_settings.py
+++ b/cometdoor/host/dataclass_settings.py
@@ -16,7 +16,14 @@
 from mashumaro import DataClassDictMixin
 from mashumaro.config import BaseConfig
 
-from cometdoor.host.settings_validation import FieldProblem, ValueChecker, convert_checked, join_path
+from cometdoor.host.settings_validation import (
+    MAX_WHOLE_NUMBER,
+    MIN_WHOLE_NUMBER,
+    FieldProblem,
+    ValueChecker,
+    convert_checked,
+    join_path,
+)
 
 TYPE_DESCRIPTIONS: dict[type, str] = {
     dict: "a table",
@@ -90,6 +97,25 @@
     return get_type_hints(expected_type)
 
 
+def is_finite_number(value: object) -> bool:
+    """Return whether a value is a number that a float can contain."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    try:
+        return math.isfinite(value)
+    except OverflowError:  # a whole number beyond the range of floats
+        return False
+
+
+def is_unicode(text: str) -> bool:
+    """Return whether a text can be encoded; JSON can contain surrogates that stand alone."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class DataclassChecker(ValueChecker):
     """Checks values against dataclasses and the types of their fields."""
 
@@ -111,11 +137,16 @@
         elif origin is dict:
             self.check_table(value, arguments[1], path)
         elif expected_type is float:
-            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            if not is_finite_number(value):
                 self._add_mismatch(path, "a finite number", value)
         elif expected_type is int:
             if isinstance(value, bool) or not isinstance(value, int):
                 self._add_mismatch(path, "a whole number", value)
+            elif not MIN_WHOLE_NUMBER <= value <= MAX_WHOLE_NUMBER:
+                self.problems.append((path, f"it is not between {MIN_WHOLE_NUMBER} and {MAX_WHOLE_NUMBER}"))
+        elif expected_type is str and isinstance(value, str):
+            if not is_unicode(value):
+                self.problems.append((path, "it is not Unicode: a surrogate stands alone"))
         elif (
             isinstance(expected_type, type)
             and expected_type is not object
--- a/cometdoor/host/settings_validation.py
+++ b/cometdoor/host/settings_validation.py
@@ -18,6 +18,10 @@
 
 MAX_FILE_BYTES = 8 << 20  # a hundred services with a hundred servers each are under one MiB
 
+# The range of whole numbers in msgpack (MessagePack specification, "int format family"), in which values are
+# stored and sent.
+MIN_WHOLE_NUMBER, MAX_WHOLE_NUMBER = -(1 << 63), (1 << 64) - 1
+
 SettingsT = TypeVar("SettingsT")
 
 FieldProblem = tuple[str, str]
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -9,10 +9,13 @@
 
 import asyncio
 
+import structlog
+
 from cometdoor.host.address import parse_address
 from cometdoor.host.link_scheduler import LinkScheduler
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.wire.connection_statistics import ConnectionStatistics
-from cometdoor.wire.frames import Frame, Message
+from cometdoor.wire.frames import Frame, Message, UnencodableFrameError
 from cometdoor.wire.peer_connection import (
     KEEPALIVE_TIMEOUT_S,
     Handler,
@@ -36,6 +39,7 @@
 # A dialled connection is closed after this time without use, since gossip neighbours change.
 IDLE_TIMEOUT_S = 30.0
 MAX_UNSENT_BYTES = 8 << 20  # in one connection's write buffer; beyond that calls and messages are rejected
+log = structlog.get_logger()
 
 
 class PeerConnections:
@@ -66,7 +70,7 @@
         self._inbound: dict[PeerConnection, None] = {}
         self._backoff_until: dict[str, float] = {}  # on the loop's clock, by peer that could not be dialled
         self._server: asyncio.AbstractServer | None = None
-        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._sweep_timer = RepeatingTimer(loop, SWEEP_INTERVAL_S, self._sweep)
 
     async def listen(self, host: str, port: int) -> None:
         """Accept connections and start the keepalive checks.
@@ -83,12 +87,11 @@
             return connection
 
         self._server = await self.loop.create_server(accept, host, port, reuse_address=True, backlog=512)
-        self._sweep()
+        self._sweep_timer.start()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
+        self._sweep_timer.stop()
         if self._server is not None:
             self._server.close()
         for connection in [*self._outbound.values(), *self._inbound]:
@@ -131,7 +134,11 @@
         if connection is None or connection.unsent_bytes() > MAX_UNSENT_BYTES:
             return False
         connection.last_used_at = self.loop.time()
-        connection.write(Frame(0, False, message))
+        try:
+            connection.write(Frame(0, False, message))
+        except UnencodableFrameError as error:
+            log.error("message dropped", step="encode", peer=peer, error=str(error))
+            return False
         return True
 
     def call(
@@ -161,14 +168,18 @@
         if connection.unsent_bytes() > MAX_UNSENT_BYTES:
             return PeerError("write", peer, "the send buffer is full", False)
         self.last_call_id += 1
-        written = connection.write(Frame(self.last_call_id, False, message))
+        try:
+            written = connection.write(Frame(self.last_call_id, False, message))
+        except UnencodableFrameError as error:
+            log.error("message dropped", step="encode", peer=peer, error=str(error))
+            return PeerError("encode", peer, str(error), False)
         call = connection.pending_calls[self.last_call_id] = PendingCall(
             connection, self.last_call_id, on_reply, written
         )
         return call
 
     def _sweep(self) -> None:
-        """Close idle and unresponsive connections, and ping silent ones that owe a reply; repeats itself."""
+        """Close idle and unresponsive connections, and ping silent ones that owe a reply."""
         now = self.loop.time()
         for connection in [*self._outbound.values(), *self._inbound]:
             if connection.pending_calls:
@@ -192,4 +203,3 @@
                 connection.close("keepalive timeout", "answer")
             elif silent_for_s > KEEPALIVE_PING_AFTER_S:
                 connection.ping()
-        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/cometdoor/wire/frames.py
+++ b/cometdoor/wire/frames.py
@@ -38,6 +38,7 @@
     IndirectProbeReply,
 )
 from cometdoor.wire.keys import ClaimReply, ClaimRequest, OperationReply, OperationRequest
+from cometdoor.wire.log_entries import ENCODING_ERRORS
 
 MAX_FRAME_BYTES = 80 << 20  # the body of a forwarded request may have 64 MiB
 
@@ -94,9 +95,22 @@
     """The peer sent bytes that are not a valid frame of this protocol; its connection must be closed."""
 
 
+class UnencodableFrameError(CometdoorError):
+    """A message has a value that msgpack can't contain; nothing was sent."""
+
+
 def encode(frame: Frame) -> bytes:
-    """Encode a frame with its length."""
-    body = _encoder.encode(frame)
+    """Encode a frame with its length.
+
+    Raises
+    ------
+    UnencodableFrameError
+        If the message has a value that msgpack can't contain.
+    """
+    try:
+        body = _encoder.encode(frame)
+    except ENCODING_ERRORS as error:
+        raise UnencodableFrameError(f"{type(frame.message).__name__}: {error}") from error
     return len(body).to_bytes(4, "big") + body
 
 
--- a/cometdoor/wire/log_entries.py
+++ b/cometdoor/wire/log_entries.py
@@ -4,6 +4,12 @@
 
 import msgspec
 
+from cometdoor.errors import CometdoorError
+
+# What msgspec raises for values that msgpack can't contain: whole numbers beyond 64 bits, texts that are not
+# Unicode, objects of other types.
+ENCODING_ERRORS = (OverflowError, TypeError, ValueError, msgspec.MsgspecError)
+
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
     """A member of the replica group. Its id belongs to its disk: on an empty disk it is a new member."""
@@ -56,6 +62,29 @@
 Change = Noop | ConfigurationChange | MembershipChange | Claim | ClockAdvance
 
 
+class UnencodableChangeError(CometdoorError):
+    """A change has a value that msgpack can't contain: it can be neither stored nor sent."""
+
+    step = "propose"
+
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def check_encodable(change: Change) -> None:
+    """Check that a change can be stored and sent; it must not enter a log before.
+
+    Raises
+    ------
+    UnencodableChangeError
+        If it has a value that msgpack can't contain.
+    """
+    try:
+        _encoder.encode(change)
+    except ENCODING_ERRORS as error:
+        raise UnencodableChangeError(f"{type(change).__name__} can't be encoded: {error}") from error
+
+
 class LogEntry(msgspec.Struct, array_like=True, frozen=True):
     """One entry of the replicated log."""
 
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -17,9 +17,16 @@
 
 from cometdoor.errors import CometdoorError
 from cometdoor.host.link_scheduler import LinkScheduler, ScheduledTransport
-from cometdoor.wire.call_control import CancelCall, Ping, Pong
+from cometdoor.wire.call_control import CallRejected, CancelCall, Ping, Pong
 from cometdoor.wire.connection_statistics import ConnectionStatistics
-from cometdoor.wire.frames import Frame, FrameDecoder, FrameError, Message, encode
+from cometdoor.wire.frames import (
+    Frame,
+    FrameDecoder,
+    FrameError,
+    Message,
+    UnencodableFrameError,
+    encode,
+)
 
 # After this time without a byte from the peer's machine, on any connection, a connection on which a reply is
 # awaited is closed.
@@ -37,7 +44,7 @@
     Attributes
     ----------
     step : str
-        ``"connect"``, ``"write"`` or ``"answer"``: what the call waited for.
+        ``"connect"``, ``"encode"``, ``"write"`` or ``"answer"``: what the call waited for.
     peer : str
         Address that was dialled; empty for a connection that the peer opened.
     reason : str
@@ -203,14 +210,26 @@
     def respond(self, call_id: int, message: Message) -> None:
         """Reply to a call that arrived on this connection; dropped if the connection is closed.
 
-        For a message that awaits no reply (`call_id` 0) nothing is sent.
+        For a message that awaits no reply (`call_id` 0) nothing is sent. A reply that can't be encoded is
+        replaced by a rejection of the call.
         """
         self.cancel_callbacks.pop(call_id, None)
-        if call_id:
+        if not call_id:
+            return
+        try:
             self.write(Frame(call_id, True, message))
+        except UnencodableFrameError as error:
+            log.error("message dropped", step="encode", peer=self.peer, error=str(error))
+            self.write(Frame(call_id, True, CallRejected("the reply can't be encoded")))
 
     def write(self, frame: Frame) -> bytes:
-        """Queue a frame for the next flush, and return its bytes, which identify it for `remove_unsent`."""
+        """Queue a frame for the next flush, and return its bytes, which identify it for `remove_unsent`.
+
+        Raises
+        ------
+        UnencodableFrameError
+            If the message can't be encoded; nothing was queued.
+        """
         data = encode(frame)
         if not self.is_closed:
             self._outgoing.append((frame.call_id if frame.is_reply else -frame.call_id, data))
--- a/simulation/exchange/fuzz_peer.py
+++ b/simulation/exchange/fuzz_peer.py
@@ -182,7 +182,7 @@
     """Play one plan. Raises ExchangeViolation."""
     with scripted_loop() as loop:
         run = FuzzRun(loop)
-        run.connections._sweep()
+        run.connections._sweep_timer.start()
         for step in plan:
             run.apply(step)
         loop.wait(3.0)  # past the keepalive timeout
--- a/simulation/gossip.py
+++ b/simulation/gossip.py
@@ -116,8 +116,7 @@
 
     def kill(self, node: str) -> None:
         self._dead.add(f"{node}:1")
-        if (timer := self.nodes[f"{node}:1"].gossip_server._timer) is not None:
-            timer.cancel()
+        self.nodes[f"{node}:1"].gossip_server.stop()
 
     def directory(self, node: str) -> Directory:
         return self.nodes[f"{node}:1"].directory
--- a/simulation/long_run.py
+++ b/simulation/long_run.py
@@ -31,6 +31,7 @@
 from cometdoor.wire.connections import PeerConnections
 from cometdoor.wire.log_entries import ConfigurationChange, Member
 from simulation.event_loop import VirtualLoop
+from simulation.invariants import InvariantError
 from simulation.virtual_transport import Process
 
 HOUR_S = 3600.0
@@ -135,12 +136,16 @@
             me,
             60.0,
             on_changed=lambda: None,
+            on_disk_writer_failed=self._on_disk_writer_failed,
             new_budget_allocator=lambda now: BudgetAllocator(0.2, 10.0, 10.0, now),
             seeds=[],
             bootstraps=True,
             sizing=Sizing(),
         )
 
+    def _on_disk_writer_failed(self) -> None:
+        raise InvariantError("the disk writer failed for another reason than the disk")
+
     def run(self) -> LongRunFigures:
         self.loop.run_as(Process("10.0.0.1:1", "controlplane"), self._replica_server.start)
         self.loop.run_until_complete(self._propose_all())
--- a/stories/configuration/test_document.py
+++ b/stories/configuration/test_document.py
@@ -51,6 +51,10 @@
     "hosts.0.host-routes.0.timeout-s": lambda c: c["hosts"][0]["host-routes"][0].update({"timeout-s": 0}),
     "hosts.0.hostname": lambda c: c["hosts"][0].update(hostname=""),
     "revision": lambda c: c.update(revision="7"),
+    "revision of 20 digits": lambda c: c.update(revision=20261204093000000000),
+    "limits.max-body-bytes": lambda c: c["limits"].update({"max-body-bytes": 1 << 64}),
+    "limits.idle-timeout-s": lambda c: c["limits"].update({"idle-timeout-s": 10**400}),
+    "services.1.name": lambda c: c["services"][1].update(name="\ud800"),
     "hosts.0.host-routes.0.name": lambda c: c["hosts"][0]["host-routes"][0].pop("name"),
     "services": lambda c: c.update(services={}),
     "services.0.health-path": lambda c: c["services"][0].update({"health-path": "/h HTTP/1.1\r\nHost: x"}),
@@ -64,7 +68,7 @@
     PROBLEMS[path](broken)
     with raises(SettingsError) as error:
         parse(json.dumps(broken).encode())
-    assert path in [problem.path for problem in error.raised.problems]
+    assert path.split(" ")[0] in [problem.path for problem in error.raised.problems]
 
 
 @test("a configuration that can't be decoded, or has a key twice, is rejected")
--- a/stories/dataplane/test_heartbeats.py
+++ b/stories/dataplane/test_heartbeats.py
@@ -1,5 +1,7 @@
 """Heartbeats and the lifecycle of the local backend."""
 
+import json
+
 from ward import each, raises, test
 
 from cometdoor.dataplane.heartbeats import BackendLifecycle, Heartbeat, read_heartbeat
@@ -52,3 +54,15 @@
     with raises(SettingsError) as caught:
         read_heartbeat(body)
     assert {fault.path for fault in caught.raised.problems} == set(faults.split(" "))
+
+
+# Guards against CONFIG's cause: a heartbeat that can't be sent on ended the gossip of its proxy for good.
+@test("a heartbeat with values that can't be sent to peers is rejected")
+def _(
+    key: str = each("capacity", "call-sequence", "zone", "revision"),
+    value: object = each(1 << 64, 10**30, "\ud800", "\udfff"),
+) -> None:
+    heartbeat = {"service": "one", "address": "10.0.0.1:80", "lifecycle-state": "ready", "call-sequence": 1}
+    with raises(SettingsError) as caught:
+        read_heartbeat(json.dumps(heartbeat | {key: value}).encode())
+    assert [problem.path for problem in caught.raised.problems] == [key]
--- a/stories/mesh/test_core.py
+++ b/stories/mesh/test_core.py
@@ -7,13 +7,13 @@
 from unittest import mock
 
 import structlog
-from ward import test
+from ward import raises, test
 
 from cometdoor.control.durable_state import Record
 from cometdoor.control.process import ControlPlane
 from cometdoor.control.rebuild import rebuild
 from cometdoor.control.write_ahead_log import DiskError, WriteAheadLog
-from cometdoor.wire.log_entries import Member
+from cometdoor.wire.log_entries import ConfigurationChange, Member, UnencodableChangeError
 from simulation.mesh import simulated_mesh
 from standins.http_client import http_request
 from standins.mesh import route
@@ -195,3 +195,74 @@
         assert mesh.run(mesh.configure(32, 31, routes=many_routes)) == 200
         mesh.wait(0.3)
         assert member.replica_server.state.revision == 32
+
+
+REVISION_OF_20_DIGITS = 20261204093000000000
+
+
+# Guards against CONFIG: a number that can't be encoded ended the timers and disk writers of the whole core.
+@test("numbers beyond 64 bits are rejected, as a revision and as a base, and the core goes on")
+def _() -> None:
+    with simulated_mesh(seed=16) as mesh:
+        mesh.run(mesh.start_configured())
+        assert mesh.run(mesh.configure(REVISION_OF_20_DIGITS, 1)) == 400
+        for base in (REVISION_OF_20_DIGITS, 1 << 64, 10**30, -1, -REVISION_OF_20_DIGITS):
+            assert mesh.run(mesh.configure(2, base)) == 412, base
+        assert (
+            mesh.run(http_request(mesh.leader(), CONTROL_PORT, "GET", f"/Core.Log/{'9' * 5000}", {}))[0]
+            == 404
+        )
+        mesh.wait(3.0)
+        assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-after")) == 200
+        assert mesh.run(mesh.configure((1 << 64) - 1, 1)) == 200
+        mesh.wait(2.0)
+        mesh.kill(mesh.leader())
+        mesh.wait(2.0)
+        _, _, body = mesh.run(http_request(mesh.leader(), CONTROL_PORT, "GET", "/Configuration.Describe", {}))
+        assert json.loads(body)["revision"] == (1 << 64) - 1
+        assert not mesh.find_violations(), mesh.find_violations()
+
+
+# Guards against CONFIG: the entry was in the log before it was known that it can't be encoded.
+@test("a change that can't be encoded does not enter the log, and the next one is committed")
+def _() -> None:
+    with simulated_mesh(seed=17) as mesh:
+        mesh.run(mesh.start_configured())
+        replica_server = mesh.control_plane(mesh.leader()).replica_server
+        last_index = replica_server.replica.log.last_index
+        with raises(UnencodableChangeError):
+            replica_server.propose(ConfigurationChange(1, 1 << 64, b"{}"), lambda result: None)
+        assert replica_server.replica.log.last_index == last_index
+        assert mesh.run(mesh.configure(2, 1)) == 200 and not mesh.find_violations(), mesh.find_violations()
+
+
+# Guards against CONFIG: one failed turn ended the timer of its replica, and with it heartbeats and elections.
+@test("a replica whose timer fails several times goes on, and so does its core")
+def _() -> None:
+    with simulated_mesh(seed=18) as mesh:
+        mesh.run(mesh.start_configured())
+        replica = mesh.control_plane(mesh.leader()).replica_server.replica
+        with mock.patch.object(replica, "tick", side_effect=RuntimeError("planted")):
+            mesh.wait(0.1)
+        mesh.wait(1.0)
+        assert mesh.run(mesh.configure(2, 1)) == 200 and not mesh.find_violations(), mesh.find_violations()
+
+
+# Guards against CONFIG: a disk writer that had failed wrote nothing more, though its process went on.
+@test("a control plane whose disk writer fails for another reason than the disk asks to be restarted")
+def _() -> None:
+    failed: list[str] = []
+    with simulated_mesh(seed=20) as mesh:
+        mesh.run(mesh.start_configured())
+        address = mesh.leader()
+        mesh.control_plane(address).on_failed = lambda: failed.append(address)
+        log_file = mesh.control_plane(address).replica_server.log_file
+        with mock.patch.object(log_file, "append", side_effect=ValueError("planted")):
+            mesh.run(mesh.configure(2, 1))
+        assert failed == [address]
+        mesh.kill(address)
+        mesh.restart(address)
+        mesh.wait(2.0)
+        assert mesh.run(mesh.configure(3, 2)) == 200  # the two others had committed version 2
+        assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-after")) == 200
+        assert not mesh.find_violations(), mesh.find_violations()
--- a/stories/wire/test_connections.py
+++ b/stories/wire/test_connections.py
@@ -5,10 +5,11 @@
 from ward import test
 
 from cometdoor.host.link_scheduler import LinkScheduler
-from cometdoor.wire.call_control import Ping, Pong
+from cometdoor.wire.call_control import CallRejected, Ping, Pong
 from cometdoor.wire.connections import IDLE_TIMEOUT_S, PeerConnections
 from cometdoor.wire.consensus import LeaveRequest
 from cometdoor.wire.frames import Message
+from cometdoor.wire.gossip import IndirectProbe
 from cometdoor.wire.peer_connection import PeerConnection, PeerError, PendingCall
 from simulation.event_loop import VirtualLoop
 from simulation.virtual_transport import Process
@@ -153,3 +154,26 @@
     pair.wait(1.5)
     assert isinstance(pair.replies[-1], PeerError)
     assert set(pair.caller.statistics.closed) == {"keepalive timeout"}
+
+
+UNENCODABLE = IndirectProbe("\ud800")
+
+
+# Guards against CONFIG: one message that can't be encoded ended the timer that sent it, and all after it.
+@test("a message that can't be encoded is dropped alone: a call fails at once, a reply becomes a rejection")
+def _() -> None:
+    pair = Pair()
+    results: list[object] = []
+    pair.loop.run_as(pair.a, lambda: results.append(pair.caller.send("b:1", UNENCODABLE)))
+    pair.loop.run_as(
+        pair.a, lambda: results.append(pair.caller.call("b:1", UNENCODABLE, pair.replies.append))
+    )
+    assert results[0] is False and isinstance(results[1], PeerError) and not results[1].may_have_arrived
+    pair.reply = UNENCODABLE
+    pair.call(LeaveRequest("m1"))
+    pair.wait(0.1)
+    assert pair.replies == [CallRejected("the reply can't be encoded")]
+    pair.reply = Pong()
+    pair.call(LeaveRequest("m2"))
+    pair.wait(0.1)
+    assert pair.replies[1:] == [Pong()] and pair.received == [LeaveRequest("m1"), LeaveRequest("m2")]
