Settings: a target of 0 is served, and no number is read without a check

Cause: the configuration was acknowledged by one check and used by a stricter one, which raised for each request. And what raised there ended more than its request: the key stayed in an execution without end, the connection to the leader closed, a request without a key had no answer.

Change: a target of 0 stands for the timeout, since no answer is in time; targets and limits below 0 are rejected when they are proposed, and served where an earlier version had accepted them; weights are used relative to the largest, since an infinite sum raised too; numbers of the boot file have ranges. What raises in the handling of a request is confined to it: 502 for a keyed one, 500 for another, and a reply's handler ends neither the connection nor its other calls.

Tests: three stories on a whole mesh and nine of the boot file fail with the former code, and so do the weights by themselves; the others name functions that are new.

--- a/cometdoor/configuration/document.py
+++ b/cometdoor/configuration/document.py
@@ -5,17 +5,19 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
-from cometdoor.host.dataclass_settings import CheckedModel, aliased, convert
+from cometdoor.host.dataclass_settings import CheckedModel, aliased, convert, key_of
 from cometdoor.host.settings_validation import SettingsError, SettingsProblem
 
 DOCUMENT_NAME = "configuration"  # reported in place of a file name
 ROUTE_TYPES = ("idempotent", "non_idempotent", "keyed", "download")
+MAX_TIMEOUT_S = 86_400.0  # no request is held for longer, whatever its route's timeout is
 PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
@@ -41,6 +43,21 @@
     service: str | None = None
     traffic_split: list[WeightedService] | None = aliased("traffic-split", default=None)
 
+    @property
+    def timeout_ms(self) -> float:
+        """How long a request is held at the most; always above 0 and finite."""
+        return min(self.timeout_s, MAX_TIMEOUT_S) * 1000.0
+
+    @property
+    def latency_target_ms(self) -> float:
+        """Time within which a response is wanted; always above 0 and not above the timeout.
+
+        With a target of 0 no response is in time: each has the same value until the timeout.
+        """
+        if self.target_latency_s <= 0.0:
+            return self.timeout_ms
+        return min(self.target_latency_s * 1000.0, self.timeout_ms)
+
     def weighted_services(self) -> list[WeightedService]:
         """Return the services of the split, or the only one."""
         if self.traffic_split is not None:
@@ -97,20 +114,51 @@
 
 
 def parse(body: bytes) -> Document:
-    """Decode and check a document.
+    """Decode and check a document that may be in force already.
+
+    Values that an earlier version accepted, and `parse_proposed` does not, are no problems here: a proxy that
+    refused the configuration in force would not serve at all.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the document, each with its path.
+    """
+    return _convert(body, _check)
+
+
+def parse_proposed(body: bytes) -> Document:
+    """Decode and check a document that an operator proposes.
 
     Raises
     ------
     SettingsError
         With all problems of the document, each with its path.
     """
+    return _convert(body, _check_proposed)
+
+
+def _convert(body: bytes, find_problems: Callable[[Document], Iterator[tuple[str, str]]]) -> Document:
     try:
         content = json.loads(body.decode(), object_pairs_hook=_reject_duplicates)
     except (ValueError, RecursionError) as error:
         raise SettingsError(
             [SettingsProblem(DOCUMENT_NAME, "", f"it can't be read whole: {error}")]
         ) from error
-    return convert(content, Document, DOCUMENT_NAME, _check)
+    return convert(content, Document, DOCUMENT_NAME, find_problems)
+
+
+def _check_proposed(document: Document) -> Iterator[tuple[str, str]]:
+    yield from _check(document)
+    for limit in dataclasses.fields(document.limits):
+        value = getattr(document.limits, limit.name)
+        if value < 0:
+            yield f"limits.{key_of(limit)}", f"{value} is below 0"
+    for host_index, host in enumerate(document.hosts):
+        for index, route in enumerate(host.host_routes):
+            if route.target_latency_s < 0:
+                path = f"hosts.{host_index}.host-routes.{index}.target-latency-s"
+                yield path, f"{route.target_latency_s} is below 0"
 
 
 def _check(document: Document) -> Iterator[tuple[str, str]]:
--- a/cometdoor/configuration/routes.py
+++ b/cometdoor/configuration/routes.py
@@ -60,7 +60,9 @@
     weighted_services = route.weighted_services()
     if len(weighted_services) == 1:
         return weighted_services[0].service
+    max_weight = max(weighted_service.weight for weighted_service in weighted_services)
     return rng.choices(
         [weighted_service.service for weighted_service in weighted_services],
-        [weighted_service.weight for weighted_service in weighted_services],
+        # Relative to the largest, so that their sum is finite.
+        [weighted_service.weight / max_weight for weighted_service in weighted_services],
     )[0]
--- a/cometdoor/control/admin_api.py
+++ b/cometdoor/control/admin_api.py
@@ -16,7 +16,7 @@
 
 import structlog
 
-from cometdoor.configuration.document import parse
+from cometdoor.configuration.document import parse_proposed
 from cometdoor.control.leader_contact import LeaderContact
 from cometdoor.control.member_description import (
     GroupDescription,
@@ -162,7 +162,7 @@
             self._reject(connection, request, "Cometdoor-Base-Version is not an integer")
             return
         try:
-            document = parse(request.body)
+            document = parse_proposed(request.body)
         except SettingsError as error:
             log.info(
                 "configuration is invalid and rejected; the current one stays in force",
--- a/cometdoor/dataplane/keyed_requests.py
+++ b/cometdoor/dataplane/keyed_requests.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+import structlog
+
 from cometdoor.configuration.document import Route
 from cometdoor.dataplane.backend_responses import ATTEMPT_ID_HEADER
 from cometdoor.dataplane.outbound_request import OutboundRequest
@@ -29,6 +31,8 @@
 KEY_WAIT_MAX_SHARE = 0.9  # share of its remaining time that an attempt waits for a claim or an execution
 KEY_RETRY_AFTER_MS = 150.0  # after a rejection; an election takes a few tenths of a second
 KEY_EXPIRY_INTERVAL_S = 5.0  # interval between removals of expired keys
+log = structlog.get_logger()
+
 StartExecution = Callable[[ResponseListener[ForwardResponse], ClientRequest, Route], None]
 
 
@@ -127,8 +131,7 @@
                 case SubmitClaim():
                     self._submit_claim(action)
                 case Execute():
-                    request = action.waiter.request
-                    self._start_execution(KeyedExecution(self, action.key), request, request.route)
+                    self._execute(action)
                 case QueryOwner():
                     self._query_owner(action)
                 case key_actions.Respond():
@@ -140,6 +143,20 @@
                 case key_actions.ReportInProgress():
                     action.waiter.respond(409, [(b"Retry-After", b"0.2")], b"the key is at work")
 
+    def _execute(self, action: Execute[OutboundRequest]) -> None:
+        request = action.waiter.request
+        try:
+            self._start_execution(KeyedExecution(self, action.key), request, request.route)
+        except Exception as error:
+            # Without an end of the execution its key would be in progress for good.
+            log.error(
+                "execution of a keyed request failed to start",
+                step="execute",
+                peer=request.route.name,
+                error=repr(error),
+            )
+            self.carry_out(self.operations.on_execution_failed(action.key))
+
     def _submit_claim(self, action: SubmitClaim) -> None:
         key = action.key
         self._claim_client.claim(
--- a/cometdoor/dataplane/outbound_proxy.py
+++ b/cometdoor/dataplane/outbound_proxy.py
@@ -157,10 +157,9 @@
             connection.respond(404, [], b"no route")
             return
         request.route = route
-        timeout_ms = route.timeout_s * 1000.0
-        request.remaining_ms = (
-            min(request.remaining_ms, timeout_ms) if request.remaining_ms > 0 else timeout_ms
-        )
+        if request.remaining_ms <= 0:
+            request.remaining_ms = route.timeout_ms
+        request.remaining_ms = min(request.remaining_ms, route.timeout_ms)
         if route.route_type == "keyed" and key:
             self.keyed_requests.accept(self._new_outbound_request(connection, request, key))
             return
--- a/cometdoor/dataplane/request_classes.py
+++ b/cometdoor/dataplane/request_classes.py
@@ -17,8 +17,8 @@
     """Route properties that matter to the decision module; routes with equal ones share a class."""
 
     route_type: str
-    timeout_s: float
-    target_latency_s: float
+    timeout_ms: float
+    latency_target_ms: float
     priority: int
     max_attempts: int
 
@@ -26,8 +26,8 @@
 def request_class_of(key: RequestClassKey) -> api.RequestClass:
     """Return the decision module's class for requests of routes with these properties."""
     return api.RequestClass(
-        latency_target_ms=key.target_latency_s * 1000.0,
-        deadline_ms=key.timeout_s * 1000.0,
+        latency_target_ms=key.latency_target_ms,
+        deadline_ms=key.timeout_ms,
         effect=Effect.SAFE if key.route_type in IDEMPOTENT_ROUTE_TYPES else Effect.UNSAFE,
         value=value_of_priority(key.priority),
         late_value=LATE_VALUE,
--- a/cometdoor/dataplane/service_client.py
+++ b/cometdoor/dataplane/service_client.py
@@ -84,7 +84,7 @@
         self._class_indexes: dict[RequestClassKey, int] = {}
         self._throttles: list[AdaptiveThrottle] = [AdaptiveThrottle(random.Random(seed))]  # by class
         self._rng = random.Random(seed)
-        default_class = RequestClassKey("idempotent", 1.0, 1.0, 1, 2)
+        default_class = RequestClassKey("idempotent", 1000.0, 1000.0, 1, 2)
         settings = api.Settings(
             classes=(request_class_of(default_class),),
             tier=1,
@@ -112,7 +112,7 @@
     ) -> ClientExchange | None:
         """Accept a request of a caller; return None if it was throttled and therefore already rejected."""
         key = RequestClassKey(
-            route.route_type, route.timeout_s, route.target_latency_s, route.priority, route.max_attempts
+            route.route_type, route.timeout_ms, route.latency_target_ms, route.priority, route.max_attempts
         )
         class_index = self._class_indexes.get(key)
         if class_index is None:
@@ -122,7 +122,7 @@
         throttle = self._throttles[class_index]
         now = now_ms()
         if not throttle.admit(now):
-            min_backoff_ms = THROTTLED_RETRY_AFTER_SHARE * route.target_latency_s * 1000.0
+            min_backoff_ms = THROTTLED_RETRY_AFTER_SHARE * route.latency_target_ms
             caller.on_rejected(throttle.backoff_ms(min_backoff_ms, remaining_ms(request, now), now))
             return None
         exchange = request.exchange = ClientExchange(caller, request, throttle)
@@ -152,7 +152,7 @@
         if not counts:
             return counts
         throttled = {
-            f"{key.route_type}/{key.target_latency_s:g}s": round(
+            f"{key.route_type}/{key.latency_target_ms / 1000.0:g}s": round(
                 self._throttles[class_index].admitted_share, 2
             )
             for key, class_index in self._class_indexes.items()
@@ -224,7 +224,7 @@
             self._headers(request),
             request.body,
             max(expires_at_ms - now_ms(), 1.0),
-            route.target_latency_s * 1000.0,
+            route.latency_target_ms,
             route.priority,
             self.service,
             server,
--- a/cometdoor/host/node_settings.py
+++ b/cometdoor/host/node_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -70,10 +71,7 @@
     def bound_value(self, name: str, default: float) -> float:
         """Return a number that `bounds` has as ``NAME=NUMBER``, or `default` if it has none of that name.
 
-        Raises
-        ------
-        ValueError
-            If its value is ``true`` or ``false``.
+        The values of names in `POSITIVE_BOUNDS` and `NONNEGATIVE_BOUNDS` were checked when the file was read.
         """
         for text in self.bounds:
             key, _, value = text.partition("=")
@@ -106,7 +104,50 @@
 }
 
 
+# Names in `bounds` that the programs use; their values must be above 0, or not below it.
+POSITIVE_BOUNDS = ("idempotency-window-s", "retry-window-s")
+NONNEGATIVE_BOUNDS = ("drain-s", "grace-s", "retry-budget-ratio", "retry-slack")
+
+
+def _find_bound_problem(text: str) -> str:
+    """Return what is wrong with an entry of `bounds`; empty if nothing is."""
+    name, _, value = (part.strip() for part in text.partition("="))
+    is_used = name in POSITIVE_BOUNDS or name in NONNEGATIVE_BOUNDS
+    if value in ("true", "false") and not is_used:
+        return ""
+    try:
+        number = float(value)
+    except ValueError:
+        return f"{text!r} is not in the form NAME=NUMBER"
+    if not is_used:
+        return ""
+    if not math.isfinite(number):
+        return f"{text!r} has no finite number"
+    if number < 0 or (number == 0 and name in POSITIVE_BOUNDS):
+        return f"the value of {text!r} is {'not above' if name in POSITIVE_BOUNDS else 'below'} 0"
+    return ""
+
+
+def _find_range_problems(node_settings: NodeSettings) -> Iterator[tuple[str, str]]:
+    limits = node_settings.limits
+    if limits.file_descriptors < 1:
+        yield "limits.file-descriptors", f"{limits.file_descriptors} is not at least 1"
+    for name in ("memory_mb", "disk_mb", "bandwidth_mbps"):
+        value = getattr(limits, name)
+        if value < 0:
+            yield f"limits.{name.replace('_', '-')}", f"{value} is below 0"
+    for domain, count in vars(node_settings.fault_tolerance).items():
+        if count < 0:
+            yield f"fault-tolerance.{domain}", f"{count} is below 0"
+    if node_settings.heartbeat_s <= 0:
+        yield "heartbeat-s", f"{node_settings.heartbeat_s} is not above 0"
+    for name in ("node_name", "ip_address"):
+        if not getattr(node_settings, name):
+            yield name.replace("_", "-"), "it is empty"
+
+
 def _find_problems(node_settings: NodeSettings, role: str) -> Iterator[tuple[str, str]]:
+    yield from _find_range_problems(node_settings)
     if (
         len(node_settings.internal_ports) != 2
         or not 0 < node_settings.internal_ports[0] < node_settings.internal_ports[1] < 65536
@@ -116,12 +157,8 @@
             f"a first and a higher last port are expected, not {node_settings.internal_ports}",
         )
     for index, text in enumerate(node_settings.bounds):
-        name, _, value = text.partition("=")
-        try:
-            if value.strip() not in ("true", "false"):
-                float(value)
-        except ValueError:
-            yield f"bounds.{index}", f"{text!r} is not in the form NAME=NUMBER"
+        if problem := _find_bound_problem(text):
+            yield f"bounds.{index}", problem
     addresses = [(f"seed-nodes.{index}", seed) for index, seed in enumerate(node_settings.seed_nodes)]
     if node_settings.application is not None:
         addresses.append(("application", node_settings.application))
--- a/cometdoor/host/repeating_timer.py
+++ b/cometdoor/host/repeating_timer.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
+import logging
 from collections.abc import Callable
 
-import structlog
-
-TRACEBACK_FRAMES = 5  # innermost frames in the log line of a failed call
-log = structlog.get_logger()
+log = logging.getLogger(__name__)
 
 
 class RepeatingTimer:
@@ -38,13 +35,8 @@
         """Call the function now, and then at the interval."""
         try:
             self._callback()
-        except Exception as error:
-            log.error(
-                "periodic work failed; it is repeated",
-                step=self._callback.__qualname__,
-                error=repr(error),
-                traceback=traceback.format_exc(limit=-TRACEBACK_FRAMES),
-            )
+        except Exception:
+            log.exception("periodic work failed, and is repeated: %s", self._callback.__qualname__)
         self.start_after_interval()
 
     def start_after_interval(self) -> None:
--- a/cometdoor/http/client_connection.py
+++ b/cometdoor/http/client_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import time
 from collections import deque
@@ -31,6 +32,7 @@
 MAX_PIPELINED_REQUESTS = 4  # requests waiting on one connection; at this number reading from it pauses
 MAX_REQUESTS_PER_READ = 16  # pipelined requests in one read; input with more is rejected
 MAX_LINGER_BYTES = 1 << 20  # maximum input discarded on a closing connection; with more it is aborted
+log = logging.getLogger(__name__)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -231,9 +233,18 @@
                 self.is_health_check_only = False
                 if request.service is not None:
                     self.service_name = request.service.name
-                self._owner.handler.accept(self, request)
+                self._accept(request)
         self._update_flow()
 
+    def _accept(self, request: ClientRequest) -> None:
+        """Pass a request to the handler; if that fails, the client gets 500, which promises nothing."""
+        try:
+            self._owner.handler.accept(self, request)
+        except Exception:
+            log.exception("request handler failed; the request gets 500")
+            if self.request is request:
+                self.respond(500, [], b"")
+
     def _update_flow(self) -> None:
         """Pause or resume reading, and start the timeout for the connection's current state."""
         if self._transport is None or self._transport.is_closing():
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -187,9 +187,8 @@
         message = frame.message
         if frame.is_reply:
             call = self.pending_calls.pop(frame.call_id, None)
-            if call is not None and call.on_reply is not None:
-                on_reply, call.on_reply = call.on_reply, None
-                on_reply(message)
+            if call is not None:
+                self._pass_reply(call, message)
         elif isinstance(message, Ping):
             self.write(Frame(frame.call_id, True, Pong()))
         elif isinstance(message, CancelCall):
@@ -201,6 +200,16 @@
         else:
             self._connections.handler(message, self, frame.call_id)
 
+    def _pass_reply(self, call: PendingCall, reply: Message | PeerError) -> None:
+        """Pass a reply to its caller; a failure there concerns neither the connection nor its other calls."""
+        on_reply, call.on_reply = call.on_reply, None
+        if on_reply is None:
+            return
+        try:
+            on_reply(reply)
+        except Exception as error:
+            log.error("reply handler failed", step="answer", peer=self.peer, error=repr(error))
+
     def ping(self) -> None:
         """Send a ping to a silent peer to check that it is alive."""
         if self._pinged_at is None:
@@ -310,10 +319,9 @@
         pending_calls, self.pending_calls = self.pending_calls, {}
         cancel_callbacks, self.cancel_callbacks = self.cancel_callbacks, {}
         for call in pending_calls.values():
-            on_reply, call.on_reply = call.on_reply, None
-            if on_reply is not None:
-                failed_step = step if was_open else "connect"
-                on_reply(PeerError(failed_step, self.peer, reason, self.was_sent(call.call_id)))
+            failed_step = step if was_open else "connect"
+            may_have_arrived = self.was_sent(call.call_id)
+            self._pass_reply(call, PeerError(failed_step, self.peer, reason, may_have_arrived))
         for on_cancel in cancel_callbacks.values():
             on_cancel()
 
--- a/stories/configuration/test_document.py
+++ b/stories/configuration/test_document.py
@@ -7,7 +7,7 @@
 
 from ward import each, raises, test
 
-from cometdoor.configuration.document import parse
+from cometdoor.configuration.document import Route, WeightedService, parse, parse_proposed
 from cometdoor.configuration.routes import Routes, choose_service
 from cometdoor.host.settings_validation import SettingsError
 
@@ -111,3 +111,45 @@
     rng = random.Random(1)
     counts = Counter(choose_service(route, rng) for _ in range(1000))
     assert 60 < counts["two"] < 140
+
+
+PROPOSAL_PROBLEMS: dict[str, Any] = {
+    "hosts.0.host-routes.0.target-latency-s": lambda c: c["hosts"][0]["host-routes"][0].update(
+        {"target-latency-s": -0.25}
+    ),
+    "limits.max-header-bytes": lambda c: c["limits"].update({"max-header-bytes": -1}),
+    "limits.idle-timeout-s": lambda c: c["limits"].update({"idle-timeout-s": -0.5}),
+}
+
+
+@test("a proposal with a value below its range is rejected, but such a configuration stays in force")
+def _(path: str = each(*PROPOSAL_PROBLEMS)) -> None:
+    broken = make_content()
+    PROPOSAL_PROBLEMS[path](broken)
+    body = json.dumps(broken).encode()
+    with raises(SettingsError) as error:
+        parse_proposed(body)
+    assert [problem.path for problem in error.raised.problems] == [path]
+    assert parse(body).revision == 7
+
+
+# Guards against CONFIG: with a target of 0, or an infinite one in milliseconds, no request was answered.
+@test("times of a route that no request could have are replaced by ones that it can have")
+def _() -> None:
+    def times_ms(timeout_s: float, target_s: float) -> tuple[float, float]:
+        route = Route("r", "/x/", "keyed", timeout_s, target_s)
+        return route.timeout_ms, route.latency_target_ms
+
+    assert times_ms(2.0, 0.5) == (2000.0, 500.0)
+    assert times_ms(2.0, 0.0) == times_ms(2.0, -1.0) == times_ms(2.0, 1e308) == (2000.0, 2000.0)
+    assert times_ms(1e308, 0.0) == times_ms(1e308, 1e308) == (86_400_000.0, 86_400_000.0)
+
+
+# Guards against CONFIG: weights whose sum is infinite left the requests of their route without an answer.
+@test("weights of any size divide the requests")
+def _() -> None:
+    split = [WeightedService("one", 1.5e308), WeightedService("two", 0.5e308), WeightedService("no", 0.0)]
+    rng = random.Random(1)
+    route = Route("r", "/x/", "idempotent", 1.0, traffic_split=split)
+    counts = Counter(choose_service(route, rng) for _ in range(1000))
+    assert 200 < counts["two"] < 300 and counts["one"] + counts["two"] == 1000
--- a/stories/host/test_node_settings.py
+++ b/stories/host/test_node_settings.py
@@ -56,3 +56,38 @@
         "controlplane": {"data-directory"},
     }
     assert {problem.path for problem in caught.raised.problems} == expected_paths[role]
+
+
+# Guards against settings that are read without a check: these ended a process at its start, or at SIGTERM.
+@test("a number outside its range is reported with its place: {line}")
+def _(
+    line: str = each(
+        'bounds = ["grace-s=true"]',
+        'bounds = ["drain-s=-1"]',
+        'bounds = ["retry-slack=nan"]',
+        'bounds = ["retry-window-s=0"]',
+        'bounds = ["idempotency-window-s=inf"]',
+        "heartbeat-s = 0",
+        "[limits]\nfile-descriptors = 0",
+        "[limits]\nbandwidth-mbps = -2.5",
+        "[fault-tolerance]\nzones = -1",
+    ),
+    path: str = each(
+        *["bounds.0"] * 5,
+        "heartbeat-s",
+        "limits.file-descriptors",
+        "limits.bandwidth-mbps",
+        "fault-tolerance.zones",
+    ),
+) -> None:
+    text = FILE.replace('bounds = ["drain-s=2","retry-budget-ratio=0.2"]\n', "")
+    text = f"{text}{line}\n" if line.startswith("[") else f"{line}\n{text}"
+    with raises(SettingsError) as caught:
+        read_node_settings(text.encode(), "boot.toml", "dataplane")
+    assert [problem.path for problem in caught.raised.problems] == [path]
+
+
+@test("bounds that no program uses may have any number or truth value")
+def _() -> None:
+    text = FILE.replace('"drain-s=2"', '"a-flag=true","another=-inf","drain-s=0"')
+    assert read_node_settings(text.encode(), "boot.toml", "dataplane").bound_value("drain-s", 2.0) == 0.0
--- a/stories/mesh/test_keyed_requests.py
+++ b/stories/mesh/test_keyed_requests.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import logging
+from unittest import mock
 
 import structlog
 from ward import each, test
 
+from cometdoor.dataplane.service_client import ServiceClient
+from cometdoor.wire.log_entries import ConfigurationChange
 from simulation.mesh import simulated_mesh
+from standins.mesh import configuration, route
 
 structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
 
@@ -103,3 +107,61 @@
         assert mesh.run(mesh.request(mesh.planes[1], "keyed", "k-late")) == 200
         assert mesh.traffic_log.runs_by_key["k-late"] == 1
         assert not mesh.find_violations(), mesh.find_violations()
+
+
+def routes_with_target(target_s: float) -> list[dict[str, object]]:
+    target: dict[str, object] = {"target-latency-s": target_s}
+    return [route("idempotent", more=target), route("keyed", "keyed", more=target)]
+
+
+# Guards against CONFIG: a target of 0 was acknowledged, and its orders were never answered.
+@test("requests of a route whose target is set to 0 are served, and those after it is set back")
+def _() -> None:
+    with simulated_mesh(seed=21) as mesh:
+        mesh.run(mesh.start_configured(routes=routes_with_target(0.5)))
+        for revision, target_s in ((2, 0.0), (3, 0.5)):
+            assert (
+                mesh.run(mesh.configure(revision, revision - 1, routes=routes_with_target(target_s))) == 200
+            )
+            mesh.wait(2.0)
+            for address in mesh.planes:
+                assert (
+                    mesh.run(mesh.request(address, "keyed", f"k-{revision}-{address}", max_attempts=1)) == 200
+                )
+                assert mesh.run(mesh.request(address, "idempotent", max_attempts=1)) == 200
+        assert mesh.run(mesh.configure(4, 3, routes=routes_with_target(-0.5))) == 400
+        assert not mesh.find_violations(), mesh.find_violations()
+
+
+# Guards against CONFIG on an upgrade: what an earlier version accepted stays in force.
+@test("a configuration with a negative target that is in force already is served")
+def _() -> None:
+    with simulated_mesh(seed=22) as mesh:
+        mesh.run(mesh.start_configured(routes=routes_with_target(0.5)))
+        body = configuration(2, routes_with_target(-0.5))
+        mesh.control_plane(mesh.leader()).replica_server.propose(
+            ConfigurationChange(1, 2, body), lambda result: None
+        )
+        mesh.wait(2.0)
+        for address in mesh.planes:
+            assert mesh.run(mesh.request(address, "keyed", f"k-{address}", max_attempts=1)) == 200
+        assert not mesh.find_violations(), mesh.find_violations()
+
+
+# Guards against a key that is in progress for good, and a leader's connection that closes, after a defect.
+@test(
+    "a keyed request whose execution raises gets 502, its key is not blocked, and the claims of others go on"
+)
+def _() -> None:
+    with simulated_mesh(seed=23) as mesh:
+        mesh.run(mesh.start_configured())
+        assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-before")) == 200
+        outbound = mesh.data_plane(mesh.planes[0]).connections._outbound
+        connections_before = dict(outbound)
+        with mock.patch.object(ServiceClient, "accept", side_effect=RuntimeError("planted")):
+            assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-broken", max_attempts=1)) == 502
+            assert mesh.run(mesh.request(mesh.planes[0], "idempotent", max_attempts=1)) == 500
+        assert connections_before.items() <= outbound.items()
+        for address in mesh.planes[:2]:
+            assert mesh.run(mesh.request(address, "keyed", "k-broken", max_attempts=1)) == 502
+        assert mesh.run(mesh.request(mesh.planes[0], "keyed", "k-other", max_attempts=1)) == 200
