Inbound proxy: a queue left over from a moment without a backend is served

The review read it: a queue that stood when the backend was `down` for under 20 ms was never started again while requests kept coming, since the poll of the queue only rejected and new requests went behind it. Change: the poll starts what may be started. The story fails with the former code: the queued request was not sent after 50 ms.

--- a/cometdoor/dataplane/inbound_proxy.py
+++ b/cometdoor/dataplane/inbound_proxy.py
@@ -294,7 +294,9 @@
     def _poll_queue(self) -> None:
         self._queue_poll = None
         self._reject(self.slots.remove_overdue(now_ms()), "full")
-        if not self._may_start():
+        if self._may_start():
+            self._start_queued()  # left over from a time when the backend was down
+        else:
             self._reject_all("the backend leaves")
         if self._queued_requests:
             self._schedule_queue_poll()
--- a/stories/dataplane/test_slots.py
+++ b/stories/dataplane/test_slots.py
@@ -7,6 +7,9 @@
 
 from cometdoor.dataplane.adaptive_throttling import MIN_ADMITTED_SHARE, AdaptiveThrottle
 from cometdoor.dataplane.slots import ConcurrencySlots, RequestKind, SlotRequest
+from cometdoor.host.exchange.inbound_requests import InboundRequestEvent, InboundRequestState
+from simulation.exchange.inbound_requests import InboundRequestPlayer
+from simulation.exchange.scripted_transports import scripted_loop
 
 
 @test("as many requests are in flight as the backend has slots, and the one due first starts next")
@@ -159,3 +162,17 @@
         if throttle.admit(now):
             throttle.record_acceptance(True, now)
     assert throttle.admitted_share >= 0.9, throttle.admitted_share
+
+
+# Guards against a queue that nobody starts: its backend was down for less time than the queue's poll.
+@test("requests that were queued when the backend was down for a moment are sent once it is ready again")
+def _() -> None:
+    with scripted_loop() as loop:
+        player = InboundRequestPlayer(loop)
+        player.enter_state(InboundRequestState.WAITING)
+        player.inbound_proxy.update_backend(player.backend(state="down"))
+        player.apply_event(InboundRequestEvent.SLOT_FREE)
+        player.inbound_proxy.update_backend(player.backend())
+        assert not player.transports_written()
+        loop.wait(0.05)
+        assert player.transports_written()
