Keys: a released claim stays known, and a record with waiting attempts does not expire

Callers saw 502 for a key whose answer existed: a proxy that was told of the owner asked it after it had released the key to a third proxy, was told "unknown", and took that for the outcome for the window. The same for a key that nobody executed, whose new owner had ended before it claimed it. By reading: a record that expired while attempts waited left them without an answer.

Cause: the owner forgot a key as soon as it released it. Change: it remembers released claims for the window, says so to whoever asks, and claims the key anew, superseding the released claim, for attempts of its own; the log decides between proxies that were told of the release. Records with waiting attempts stay.

Four stories fail with the former code.

--- a/cometdoor/host/exchange/keyed_operations.py
+++ b/cometdoor/host/exchange/keyed_operations.py
@@ -18,6 +18,7 @@
     QUERIED = "running, queried"  # likewise, and another proxy has queried the outcome
     DONE = "done"  # executed, and the response is known
     UNKNOWN = "unknown"  # it may have been executed, and there is no response
+    RELEASED = "released"  # another proxy may claim the key: nothing was executed here
     REMOTE = "remote"  # another proxy owns the claim and was queried; an attempt waits
 
 
@@ -105,19 +106,20 @@
         KeyedOperationEvent.CLAIM_UNKNOWN: KeyedOperationCell(
             KeyedOperationState.CLAIM_UNKNOWN, (KeyedOperationAction.REJECT,)
         ),
+        KeyedOperationEvent.WINDOW_EXPIRED: KeyedOperationCell(KeyedOperationState.CLAIMING),
     },
     KeyedOperationState.CLAIM_UNKNOWN: {
         KeyedOperationEvent.ATTEMPT_ARRIVED: KeyedOperationCell(
             KeyedOperationState.CLAIMING, (KeyedOperationAction.CLAIM,)
         ),
-        KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.NEW, reported="unrun"),
+        KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.RELEASED, reported="unrun"),
     },
     KeyedOperationState.NOT_STARTED: {
         # The claim is renewed first: its window began before this attempt arrived.
         KeyedOperationEvent.ATTEMPT_ARRIVED: KeyedOperationCell(
             KeyedOperationState.CLAIMING, (KeyedOperationAction.CLAIM,)
         ),
-        KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.NEW, reported="unrun"),
+        KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.RELEASED, reported="unrun"),
     },
     KeyedOperationState.RUNNING: {
         KeyedOperationEvent.WAIT_TIMED_OUT: KeyedOperationCell(
@@ -144,7 +146,9 @@
         ),
         # The other proxy may execute it after this reply, so this proxy must not execute it any more.
         KeyedOperationEvent.NOT_EXECUTED: KeyedOperationCell(
-            KeyedOperationState.NEW, (KeyedOperationAction.REJECT, KeyedOperationAction.REJECT), "unrun"
+            KeyedOperationState.RELEASED,
+            (KeyedOperationAction.REJECT, KeyedOperationAction.REJECT),
+            "unrun",
         ),
         KeyedOperationEvent.FAILED: KeyedOperationCell(
             KeyedOperationState.UNKNOWN,
@@ -165,6 +169,12 @@
         ),
         KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.UNKNOWN, reported="unknown"),
     },
+    KeyedOperationState.RELEASED: {
+        KeyedOperationEvent.ATTEMPT_ARRIVED: KeyedOperationCell(
+            KeyedOperationState.CLAIMING, (KeyedOperationAction.CLAIM,)
+        ),
+        KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.RELEASED, reported="unrun"),
+    },
     KeyedOperationState.REMOTE: {
         KeyedOperationEvent.WAIT_TIMED_OUT: KeyedOperationCell(
             KeyedOperationState.REMOTE, (KeyedOperationAction.REPORT_IN_PROGRESS,)
@@ -185,6 +195,7 @@
             KeyedOperationState.NEW, (KeyedOperationAction.UNKNOWN,)
         ),
         KeyedOperationEvent.QUERIED: KeyedOperationCell(KeyedOperationState.REMOTE, reported="running"),
+        KeyedOperationEvent.WINDOW_EXPIRED: KeyedOperationCell(KeyedOperationState.REMOTE),
     },
 }
 KEYED_OPERATION: Mapping[tuple[KeyedOperationState, KeyedOperationEvent], KeyedOperationCell] = {
--- a/cometdoor/keys/operation_stages.py
+++ b/cometdoor/keys/operation_stages.py
@@ -20,6 +20,9 @@
     DONE = "done"
     UNKNOWN = "unknown"  # the request may have been executed, and there is no response
     REMOTE = "remote"  # another proxy owns the key and was queried for the outcome
+    # Another proxy was notified that nothing was executed, and may claim the key. Nothing is executed here
+    # under the released claim any more.
+    RELEASED = "released"
     FORGOTTEN = "forgotten"  # the record is removed; the next attempt claims the key again
 
 
@@ -49,10 +52,11 @@
     (_Stage.CLAIMING, _Event.CLAIM_LOST): _Stage.REMOTE,
     (_Stage.CLAIMING, _Event.CLAIM_NOT_ORDERED): _Stage.CLAIM_UNKNOWN,
     (_Stage.CLAIM_UNKNOWN, _Event.ATTEMPT): _Stage.CLAIMING,  # with a claim that supersedes itself
-    (_Stage.CLAIM_UNKNOWN, _Event.RELEASED): _Stage.FORGOTTEN,
+    (_Stage.CLAIM_UNKNOWN, _Event.RELEASED): _Stage.RELEASED,
     (_Stage.NOT_STARTED, _Event.ATTEMPT): _Stage.CLAIMING,  # with a claim that supersedes itself
     (_Stage.NOT_STARTED, _Event.EXECUTION_STARTED): _Stage.RUNNING,
-    (_Stage.NOT_STARTED, _Event.RELEASED): _Stage.FORGOTTEN,
+    (_Stage.NOT_STARTED, _Event.RELEASED): _Stage.RELEASED,
+    (_Stage.RELEASED, _Event.ATTEMPT): _Stage.CLAIMING,  # with a claim that supersedes the released one
     (_Stage.RUNNING, _Event.EXECUTED): _Stage.DONE,
     (_Stage.RUNNING, _Event.NOT_EXECUTED): _Stage.NOT_STARTED,
     (_Stage.RUNNING, _Event.EXECUTION_FAILED): _Stage.UNKNOWN,
@@ -70,5 +74,6 @@
     OperationStage.NOT_STARTED: "unrun",
     OperationStage.DONE: "done",
     OperationStage.UNKNOWN: "unknown",
+    OperationStage.RELEASED: "unrun",
 }
 """State in the `OperationReply` to another proxy, by stage; in other stages the reply is delayed."""
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -57,6 +57,9 @@
     response: ForwardResponse | None = None
     waiting: list[WaitingAttempt[WaiterT]] = field(default_factory=list)  # by time of arrival
     executing_waiter: WaiterT | None = None  # attempt whose request is being executed
+    released_claim_ids: set[str] = field(
+        default_factory=set
+    )  # claims under which nothing is executed any more
     # Callbacks that send the outcome to other proxies which have queried it.
     outcome_listeners: list[Callable[[OperationReply], None]] = field(default_factory=list)
 
@@ -123,6 +126,9 @@
             case OperationStage.NOT_STARTED | OperationStage.CLAIM_UNKNOWN:
                 operation.waiting.append(WaitingAttempt(waiter, now))
                 return self._renew_claim(operation, now)
+            case OperationStage.RELEASED:
+                operation.waiting.append(WaitingAttempt(waiter, now))
+                return self._supersede_released_claim(operation, now)
             case _:
                 operation.waiting.append(WaitingAttempt(waiter, now))
                 return []
@@ -168,6 +174,12 @@
         self._advance(operation, OperationEvent.ATTEMPT)
         return self._submit_claim(operation, operation.claim_id, now)
 
+    def _supersede_released_claim(self, operation: Operation[WaiterT], now: float) -> list[Action[WaiterT]]:
+        """Claim the key anew; another proxy may have done so since this one released it."""
+        self._advance(operation, OperationEvent.ATTEMPT)
+        released_claim_id, operation.claim_id = operation.claim_id, self._new_claim_id()
+        return self._submit_claim(operation, released_claim_id, now)
+
     def _execute_next(self, operation: Operation[WaiterT], now: float) -> list[Action[WaiterT]]:
         """Execute the first waiting attempt, or renew the claim if it is older than that attempt."""
         if operation.waiting[0].arrived_at > operation.claimed_at:
@@ -289,6 +301,9 @@
     def on_outcome_query(self, key: str, claim_id: str, respond: Callable[[OperationReply], None]) -> None:
         """Report the outcome of a local claim to another proxy, now or once it is known."""
         operation = self._operations.get(key)
+        if operation is not None and claim_id in operation.released_claim_ids:
+            respond(OperationReply(REPORTED_OUTCOMES[OperationStage.RELEASED]))
+            return
         if operation is None or operation.claim_id != claim_id:
             respond(OperationReply("unknown"))
             return
@@ -305,18 +320,19 @@
         if not outcome_listeners:
             return
         reply = OperationReply(REPORTED_OUTCOMES[operation.stage], operation.response)
-        # The other proxy may claim a released key now, so the next attempt here must claim it again.
-        self._advance(operation, OperationEvent.RELEASED)
+        # Another proxy may claim a released key now, so the next attempt here must claim it anew.
+        if self._advance(operation, OperationEvent.RELEASED):
+            operation.released_claim_ids.add(operation.claim_id)
         for respond in outcome_listeners:
             respond(reply)
 
     def expire(self, now: float) -> None:
-        """Remove operations whose claim is older than the window, except those that are being executed."""
+        """Remove operations whose claim is older than the window, except those with open attempts."""
         for key in list(self._operations):
             operation = self._operations[key]
             if operation.claimed_at + self._window_s > now:
                 break
-            if operation.stage is not OperationStage.RUNNING:
+            if operation.stage is not OperationStage.RUNNING and not operation.waiting:
                 del self._operations[key]
 
 
--- a/simulation/exchange/keyed_operations.py
+++ b/simulation/exchange/keyed_operations.py
@@ -44,6 +44,7 @@
     OperationStage.RUNNING: KeyedOperationState.RUNNING,
     OperationStage.DONE: KeyedOperationState.DONE,
     OperationStage.UNKNOWN: KeyedOperationState.UNKNOWN,
+    OperationStage.RELEASED: KeyedOperationState.RELEASED,
     OperationStage.REMOTE: KeyedOperationState.REMOTE,
 }
 
@@ -71,7 +72,7 @@
         match state:
             case KeyedOperationState.CLAIM_UNKNOWN:
                 operations.on_claimed(KEY, "", "", now)
-            case KeyedOperationState.NOT_STARTED:
+            case KeyedOperationState.NOT_STARTED | KeyedOperationState.RELEASED:
                 operations.abandon(KEY, "t1")
                 operations.on_claimed(KEY, "here", self.local_claim(), now)
             case (
@@ -88,6 +89,8 @@
         match state:
             case KeyedOperationState.QUERIED:
                 operations.on_outcome_query(KEY, self.local_claim(), self.outcome_replies.append)
+            case KeyedOperationState.RELEASED:
+                operations.on_outcome_query(KEY, self.local_claim(), lambda reply: None)
             case KeyedOperationState.DONE:
                 operations.on_response(KEY, FIRST_RESPONSE)
             case KeyedOperationState.UNKNOWN:
--- a/stories/keys/test_operations.py
+++ b/stories/keys/test_operations.py
@@ -279,3 +279,49 @@
         seed, 30.0, window_s=6.0, late_repeat_s=16.0, execution_ends=OVERLOADED_EXECUTION_ENDS
     )
     assert counts.executions > counts.keys / 2
+
+
+# --- released claims, and attempts that nobody ends ---
+
+
+# Guards against 502 for a key that was executed: the former owner had forgotten that it released the key.
+@test("a proxy that was sent to a former owner gets the response from the proxy that has the key now")
+def _() -> None:
+    fleet = Fleet("a", "b", "c")
+    reject_by_backend(fleet)
+    (claim,) = fleet.proxies["c"].on_attempt("k", "at c", fleet.now)
+    assert isinstance(claim, SubmitClaim)
+    # The claim of c names a as the owner; before c asks it, a releases the key to b, which executes it.
+    owner = fleet.state.apply(Claim("k", claim.claim_id, "c"))
+    queries = fleet.proxies["c"].on_claimed("k", owner.owner, owner.claim, fleet.now)
+    fleet.on_attempt("b", "at b")
+    fleet.on_response("b")
+    fleet.carry_out("c", queries)
+    assert fleet.outcomes["at c"] == fleet.outcomes["at b"] == "answer done"
+
+
+# Guards against 502 for a key that nobody executes: the proxy to which it was released ended.
+@test("a key whose new owner ended before claiming it is executed by the one that released it, or another")
+def _(proxy: str = each("a", "c")) -> None:
+    fleet = Fleet("a", "b", "c")
+    reject_by_backend(fleet)
+    fleet.executions.clear()
+    fleet.proxies["a"].on_outcome_query("k", "a.1", lambda reply: None)  # the reply reached nobody
+    fleet.on_attempt(proxy, "later")
+    fleet.on_response(proxy)
+    assert fleet.executions == [(proxy, "later")] and fleet.outcomes["later"] == "answer done"
+
+
+# Guards against attempts that are never answered: their record expired while they waited.
+@test("an operation with a waiting attempt does not expire")
+def _() -> None:
+    operations = KeyedOperations[str]("a", 60.0)
+    operations.on_attempt("k", "first", 0.0)
+    operations.on_claimed("k", "b", "b.1", 0.0)
+    operations.on_attempt("k", "second", 64.0)
+    operations.expire(66.0)
+    response = OperationReply("done", RESPONSE)
+    assert operations.on_owner_reply("k", "b.1", response, 66.5) == [
+        Respond("first", RESPONSE),
+        Respond("second", RESPONSE),
+    ]
