Timers of clients' connections and of health probes go on after a failed call

The timer that applies clients' time-outs and accepts again after a lack of descriptors was still set anew only after its work, and a health probe that failed to start was the last one.

--- a/cometdoor/dataplane/backend_health.py
+++ b/cometdoor/dataplane/backend_health.py
@@ -92,6 +92,6 @@
         self._last_exchange = BackendExchange(
             lambda: payload, on_response, correlate=correlate_probe_response
         )
-        self._pool.send(backend.instance, self._address, self._last_exchange)
         self._interval_s = min(2 * self._interval_s, PROBE_INTERVAL_MAX_S)
-        self._schedule()
+        self._schedule()  # before the probe, so that one that fails is not the last
+        self._pool.send(backend.instance, self._address, self._last_exchange)
--- a/cometdoor/host/repeating_timer.py
+++ b/cometdoor/host/repeating_timer.py
@@ -29,23 +29,32 @@
         self._interval_s = interval_s
         self._callback = callback
         self._handle: asyncio.TimerHandle | None = None
-        self._is_stopped = False
+        self._is_running = False
 
     def start(self) -> None:
-        """Call the function now, and then at the interval."""
-        try:
-            self._callback()
-        except Exception:
-            log.exception("periodic work failed, and is repeated: %s", self._callback.__qualname__)
-        self.start_after_interval()
+        """Call the function now, and then at the interval; no effect while the timer runs."""
+        if not self._is_running:
+            self._is_running = True
+            self._run()
 
     def start_after_interval(self) -> None:
         """Call the function after the interval, and then at the interval."""
-        if not self._is_stopped:
-            self._handle = self._loop.call_later(self._interval_s, self.start)
+        self._is_running = True
+        self._schedule()
 
     def stop(self) -> None:
-        """Make no further calls."""
-        self._is_stopped = True
+        """Make no further calls until the next start; may be called by the function."""
+        self._is_running = False
         if self._handle is not None:
             self._handle.cancel()
+
+    def _run(self) -> None:
+        try:
+            self._callback()
+        except Exception:
+            log.exception("periodic work failed, and is repeated: %s", self._callback.__qualname__)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._is_running:
+            self._handle = self._loop.call_later(self._interval_s, self._run)
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -11,6 +11,7 @@
 from cometdoor.host.address import Address
 from cometdoor.host.fair_share import DescriptorQuota, client_connection_limit
 from cometdoor.host.link_scheduler import LinkScheduler
+from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.client_limits import ClientLimits
 from cometdoor.http.connection_owner import RequestHandler
@@ -66,9 +67,11 @@
     _listeners: list[socket.socket] = field(default_factory=list)
     _is_accepting: bool = False
     _last_sweep_at: float = 0.0
+    _sweep_timer: RepeatingTimer = field(init=False)
 
     def __post_init__(self) -> None:
         self.timeouts = ConnectionTimeouts(self.loop)
+        self._sweep_timer = RepeatingTimer(self.loop, SWEEP_INTERVAL_S, self._sweep)
 
     async def listen(self, host: str, port: int) -> None:
         """Listen on one more address; connections are accepted from the next sweep on."""
@@ -79,7 +82,7 @@
         self._listeners.append(listener)
         if len(self._listeners) == 1:
             self._last_sweep_at = self.loop.time()
-            self._sweep()
+            self._sweep_timer.start()
 
     def address(self, index: int = 0) -> Address:
         """Return the address of a listener; `index` counts them in the order of opening."""
@@ -239,5 +242,5 @@
             self._is_accepting = True
             for listener in self._listeners:
                 self.loop.add_reader(listener, self._accept, listener)
-        if self._listeners or self.connections:
-            self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        if not self._listeners and not self.connections:
+            self._sweep_timer.stop()
--- a/simulation/mesh.py
+++ b/simulation/mesh.py
@@ -19,7 +19,7 @@
 import socket
 import tempfile
 import time
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, TypeVar
@@ -129,6 +129,14 @@
         assert isinstance(program, ControlPlane)
         return program
 
+    def run_as(self, address: str, call: Callable[[], object]) -> None:
+        """Run `call` as the program at an address."""
+
+        def run() -> None:
+            call()
+
+        self.loop.run_as(self._processes[address], run)
+
     def restart(self, address: str) -> None:
         self.run(self.launch(address))
 
