Configuration: a proposal without one of its parts is rejected

PROTOCOL names the parts of a whole configuration: revision, route rules (under hosts), services and limits. Change: a proposal without one of them gets 400 with the missing keys; empty ones are fine, and one that is in force already stays so. The story of invalid calls has limits in its valid document now, which it needs to stay valid. The new stories fail with the former code, which has no such check (the mesh's call got 200).

--- a/cometdoor/configuration/document.py
+++ b/cometdoor/configuration/document.py
@@ -8,7 +8,7 @@
 import dataclasses
 import json
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +18,8 @@
 DOCUMENT_NAME = "configuration"  # reported in place of a file name
 ROUTE_TYPES = ("idempotent", "non_idempotent", "keyed", "download")
 MAX_TIMEOUT_S = 86_400.0  # no request is held for longer, whatever its route's timeout is
+# A configuration replaces the one before as a whole: without a part, it would drop all routes or limits.
+PARTS = ("revision", "services", "limits", "hosts")
 PATH_PATTERN = re.compile(r"/[!-~]*")
 
 
@@ -128,23 +130,36 @@
 
 
 def parse_proposed(body: bytes) -> Document:
-    """Decode and check a document that an operator proposes.
+    """Decode and check a document that an operator proposes; it has all `PARTS`.
 
     Raises
     ------
     SettingsError
         With all problems of the document, each with its path.
     """
-    return _convert(body, _check_proposed)
+    return _convert(body, _check_proposed, PARTS)
 
 
-def _convert(body: bytes, find_problems: Callable[[Document], Iterator[tuple[str, str]]]) -> Document:
+def _convert(
+    body: bytes,
+    find_problems: Callable[[Document], Iterator[tuple[str, str]]],
+    required_keys: Collection[str] = (),
+) -> Document:
     try:
         content = json.loads(body.decode(), object_pairs_hook=_reject_duplicates)
     except (ValueError, RecursionError) as error:
         raise SettingsError(
             [SettingsProblem(DOCUMENT_NAME, "", f"it can't be read whole: {error}")]
         ) from error
+    if isinstance(content, dict):
+        missing_keys = [key for key in required_keys if key not in content]
+        if missing_keys:
+            raise SettingsError(
+                [
+                    SettingsProblem(DOCUMENT_NAME, key, "missing; a configuration is whole")
+                    for key in missing_keys
+                ]
+            )
     return convert(content, Document, DOCUMENT_NAME, find_problems)
 
 
--- a/stories/configuration/test_document.py
+++ b/stories/configuration/test_document.py
@@ -153,3 +153,14 @@
     route = Route("r", "/x/", "idempotent", 1.0, traffic_split=split)
     counts = Counter(choose_service(route, rng) for _ in range(1000))
     assert 200 < counts["two"] < 300 and counts["one"] + counts["two"] == 1000
+
+
+# Guards against routes that are dropped by a proposal which does not mention them.
+@test("a proposal without one of its parts is rejected, with each part that is missing")
+def _(part: str = each("revision", "services", "limits", "hosts")) -> None:
+    broken = make_content()
+    del broken[part]
+    with raises(SettingsError) as error:
+        parse_proposed(json.dumps(broken).encode())
+    assert [problem.path for problem in error.raised.problems] == [part]
+    assert parse_proposed(json.dumps({"revision": 8, "services": [], "limits": {}, "hosts": []}).encode())
--- a/stories/mesh/test_core.py
+++ b/stories/mesh/test_core.py
@@ -64,7 +64,7 @@
             )
             return status, text.decode()
 
-        valid = {"revision": 9, "services": [], "hosts": []}
+        valid = {"revision": 9, "services": [], "limits": {}, "hosts": []}
         unnamed = {"hosts": [{"hostname": "", "host-routes": []}]}
         for body, base, status, expected_text in [
             (b"{", "1", 400, "can't be read whole"),
@@ -72,6 +72,7 @@
             (json.dumps(valid | {"revision": 1}).encode(), "1", 400, "revision"),
             (json.dumps(valid).encode(), "7", 412, "version 1"),
             (json.dumps(valid | unnamed).encode(), "1", 400, "hosts.0.hostname"),
+            (b'{"revision": 9}', "1", 400, "configuration: hosts: missing"),
         ]:
             actual_status, text = mesh.run(replace(body, base))
             assert actual_status == status and expected_text in text, (body, actual_status, text)
