Keys: the record of an operation has a module of its own; ControlPlane's constructor is split

No change of behaviour: Operation and WaitingAttempt move to keys/operation.py, the reading of an owner's reply stands beside the events that it yields, and the replica server is built by a method of its own.

--- a/cometdoor/control/process.py
+++ b/cometdoor/control/process.py
@@ -43,12 +43,36 @@
         self.on_failed: Callable[[], None] = lambda: None  # called when the process must be restarted
         self._loop = loop
         control = node_settings.listen_addresses.control_plane
-        assert control is not None and node_settings.data_directory is not None
+        assert control is not None
         self.connections = PeerConnections(loop, self._receive)
         own_address = node_settings.internal_address(ROLE)
         seeds = node_settings.seed_internal_addresses()
-        self.replica_server = ReplicaServer(
+        self.replica_server = self._new_replica_server(control, own_address, seeds)
+        record = NodeRecord(
+            node_settings.node_name,
+            own_address,
+            ROLE,
+            node_settings.zone,
+            secrets.token_hex(4),
+            1,
+            control_address=control,
+        )
+        self.directory = Directory(record, seeds, random.Random(secrets.randbits(64)), loop.time())
+        self.directory.on_record_changed = self._on_node_record
+        self.gossip_server = GossipServer(loop, self.connections, self.directory, lambda revision, body: None)
+        self.frontend = Frontend(
             loop,
+            JsonApiReader(CONFIGURATION_MAX_BYTES),
+            DescriptorQuota(node_settings.limits.file_descriptors),
+            AdminApi(loop, self.replica_server),
+            ClientLimits(max_body_bytes=CONFIGURATION_MAX_BYTES),
+        )
+
+    def _new_replica_server(self, control: str, own_address: str, seeds: list[str]) -> ReplicaServer:
+        node_settings = self.node_settings
+        assert node_settings.data_directory is not None
+        return ReplicaServer(
+            self._loop,
             self.connections,
             Path(node_settings.data_directory),
             Member("", own_address, control, node_settings.node_name, node_settings.zone),
@@ -70,25 +94,6 @@
                 known_machines=max(len(node_settings.seed_nodes), 1),
             ),
         )
-        record = NodeRecord(
-            node_settings.node_name,
-            own_address,
-            ROLE,
-            node_settings.zone,
-            secrets.token_hex(4),
-            1,
-            control_address=control,
-        )
-        self.directory = Directory(record, seeds, random.Random(secrets.randbits(64)), loop.time())
-        self.directory.on_record_changed = self._on_node_record
-        self.gossip_server = GossipServer(loop, self.connections, self.directory, lambda revision, body: None)
-        self.frontend = Frontend(
-            loop,
-            JsonApiReader(CONFIGURATION_MAX_BYTES),
-            DescriptorQuota(node_settings.limits.file_descriptors),
-            AdminApi(loop, self.replica_server),
-            ClientLimits(max_body_bytes=CONFIGURATION_MAX_BYTES),
-        )
 
     async def start(self) -> None:
         """Listen on all addresses, then start the replica and gossip.
--- a/cometdoor/keys/operation_stages.py
+++ b/cometdoor/keys/operation_stages.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 from enum import Enum
 
+from cometdoor.wire.keys import OperationReply
+
 
 class OperationStage(Enum):
     """State of a key's operation, as far as this proxy knows."""
@@ -77,3 +79,20 @@
     OperationStage.RELEASED: "unrun",
 }
 """State in the `OperationReply` to another proxy, by stage; in other stages the reply is delayed."""
+
+
+def owner_reply_event(reply: OperationReply | None) -> OperationEvent:
+    """Return the event that a reply of the key's owner is; None: there was no reply."""
+    if reply is None:
+        return OperationEvent.OWNER_UNREACHABLE
+    match reply.state:
+        case "done" if reply.response is not None:
+            return OperationEvent.OWNER_DONE
+        case "unrun":
+            return OperationEvent.OWNER_RELEASED
+        case "unknown":
+            return OperationEvent.OWNER_UNKNOWN
+        case "running":
+            return OperationEvent.OWNER_RUNNING
+        case _:
+            return OperationEvent.OWNER_REPLY_UNRECOGNIZED
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -17,7 +17,6 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Generic
 
 from cometdoor.keys.actions import (
@@ -31,39 +30,20 @@
     SubmitClaim,
     WaiterT,
 )
-from cometdoor.keys.operation_stages import REPORTED_OUTCOMES, TRANSITIONS, OperationEvent, OperationStage
+from cometdoor.keys.operation import Operation, WaitingAttempt
+from cometdoor.keys.operation_stages import (
+    REPORTED_OUTCOMES,
+    TRANSITIONS,
+    OperationEvent,
+    OperationStage,
+    owner_reply_event,
+)
 from cometdoor.wire.forwarding import ForwardResponse
 from cometdoor.wire.keys import OperationReply
 
 WINDOW_SLACK_S = 5.0  # records outlive the window by this: clocks differ, and claims take some time
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingAttempt(Generic[WaiterT]):
-    """An attempt that waits for the outcome of an operation."""
-
-    waiter: WaiterT
-    arrived_at: float  # seconds
-
-
-@dataclass
-class Operation(Generic[WaiterT]):
-    """Record of one key's operation."""
-
-    key: str
-    claim_id: str  # id of this proxy's latest claim on the key
-    claimed_at: float  # when the claim was submitted or renewed last, seconds
-    stage: OperationStage = OperationStage.CLAIMING
-    response: ForwardResponse | None = None
-    waiting: list[WaitingAttempt[WaiterT]] = field(default_factory=list)  # by time of arrival
-    executing_waiter: WaiterT | None = None  # attempt whose request is being executed
-    released_claim_ids: set[str] = field(
-        default_factory=set
-    )  # claims under which nothing is executed any more
-    # Callbacks that send the outcome to other proxies which have queried it.
-    outcome_listeners: list[Callable[[OperationReply], None]] = field(default_factory=list)
-
-
 class KeyedOperations(Generic[WaiterT]):
     """Decides for each attempt with a key whether it is executed, waits, or gets an earlier outcome."""
 
@@ -188,13 +168,8 @@
         operation.executing_waiter = operation.waiting.pop(0).waiter
         return [Execute(operation.key, operation.executing_waiter)]
 
-    def _pop_waiters(self, operation: Operation[WaiterT]) -> list[WaiterT]:
-        waiters = [attempt.waiter for attempt in operation.waiting]
-        operation.waiting = []
-        return waiters
-
     def _reject_all(self, operation: Operation[WaiterT]) -> list[Action[WaiterT]]:
-        return [Reject(waiter) for waiter in self._pop_waiters(operation)]
+        return [Reject(waiter) for waiter in operation.pop_waiters()]
 
     # --- claims ---
 
@@ -236,7 +211,7 @@
     ) -> list[Action[WaiterT]]:
         """Process the reply of the proxy that owns the key, which is None if it did not reply."""
         operation = self._operations.get(key)
-        event = _owner_reply_event(reply)
+        event = owner_reply_event(reply)
         if operation is None or not self._advance(operation, event):
             return []
         if event is OperationEvent.OWNER_DONE and reply is not None and reply.response is not None:
@@ -244,7 +219,7 @@
         if event is OperationEvent.OWNER_RELEASED:
             operation.claim_id = self._new_claim_id()
             return self._submit_claim(operation, claim_id, now)
-        waiters = self._pop_waiters(operation)
+        waiters = operation.pop_waiters()
         if event is OperationEvent.OWNER_RUNNING:
             self._counts["at_work"] += len(waiters)
             return [ReportInProgress(waiter) for waiter in waiters]
@@ -266,7 +241,7 @@
 
     def _complete(self, operation: Operation[WaiterT], response: ForwardResponse) -> list[Action[WaiterT]]:
         operation.response = response
-        waiters = self._pop_waiters(operation)
+        waiters = operation.pop_waiters()
         self._notify_listeners(operation)
         return [Respond(waiter, response) for waiter in waiters]
 
@@ -291,7 +266,7 @@
             return []
         waiter, operation.executing_waiter = operation.executing_waiter, None
         waiters = [waiter] if waiter is not None else []
-        waiters += self._pop_waiters(operation)
+        waiters += operation.pop_waiters()
         self._counts["run_failed"] += len(waiters)
         self._notify_listeners(operation)
         return [ReportUnknown(waiter) for waiter in waiters]
@@ -334,19 +309,3 @@
                 break
             if operation.stage is not OperationStage.RUNNING and not operation.waiting:
                 del self._operations[key]
-
-
-def _owner_reply_event(reply: OperationReply | None) -> OperationEvent:
-    if reply is None:
-        return OperationEvent.OWNER_UNREACHABLE
-    match reply.state:
-        case "done" if reply.response is not None:
-            return OperationEvent.OWNER_DONE
-        case "unrun":
-            return OperationEvent.OWNER_RELEASED
-        case "unknown":
-            return OperationEvent.OWNER_UNKNOWN
-        case "running":
-            return OperationEvent.OWNER_RUNNING
-        case _:
-            return OperationEvent.OWNER_REPLY_UNRECOGNIZED
