Keys: a rejected key that comes again after its window is executed

A key whose attempts were rejected got 502 for another window when it came again after 65 s while its claim still stood: the proxy had forgotten the record, and took its own claim for one that may have been executed. The claim stands for 2 s more in the ordinary case, since the clock of the state machine advances every 2 s, and for as long as there was no leader. Change: records of what was not executed are kept for two windows. The story fails with the former code (502).

--- a/cometdoor/keys/operation_stages.py
+++ b/cometdoor/keys/operation_stages.py
@@ -81,6 +81,10 @@
 """State in the `OperationReply` to another proxy, by stage; in other stages the reply is delayed."""
 
 
+UNEXECUTED_STAGES = frozenset({_Stage.CLAIM_UNKNOWN, _Stage.NOT_STARTED, _Stage.RELEASED})
+"""Stages of a claimed key in which nothing was executed and no attempt is open."""
+
+
 def owner_reply_event(reply: OperationReply | None) -> OperationEvent:
     """Return the event that a reply of the key's owner is; None: there was no reply."""
     if reply is None:
--- a/cometdoor/keys/operations.py
+++ b/cometdoor/keys/operations.py
@@ -34,6 +34,7 @@
 from cometdoor.keys.operation_stages import (
     REPORTED_OUTCOMES,
     TRANSITIONS,
+    UNEXECUTED_STAGES,
     OperationEvent,
     OperationStage,
     owner_reply_event,
@@ -302,10 +303,17 @@
             respond(reply)
 
     def expire(self, now: float) -> None:
-        """Remove operations whose claim is older than the window, except those with open attempts."""
+        """Remove operations whose claim is older than the window, except those with open attempts.
+
+        Unexecuted ones are kept longer: the control plane's clock stops without a leader, and a claim that
+        outlived its record would be taken for one that may have been executed.
+        """
         for key in list(self._operations):
             operation = self._operations[key]
-            if operation.claimed_at + self._window_s > now:
+            age_s = now - operation.claimed_at
+            if age_s < self._window_s:
                 break
-            if operation.stage is not OperationStage.RUNNING and not operation.waiting:
+            is_open = operation.stage is OperationStage.RUNNING or operation.waiting
+            is_kept = operation.stage in UNEXECUTED_STAGES and age_s < 2.0 * self._window_s
+            if not is_open and not is_kept:
                 del self._operations[key]
--- a/stories/keys/test_operations.py
+++ b/stories/keys/test_operations.py
@@ -325,3 +325,18 @@
         Respond("first", RESPONSE),
         Respond("second", RESPONSE),
     ]
+
+
+# Guards against 502 for an order that nobody executed: its record had expired, and its claim had not.
+@test("a rejected key that comes again after its window is executed, though its claim still stands")
+def _() -> None:
+    fleet = Fleet("a")
+    reject_by_backend(fleet)
+    fleet.executions.clear()
+    fleet.now += 70.0  # without a leader, so that the clock of the state machine stands
+    fleet.proxies["a"].expire(fleet.now)
+    fleet.on_attempt("a", "later")
+    fleet.on_response("a")
+    assert fleet.executions == [("a", "later")] and fleet.outcomes["later"] == "answer done"
+    fleet.proxies["a"].expire(fleet.now + 131.0)
+    assert len(fleet.proxies["a"]) == 0
