Peer connections: a message whose handling raises is rejected alone

The handling of another member's message that raised ended the connection, with all other calls on it (the same cause as in docs/incidents/target-of-zero.md, for calls in place of replies). Change: the caller is told that its call was rejected, for a forwarded request that it may have been executed, and the connection goes on. The story fails with the code before.

--- a/cometdoor/wire/call_control.py
+++ b/cometdoor/wire/call_control.py
@@ -14,7 +14,7 @@
 
 
 class CallRejected(msgspec.Struct, tag="no", array_like=True):
-    """Reply to a call that this process can't accept; the call had no effect."""
+    """Reply to a call that this process can't accept, which had no effect then, or failed to handle."""
 
     reason: str
     leader: str = ""  # internal address of the leader; empty if unknown
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -198,7 +198,21 @@
             else:
                 self.discard_queued(message.call_id)  # its reply
         else:
-            self._connections.handler(message, self, frame.call_id)
+            self._handle(message, frame.call_id)
+
+    def _handle(self, message: Message, call_id: int) -> None:
+        """Pass a message to this process; if that fails, its caller is told, and the connection goes on."""
+        try:
+            self._connections.handler(message, self, call_id)
+        except Exception as error:
+            log.error(
+                "message handler failed",
+                step="handle",
+                peer=self.peer or self.machine,
+                message=type(message).__name__,
+                error=repr(error),
+            )
+            self.respond(call_id, CallRejected("its handler failed"))
 
     def _pass_reply(self, call: PendingCall, reply: Message | PeerError) -> None:
         """Pass a reply to its caller; a failure there concerns neither the connection nor its other calls."""
--- a/stories/wire/test_connections.py
+++ b/stories/wire/test_connections.py
@@ -1,6 +1,7 @@
 """Peer connections between two processes in memory."""
 
 import asyncio
+from unittest import mock
 
 from ward import test
 
@@ -177,3 +178,20 @@
     pair.call(LeaveRequest("m2"))
     pair.wait(0.1)
     assert pair.replies[1:] == [Pong()] and pair.received == [LeaveRequest("m1"), LeaveRequest("m2")]
+
+
+# Guards against a defect in the handling of one message that ends all calls of its connection.
+@test("a message whose handling raises is rejected alone, and so is a reply; the connection goes on")
+def _() -> None:
+    pair = Pair()
+    other = pair.call(LeaveRequest("m1"))
+    pair.wait(0.1)
+    with mock.patch.object(pair.called, "handler", side_effect=RuntimeError("planted")):
+        pair.call(LeaveRequest("m2"))
+        pair.wait(0.1)
+    failing_call = pair.call(LeaveRequest("m3"))
+    failing_call.on_reply = mock.Mock(side_effect=RuntimeError("planted"))
+    last = pair.call(LeaveRequest("m4"))
+    pair.wait(0.1)
+    assert pair.replies == [Pong(), CallRejected("its handler failed"), Pong()]
+    assert last.connection is other.connection and not last.connection.is_closed
