Review: the stand-in backends end quietly with their case

Cause: connections that are still open at the end of a case were cancelled with a traceback on stderr.

Change: the cancellation is caught like the end of a connection; results are as before.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -219,8 +219,8 @@
                     continue
                 async with self._slots:
                     await self._run(writer, request, attempt, path)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the connection has ended, or the case
         finally:
             writer.close()
 
