Backend responses: only the deadline ends one at work, whatever its form

Cause: the reader of responses is shared with the older proxy and had its timer (1 s from the first byte to the last), its size limit and its forms. Beside it, a draining proxy and the timeouts of clients' connections closed connections whose clients were still reading their response.

Change: each pool is given which responses it accepts. The mesh's has no timer; the deadline and the route's timeout end the attempt. A response without a length is complete when its connection ends without a reset; framing of small chunks is not head; 64 MiB at most, whole. A connection whose client reads is closed after the request's deadline at the earliest. The older proxy is as before.

--- a/cometdoor/dataplane/inbound_proxy.py
+++ b/cometdoor/dataplane/inbound_proxy.py
@@ -21,6 +21,7 @@
 from cometdoor.http.backend_exchange import BackendExchange
 from cometdoor.http.backend_pool import BackendConnectionPool
 from cometdoor.http.messages import Response, end_to_end_headers
+from cometdoor.http.response_limits import ResponseLimits
 from cometdoor.wire.forwarding import AttemptFailed, ForwardRequest, ForwardResponse, NotExecuted
 from cometdoor.wire.frames import Message
 from cometdoor.wire.gossip import Backend
@@ -37,6 +38,13 @@
 # the same connection.
 STALLED_AFTER_DEADLINE_MS = 2_000.0
 STALL_CHECK_INTERVAL_S = 1.0  # interval of checks for stalled requests while any is in flight
+MAX_RESPONSE_BYTES = 64 << 20  # of a body that is forwarded whole
+BACKEND_RESPONSE_LIMITS = ResponseLimits(
+    has_read_timeout=False,
+    max_body_bytes=MAX_RESPONSE_BYTES,
+    max_body_bytes_if_full=MAX_RESPONSE_BYTES,
+    may_end_with_connection=True,
+)
 log = structlog.get_logger()
 
 
@@ -74,6 +82,7 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             classify_response=classify_response,
             partial_request_may_run=True,
+            response_limits=BACKEND_RESPONSE_LIMITS,
         )
         self._address: Address = ("", 0)
         self._queued_requests: dict[int, InboundRequest] = {}  # by slot request number
--- a/cometdoor/host/exchange/backend_exchanges.py
+++ b/cometdoor/host/exchange/backend_exchanges.py
@@ -38,11 +38,12 @@
     RESET = "reset"  # the connection was reset, or the host is unreachable
     CLOSED = "closed"  # the backend closed the connection without an error
     TIMED_OUT = "timed out"
-    MALFORMED = "malformed"  # not a valid response, or a response without a defined end
+    MALFORMED = "malformed"  # not a valid response
     TOO_LARGE = "too large"
     INTERIM = "interim"  # 1xx
     RESPONSE = "response"  # a complete response with the request's id and any status
     RESPONSE_WITH_CLOSE = "response with close"  # with Connection: close
+    RESPONSE_UNTIL_CLOSE = "response until close"  # without a length, complete when the connection ends
     RESPONSE_WITH_EXTRA_BYTES = "response with extra bytes"  # followed by bytes that don't belong to it
     REJECTED = "rejected"  # a complete response with the request's id: it was not executed
     RESPONSE_TO_ANOTHER = "response to another"  # a complete response with another id
@@ -66,6 +67,7 @@
     BackendExchangeEvent.INTERIM: IN_PROGRESS,
     BackendExchangeEvent.RESPONSE: EXECUTED,
     BackendExchangeEvent.RESPONSE_WITH_CLOSE: EXECUTED_CLOSED,
+    BackendExchangeEvent.RESPONSE_UNTIL_CLOSE: EXECUTED_CLOSED,
     BackendExchangeEvent.RESPONSE_WITH_EXTRA_BYTES: EXECUTED_CLOSED,
     BackendExchangeEvent.REJECTED: NOT_EXECUTED,
     BackendExchangeEvent.RESPONSE_TO_ANOTHER: IN_PROGRESS,
--- a/cometdoor/http/backend_connection.py
+++ b/cometdoor/http/backend_connection.py
@@ -32,10 +32,11 @@
 )
 from cometdoor.http.backend_exchange import BackendExchange
 from cometdoor.http.messages import MAX_HEAD_BYTES, Response
-from cometdoor.http.response_parser import ResponseParser
+from cometdoor.http.response_limits import ResponseLimits
+from cometdoor.http.response_parser import MalformedResponseError, ResponseParser
 from cometdoor.http.sockets import is_readable
 
-# Timeout from a response's first byte to its last. It can be short, since backends write a response at once.
+# Timeout from a response's first byte to its last, where the limits of responses have one.
 RESPONSE_READ_TIMEOUT_S = 1.0
 # Added to the timeout so that bytes in the kernel's buffer are read first if the event loop was blocked.
 RESPONSE_READ_GRACE_S = 0.05
@@ -58,6 +59,7 @@
     partial_request_may_run: bool
     buffered_bytes: int
     classify_response: Callable[[Response], Outcome]
+    response_limits: ResponseLimits
 
     def is_buffer_full(self) -> bool:
         """Return whether large responses are rejected for lack of memory."""
@@ -124,7 +126,7 @@
         self._transport: asyncio.Transport | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._idle_before_s = 0.0  # idle time before this request; 0 on a new connection
-        self._parser = ResponseParser(pool.is_buffer_full)
+        self._parser = ResponseParser(pool.is_buffer_full, pool.response_limits)
         # Whether all bytes were passed to the transport, and whether it has not written some of them yet.
         self._is_sent = self._is_write_paused = False
         self._sent_at = 0.0  # loop time at which the request's first bytes were written
@@ -275,14 +277,17 @@
                 return
             parser.is_reusable = False  # extra bytes followed a valid response
         if parser.response is not None:
-            self._finish(result_of_response(self.pool.classify_response(parser.response)), parser.response)
-        elif self._received_bytes - parser.body_bytes > MAX_HEAD_BYTES:
+            self._finish_with_response(parser.response)
+        elif self._received_bytes - parser.body_bytes - parser.framing_limit() > MAX_HEAD_BYTES:
             self._fail_malformed()  # httptools buffers incomplete values without a limit
         elif not parser.is_in_response:
             self._cancel_timer()
-        elif self.timer is None:
+        elif self.timer is None and self.pool.response_limits.has_read_timeout:
             self.timer = self.pool.loop.call_later(RESPONSE_READ_TIMEOUT_S, self._on_response_timeout)
 
+    def _finish_with_response(self, response: Response) -> None:
+        self._finish(result_of_response(self.pool.classify_response(response)), response)
+
     def _on_response_timeout(self) -> None:
         """Fail an incomplete response, after a grace time for bytes that came while the loop was blocked."""
         self.timer = self.pool.loop.call_later(RESPONSE_READ_GRACE_S, self._fail_malformed)
@@ -292,7 +297,16 @@
         self._fail(FailureKind.MALFORMED)
 
     def eof_received(self) -> None:
-        """Fail the exchange, if there is one: its response is incomplete."""
+        """Complete a response that ends with the connection; otherwise the exchange fails."""
+        if self.exchange is not None and self._parser.needs_end_of_connection:
+            try:
+                self._parser.feed_end_of_connection()
+            except MalformedResponseError:
+                self._fail_malformed()
+                return
+            if self._parser.response is not None:
+                self._finish_with_response(self._parser.response)
+                return
         self._on_disconnected(FailureKind.CLOSED)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/cometdoor/http/backend_pool.py
+++ b/cometdoor/http/backend_pool.py
@@ -13,6 +13,7 @@
 from cometdoor.http.backend_exchange import BackendExchange
 from cometdoor.http.messages import Response
 from cometdoor.http.response_classification import classify_platform_response
+from cometdoor.http.response_limits import PLATFORM_RESPONSE_LIMITS, ResponseLimits
 
 # Limit of response bytes that are being received in a pool or wait for slow clients to read them. Above it,
 # responses larger than 64 KiB fail. While chunks are joined and written, up to three copies exist: 48 of the
@@ -35,6 +36,7 @@
         classify_response: Callable[[Response], Outcome] = classify_platform_response,
         count_unread_bytes: Callable[[], int] = lambda: 0,
         partial_request_may_run: bool = False,
+        response_limits: ResponseLimits = PLATFORM_RESPONSE_LIMITS,
     ) -> None:
         """Create a pool without connections.
 
@@ -54,7 +56,10 @@
             Returns the bytes of responses that clients have not read yet.
         partial_request_may_run
             Whether a partially written request may have been executed.
+        response_limits
+            Which responses are accepted.
         """
+        self.response_limits = response_limits
         self.partial_request_may_run = partial_request_may_run
         self.loop = loop
         self.classify_response = classify_response
--- a/cometdoor/http/client_connection.py
+++ b/cometdoor/http/client_connection.py
@@ -19,6 +19,7 @@
 from cometdoor.http.connection_owner import ClientConnectionOwner
 from cometdoor.http.messages import (
     BODILESS_STATUSES,
+    MAX_FRAMING_PER_BODY_BYTE,
     REASON_PHRASES,
     BadRequestError,
     ClientRequest,
@@ -31,9 +32,6 @@
 READ_CHUNK_BYTES = 8 * 1024  # maximum input parsed at once; `received_bytes` is exact to one chunk
 MAX_PIPELINED_REQUESTS = 4  # requests waiting on one connection; at this number reading from it pauses
 MAX_REQUESTS_PER_READ = 16  # pipelined requests in one read; input with more is rejected
-# Framing of a chunked body that is accepted for each byte of the body; a chunk of one byte has 5. Trailers
-# and extensions of chunks beyond it count as head.
-MAX_FRAMING_PER_BODY_BYTE = 8
 MAX_LINGER_BYTES = 1 << 20  # maximum input discarded on a closing connection; with more it is aborted
 log = logging.getLogger(__name__)
 
@@ -83,6 +81,7 @@
         # The service that counts this client's unread response bytes, and how many it has counted.
         self._counted_unread_bytes: tuple[Any, int] | None = None
         self._linger_extensions = 10  # remaining linger timeouts while the client reads its last response
+        self._response_expires_at = 0.0  # loop time until which the client waits for its last response
 
     # --- called by asyncio ---
 
@@ -284,6 +283,7 @@
         if request is None or self._transport is None or self._is_finished():
             return
         # A draining frontend closes the connection only after the responses to pipelined requests.
+        self._response_expires_at = request.arrived_at + request.remaining_ms / 1000.0
         keep_alive = request.keep_alive and not (self._owner.is_draining and not self._pipelined)
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b""))]
         if status not in BODILESS_STATUSES:
@@ -383,13 +383,13 @@
         if self.request is not None or self._pipelined or self._is_in_request or self._is_finished():
             return False
         assert self._transport is not None
-        if self._waits_for_link():
+        if self._waits_for_link() or self.is_response_being_read():
             return False
         return not is_readable(self._transport)
 
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle or its client reads no responses; return whether it did so."""
-        if self._waits_for_link():
+        if self._waits_for_link() or self.is_response_being_read():
             self._timeouts.move_to(self._timeouts.idle, self)
             return False
         if self._is_writing_paused or (
@@ -407,9 +407,19 @@
         """Return whether bytes of the last response wait for the machine's link instead of the client."""
         return isinstance(self._transport, ScheduledTransport) and self._transport.has_queued
 
+    def is_response_being_read(self) -> bool:
+        """Return whether the client has not received all of its last response, and still waits for it."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+            and self._owner.loop.time() < self._response_expires_at
+        )
+
     def on_linger_timeout(self) -> None:
         """Abort the connection, unless the client may still read its last response."""
-        if (
+        if self.is_response_being_read():
+            self._timeouts.move_to(self._timeouts.lingering, self)
+        elif (
             self._transport is not None
             and self._transport.get_write_buffer_size()
             and self._linger_extensions
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -162,7 +162,9 @@
         but no response, and only under load.
         """
         now = self.loop.time()
-        for connection in self.timeouts.lingering:
+        for connection in islice(self.timeouts.lingering, MAX_EVICTION_CANDIDATES):
+            if connection.is_response_being_read():
+                continue
             connection.abort()
             self.on_closed(connection)
             return True
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -12,7 +12,10 @@
 # The platform's limit is 64 KiB, but its servers send up to 380 kB on some days, on which rejecting these
 # responses caused nine in ten of all failures.
 MAX_RESPONSE_BODY_BYTES = 1024 * 1024
-MAX_HEAD_BYTES = 32 * 1024  # of a message without its body; includes chunk headers and trailers
+MAX_HEAD_BYTES = 32 * 1024  # of a message without its body; includes trailers
+# Framing of a chunked body that is accepted for each byte of the body; a chunk of one byte has 5. Trailers
+# and extensions of chunks beyond it count as head.
+MAX_FRAMING_PER_BODY_BYTE = 8
 # Headers that apply to one connection only, or that each hop writes itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/standins/http_client.py
+++ b/standins/http_client.py
@@ -36,6 +36,19 @@
         name, colon, value = line.partition(":")
         if colon:
             fields[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    if fields.get("transfer-encoding") == "chunked":
+        body = await read_chunks(reader)
+    else:
+        body = await reader.readexactly(int(fields.get("content-length", "0")))
     start_line = head[0].split(" ")
     return int(start_line[1]) if start_line[0].startswith("HTTP/") else 0, fields, body
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Read a chunked body without trailers (RFC 9112, 7.1)."""
+    chunks = []
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        chunks.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return b"".join(chunks)
