--- a/cometdoor/dataplane/client_exchange.py
+++ b/cometdoor/dataplane/client_exchange.py
@@ -6,9 +6,13 @@
 from cometdoor.host.attempt_outcome import AttemptResult, AttemptStage
 from cometdoor.host.clock import now_ms
 from cometdoor.host.interfaces import ResponseListener
+from cometdoor.http.large_body import LargeBody
 from cometdoor.http.messages import ClientRequest
 from cometdoor.wire.forwarding import ForwardResponse
-from cometdoor.wire.peer_connection import PendingCall
+from cometdoor.wire.peer_connection import PendingCall, StreamedReply
+
+BackendReply = ForwardResponse | StreamedReply
+"""A backend's response: whole, or its head and a body that follows."""
 
 
 def remaining_ms(request: ClientRequest, now: float) -> float:
@@ -25,10 +29,18 @@
     response if there is one, and otherwise a failure with an unknown outcome.
     """
 
-    __slots__ = ("caller", "last_failure", "pending_calls", "possible_executions", "request", "throttle")
+    __slots__ = (
+        "body",
+        "caller",
+        "last_failure",
+        "pending_calls",
+        "possible_executions",
+        "request",
+        "throttle",
+    )
 
     def __init__(
-        self, caller: ResponseListener[ForwardResponse], request: ClientRequest, throttle: AdaptiveThrottle
+        self, caller: ResponseListener[BackendReply], request: ClientRequest, throttle: AdaptiveThrottle
     ) -> None:
         self.caller = caller
         self.request = request
@@ -36,6 +48,17 @@
         self.possible_executions = 0  # attempts sent, minus those known not to have been executed
         self.last_failure: ForwardResponse | None = None  # latest response with a status of 500 or above
         self.pending_calls: list[PendingCall] = []  # one for each attempt
+        self.body: LargeBody | None = request.large_body
+        if self.body is not None:
+            self.body.hold()
+
+    def finish(self) -> None:
+        """Drop what attempts needed: none is in flight, and none follows."""
+        body, self.body = self.body, None
+        if body is not None:
+            body.release()
+        self.request.exchange = None  # breaks a reference cycle
+        self.pending_calls.clear()
 
     def on_attempt_ended(self, result: AttemptResult, response: ForwardResponse | None) -> None:
         """Record the end of one attempt, and its response if that is a failure."""
@@ -43,7 +66,7 @@
         if response is not None and response.status >= 500:
             self.last_failure = response
 
-    def on_response(self, response: ForwardResponse) -> None:
+    def on_response(self, response: BackendReply) -> None:
         """Pass the response to the caller."""
         self.throttle.record_acceptance(True, now_ms())
         self.caller.on_response(response)
--- a/cometdoor/dataplane/inbound_proxy.py
+++ b/cometdoor/dataplane/inbound_proxy.py
@@ -38,11 +38,11 @@
 # the same connection.
 STALLED_AFTER_DEADLINE_MS = 2_000.0
 STALL_CHECK_INTERVAL_S = 1.0  # interval of checks for stalled requests while any is in flight
-MAX_RESPONSE_BYTES = 64 << 20  # of a body that is forwarded whole
+MAX_WHOLE_RESPONSE_BYTES = 512 << 10  # of a body that is forwarded whole; larger ones are streamed
 BACKEND_RESPONSE_LIMITS = ResponseLimits(
     has_read_timeout=False,
-    max_body_bytes=MAX_RESPONSE_BYTES,
-    max_body_bytes_if_full=MAX_RESPONSE_BYTES,
+    max_body_bytes=MAX_WHOLE_RESPONSE_BYTES,
+    max_body_bytes_if_full=64 << 10,
     may_end_with_connection=True,
 )
 log = structlog.get_logger()
@@ -177,8 +177,17 @@
 
     # --- requests ---
 
-    def accept(self, forward_request: ForwardRequest, connection: PeerConnection, call_id: int) -> None:
-        """Start, queue or reject a request of an outbound proxy; exactly one reply goes to `connection`."""
+    def accept(
+        self,
+        forward_request: ForwardRequest,
+        connection: PeerConnection,
+        call_id: int,
+        body_bytes: int | None = None,
+    ) -> None:
+        """Start, queue or reject a request of an outbound proxy; exactly one reply goes to `connection`.
+
+        `body_bytes`: length of a body that the outbound proxy sends once it is granted credit for it.
+        """
         backend = self.backend
         if (
             backend is None
@@ -201,9 +210,7 @@
             group=(id(connection), forward_request.group) if forward_request.group else None,
             group_size=forward_request.group_size,
         )
-        request = InboundRequest(
-            forward_request, lambda message: connection.respond(call_id, message), slot_request
-        )
+        request = InboundRequest(forward_request, body_bytes, connection, call_id, slot_request)
         connection.cancel_callbacks[call_id] = lambda: self._on_cancelled(request)
         self._queued_requests[slot_request.number] = request
         self._reject(self.slots.submit(slot_request, now), "full")
@@ -221,6 +228,8 @@
             lambda result, response: self._on_attempt_ended(request, result, response),
             correlate=request.correlate,
             request_id=request.forward_request.attempt_id,
+            request_body=request.body,
+            start_streaming=request.start_streaming,
         )
         if self._stall_check is None:
             self._stall_check = self._loop.call_later(STALL_CHECK_INTERVAL_S, self._abandon_stalled)
@@ -233,7 +242,10 @@
     ) -> None:
         outcome = result.outcome
         self._release_slot(request, completed=outcome is Outcome.OK)
-        if response is not None and outcome in (Outcome.OK, Outcome.ERROR):
+        request.exchange = None  # breaks a reference cycle
+        if request.response_sender is not None:
+            request.finish_streaming(is_complete=response is not None)
+        elif response is not None and outcome in (Outcome.OK, Outcome.ERROR):
             self._finish(
                 request, ForwardResponse(response.status, end_to_end_headers(response.headers), response.body)
             )
@@ -263,8 +275,7 @@
                 peer=request.forward_request.instance,
                 service=request.forward_request.service,
             )
-            if request.exchange is not None:
-                request.exchange.abort()
+            self._abort_exchange(request)
             self._release_slot(request, completed=False)
             self._finish(request, AttemptFailed(Outcome.TIMEOUT.value, 1.0))
             self._start_queued()
@@ -273,19 +284,24 @@
 
     def _on_cancelled(self, request: InboundRequest) -> None:
         """Handle a request that the calling proxy has cancelled, or whose connection to it is lost."""
-        if request.is_over:
+        if request.is_over and request.response_sender is None:
             return
         request.is_over = True
         if self._queued_requests.pop(request.slot_request.number, None) is not None:
             self.slots.cancel(request.slot_request)
         elif request in self._in_flight:
-            if request.forward_request.is_not_idempotent:
+            if request.forward_request.is_not_idempotent and request.may_be_executed_further():
                 return  # the execution continues: if aborted halfway, it could not be retried
-            if request.exchange is not None:
-                request.exchange.abort()
+            self._abort_exchange(request)
             self._release_slot(request, completed=False)
             self._start_queued()
 
+    def _abort_exchange(self, request: InboundRequest) -> None:
+        exchange, request.exchange = request.exchange, None
+        if exchange is not None:
+            exchange.abort()
+        request.finish_streaming(is_complete=False)
+
     def _release_slot(self, request: InboundRequest, completed: bool) -> None:
         if self._in_flight.pop(request, 0) is None:
             self.slots.release(request.slot_request, now_ms(), completed)
--- a/cometdoor/dataplane/keyed_requests.py
+++ b/cometdoor/dataplane/keyed_requests.py
@@ -13,8 +13,11 @@
 
 from cometdoor.configuration.document import Route
 from cometdoor.dataplane.backend_responses import ATTEMPT_ID_HEADER
+from cometdoor.dataplane.client_exchange import BackendReply
 from cometdoor.dataplane.outbound_request import OutboundRequest
+from cometdoor.dataplane.response_collector import ResponseCollector
 from cometdoor.host.interfaces import ResponseListener
+from cometdoor.host.memory_account import MemoryAccount
 from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.http.messages import ClientRequest
 from cometdoor.keys import actions as key_actions
@@ -26,14 +29,14 @@
 from cometdoor.wire.frames import Message
 from cometdoor.wire.keys import OperationReply, OperationRequest
 from cometdoor.wire.log_entries import Claim
-from cometdoor.wire.peer_connection import PeerError
+from cometdoor.wire.peer_connection import PeerError, StreamedReply
 
 KEY_WAIT_MAX_SHARE = 0.9  # share of its remaining time that an attempt waits for a claim or an execution
 KEY_RETRY_AFTER_MS = 150.0  # after a rejection; an election takes a few tenths of a second
 KEY_EXPIRY_INTERVAL_S = 5.0  # interval between removals of expired keys
 log = structlog.get_logger()
 
-StartExecution = Callable[[ResponseListener[ForwardResponse], ClientRequest, Route], None]
+StartExecution = Callable[[ResponseListener[BackendReply], ClientRequest, Route], None]
 
 
 class KeyedExecution:
@@ -47,8 +50,11 @@
         self._keyed_requests = keyed_requests
         self._key = key
 
-    def on_response(self, response: ForwardResponse) -> None:
-        """Complete the operation with the backend's response."""
+    def on_response(self, response: BackendReply) -> None:
+        """Complete the operation with the backend's response, once all of it has come."""
+        if isinstance(response, StreamedReply):
+            ResponseCollector(response, self._keyed_requests.memory, self.on_response, self.on_failed)
+            return
         self._keyed_requests.carry_out(self._keyed_requests.operations.on_response(self._key, response))
 
     def on_rejected(self, retry_after_ms: float) -> None:
@@ -75,6 +81,8 @@
     start_execution
         Passes the only execution of an operation to the client of its route's service; the listener is
         notified when it ends.
+    memory
+        Account of the bytes that the process holds for bodies.
     """
 
     def __init__(
@@ -87,7 +95,9 @@
         window_s: float,
         replica_addresses: Callable[[], list[str]],
         start_execution: StartExecution,
+        memory: MemoryAccount,
     ) -> None:
+        self.memory = memory
         self.operations: KeyedOperations[OutboundRequest] = KeyedOperations(incarnation, window_s)
         self._loop = loop
         self._connections = connections
--- a/cometdoor/dataplane/outbound_proxy.py
+++ b/cometdoor/dataplane/outbound_proxy.py
@@ -13,16 +13,17 @@
 from cometdoor.configuration.document import Route
 from cometdoor.configuration.routes import Routes, choose_service
 from cometdoor.dataplane.backend_endpoints import BackendEndpoint
+from cometdoor.dataplane.client_exchange import BackendReply
 from cometdoor.dataplane.keyed_requests import KeyedRequests
 from cometdoor.dataplane.outbound_request import OutboundRequest
 from cometdoor.dataplane.request_classes import IDEMPOTENT_ROUTE_TYPES
 from cometdoor.dataplane.service_client import ServiceClient
 from cometdoor.host.interfaces import ResponseListener
+from cometdoor.host.memory_account import MemoryAccount
 from cometdoor.host.node_settings import NodeSettings
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.messages import ClientRequest
 from cometdoor.wire.connections import PeerConnections
-from cometdoor.wire.forwarding import ForwardResponse
 from cometdoor.wire.keys import OperationReply, OperationRequest
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # the first configuration arrives within one second of the start
@@ -46,6 +47,8 @@
         Returns the number of known data planes.
     retry_share
         Returns the share of executions in flight at the local backend that may repeat an earlier execution.
+    memory
+        Account of the bytes that the process holds for bodies.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         incarnation: str,
         proxy_count: Callable[[], int],
         retry_share: Callable[[], float],
+        memory: MemoryAccount,
     ) -> None:
         self.routes: Routes | None = None
         self._node_settings = node_settings
@@ -77,6 +81,7 @@
             window_s=node_settings.bound_value("idempotency-window-s", 60.0),
             replica_addresses=replica_addresses,
             start_execution=self._start_keyed_execution,
+            memory=memory,
         )
         self.budget_shares = BudgetShares(
             loop,
@@ -139,7 +144,7 @@
         return service_client
 
     def _start_keyed_execution(
-        self, listener: ResponseListener[ForwardResponse], request: ClientRequest, route: Route
+        self, listener: ResponseListener[BackendReply], request: ClientRequest, route: Route
     ) -> None:
         self._service_client(choose_service(route, self._rng)).accept(listener, request, route)
 
--- a/cometdoor/dataplane/outbound_request.py
+++ b/cometdoor/dataplane/outbound_request.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 
 from cometdoor.dataplane.backend_responses import ATTEMPT_ID_HEADER
-from cometdoor.dataplane.client_exchange import ClientExchange
+from cometdoor.dataplane.client_exchange import BackendReply, ClientExchange
 from cometdoor.dataplane.service_client import ServiceClient
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.messages import BadRequestError, ClientRequest, Headers, parse_decimal, validate_headers
-from cometdoor.wire.forwarding import ForwardResponse
+from cometdoor.wire.peer_connection import StreamedReply
 
 DEADLINE_HEADER = b"cometdoor-deadline-ms"
 IDEMPOTENCY_KEY_HEADER = b"cometdoor-idempotency-key"
@@ -104,18 +104,30 @@
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Answer the client; only the first call has an effect, while the connection waits for it."""
+        connection = self._take_connection()
+        if connection is not None:
+            connection.respond(status, headers, body)
+
+    def _take_connection(self) -> ClientConnection | None:
+        """Return the connection if it waits for this response, and regard the request as answered."""
         if self.timer is not None:
             self.cancel_timer()
         connection, self.connection = self.connection, None
-        if connection is not None:
-            self._on_answered(connection)
-            if connection.request is self.request:
-                connection.respond(status, headers, body)
+        if connection is None:
+            return None
+        self._on_answered(connection)
+        return connection if connection.request is self.request else None
 
     # --- called by the host ---
 
-    def on_response(self, response: ForwardResponse) -> None:
-        """Forward the response of a backend."""
+    def on_response(self, response: BackendReply) -> None:
+        """Forward the response of a backend, whole or as it comes."""
+        if isinstance(response, StreamedReply):
+            connection = self._take_connection()
+            if connection is not None:
+                head = response.head
+                connection.respond_streamed(head.status, head.headers, head.body_bytes, response.body)
+            return
         self.respond(response.status, response.headers, response.body)
 
     def on_rejected(self, retry_after_ms: float) -> None:
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -24,6 +24,7 @@
 from cometdoor.host.fair_share import DescriptorQuota
 from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.host.listening import ListenStep, listen_all
+from cometdoor.host.memory_account import MemoryAccount, body_memory_bytes
 from cometdoor.host.node_settings import NodeSettings
 from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.host.settings_validation import SettingsError
@@ -33,7 +34,7 @@
 from cometdoor.http.json_api import JsonApiReader, path_segments, respond_error
 from cometdoor.http.messages import ClientRequest
 from cometdoor.wire.connections import PeerConnections
-from cometdoor.wire.forwarding import ForwardRequest
+from cometdoor.wire.forwarding import ForwardRequest, StreamedForwardRequest
 from cometdoor.wire.frames import Message
 from cometdoor.wire.gossip import Backend, NodeRecord
 from cometdoor.wire.keys import OperationRequest
@@ -86,6 +87,7 @@
         self._link = LinkScheduler(loop, node_settings.limits.bandwidth_mbps, node_settings.ip_address)
         self.connections = PeerConnections(loop, self._receive, self._link)
         internal_address = node_settings.internal_address(ROLE)
+        self.memory = MemoryAccount(body_memory_bytes(node_settings.limits.memory_mb))
         incarnation = secrets.token_hex(4)
         record = NodeRecord(
             node_settings.node_name, internal_address, ROLE, node_settings.zone, incarnation, 1
@@ -110,6 +112,7 @@
             replica_addresses=self._replica_addresses,
             incarnation=incarnation,
             retry_share=self.inbound_proxy.retry_share,
+            memory=self.memory,
             proxy_count=lambda: sum(record.role == ROLE for record in self.directory.records.values()),
         )
         self._reader = OutboundRequestReader()
@@ -120,6 +123,7 @@
             self.outbound_proxy,
             ClientLimits(16 << 10, 64 << 20, 3.2, 15.5),
             link=self._link,
+            memory=self.memory,
         )
         self.backend_frontend = Frontend(
             loop, JsonApiReader(MAX_HEARTBEAT_BYTES), descriptors, BackendApi(self.backend_lifecycle)
@@ -166,6 +170,8 @@
         match message:
             case ForwardRequest():
                 self.inbound_proxy.accept(message, connection, call_id)
+            case StreamedForwardRequest():
+                self.inbound_proxy.accept(message.request, connection, call_id, message.body_bytes)
             case OperationRequest():
                 self.outbound_proxy.on_operation_request(
                     message, lambda reply: connection.respond(call_id, reply)
--- a/cometdoor/dataplane/service_client.py
+++ b/cometdoor/dataplane/service_client.py
@@ -18,7 +18,12 @@
 from cometdoor.dataplane.adaptive_throttling import MIN_GROUP_SIZE, AdaptiveThrottle
 from cometdoor.dataplane.attempt_replies import classify_reply
 from cometdoor.dataplane.backend_endpoints import SLOW_START_MS, BackendEndpoint, EndpointList
-from cometdoor.dataplane.client_exchange import ClientExchange, ForwardedAttempt, remaining_ms
+from cometdoor.dataplane.client_exchange import (
+    BackendReply,
+    ClientExchange,
+    ForwardedAttempt,
+    remaining_ms,
+)
 from cometdoor.dataplane.request_classes import IDEMPOTENT_ROUTE_TYPES, RequestClassKey, request_class_of
 from cometdoor.dataplane.request_statistics import RequestStatistics
 from cometdoor.host.address import Address
@@ -28,9 +33,9 @@
 from cometdoor.host.interfaces import AttemptHandle, HostSettings, ResponseListener
 from cometdoor.http.messages import ClientRequest, end_to_end_headers
 from cometdoor.wire.connections import PeerConnections
-from cometdoor.wire.forwarding import ForwardRequest, ForwardResponse
+from cometdoor.wire.forwarding import ForwardRequest, StreamedForwardRequest
 from cometdoor.wire.frames import Message
-from cometdoor.wire.peer_connection import PeerError
+from cometdoor.wire.peer_connection import PeerError, StreamedReply
 
 SLOW_START_INITIAL_SHARE = 0.5  # share of full capacity at the start of a backend's slow start
 # Limit of attempts for one request, including those that an inbound proxy rejects, which cost a round trip
@@ -99,8 +104,11 @@
             cross_zone_price=float(zone_count > 1),
         )
         self._class_indexes[default_class] = 0
-        self._host: BalancerHost[ClientRequest, ForwardResponse] = BalancerHost(
-            HostSettings(settings, seed, True), LoopClock(loop), self
+        self._host: BalancerHost[ClientRequest, BackendReply] = BalancerHost(
+            HostSettings(settings, seed, True),
+            LoopClock(loop),
+            self,
+            on_finished=lambda request: request.exchange.finish(),
         )
         self._statistics = self._host.observer = RequestStatistics()
         self._endpoints = EndpointList()
@@ -108,7 +116,7 @@
     # --- called by the outbound proxy ---
 
     def accept(
-        self, caller: ResponseListener[ForwardResponse], request: ClientRequest, route: Route
+        self, caller: ResponseListener[BackendReply], request: ClientRequest, route: Route
     ) -> ClientExchange | None:
         """Accept a request of a caller; return None if it was throttled and therefore already rejected."""
         key = RequestClassKey(
@@ -176,7 +184,7 @@
         address: Address,
         request: ClientRequest,
         expires_at_ms: float,
-        on_result: Callable[[AttemptResult, ForwardResponse | None], None],
+        on_result: Callable[[AttemptResult, BackendReply | None], None],
     ) -> AttemptHandle | Outcome:
         """Send an attempt to the inbound proxy of the backend `server`."""
         throttle = self._throttles[request.class_index]
@@ -199,14 +207,27 @@
                 result = result_of_response(Outcome.OK)  # forward the failure instead of retrying
             on_result(result, response)
 
+        def on_streamed_reply(reply: StreamedReply) -> None:
+            # The response has begun at the client's: another attempt can't replace it, whatever its status.
+            self._statistics.on_response(now_ms() - sent_at_ms)
+            result = result_of_response(Outcome.OK)
+            exchange.on_attempt_ended(result, None)
+            throttle.on_attempt_ended(reply.status < 500, now_ms())
+            on_result(result, reply)
+
+        body = exchange.body
+        message = forward_request if body is None else StreamedForwardRequest(forward_request, body.size)
         call = self._connections.call(
             f"{address[0]}:{address[1]}",
-            forward_request,
+            message,
             on_reply,
-            BULK_CHANNEL if request.route.route_type == "download" else "",
+            BULK_CHANNEL if request.route.route_type == "download" or body is not None else "",
+            on_streamed_reply,
         )
         if isinstance(call, PeerError):
             return Outcome.CONNECT_FAILED
+        if body is not None:
+            call.send_body(body.chunks)
         exchange.possible_executions += 1
         exchange.pending_calls.append(call)
         if forward_request.is_retry:
--- a/cometdoor/host/link_scheduler.py
+++ b/cometdoor/host/link_scheduler.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from cometdoor.host.link_budget import LinkBudget
@@ -93,6 +94,7 @@
         self._offset = 0  # number of bytes of the first queued message that were sent
         self._deferred_short: list[bytes] = []  # sent when the partially sent message is complete
         self._ends_with_eof = self._is_closing = False
+        self.on_drained: Callable[[], None] | None = None  # called when no message is queued any more
 
     @property
     def has_queued(self) -> bool:
@@ -110,11 +112,23 @@
         if len(data) <= self._max_short_bytes and not (self._queued and self._keeps_order):
             self.write_short(data)
             return
+        self._enqueue(key, data)
+
+    def _enqueue(self, key: int, data: bytes) -> None:
+        if self._is_closing or self._ends_with_eof or not data:
+            return
         self._queued.append((key, bytes(data)))
         self._scheduler.queued_bytes += len(data)
         if len(self._queued) == 1:
             self._scheduler.enqueue(self)
 
+    def write_in_order(self, data: bytes) -> None:
+        """Send bytes after everything that is queued, whatever their size."""
+        if self._queued or self._offset:
+            self._enqueue(0, data)
+        else:
+            self.write_message(0, data)
+
     def write_short(self, data: bytes) -> None:
         """Send short messages before queued large ones, whatever the total size of the short ones."""
         if self._is_closing or self._ends_with_eof or not data:
@@ -157,6 +171,8 @@
             self._write_now(short)
         if not self._queued:
             self._finish_closing()
+            if self.on_drained is not None:
+                self.on_drained()
         return len(chunk), True
 
     def _finish_closing(self) -> None:
--- a/cometdoor/http/backend_connection.py
+++ b/cometdoor/http/backend_connection.py
@@ -24,6 +24,7 @@
     result_of_failure,
     result_of_response,
 )
+from cometdoor.host.body_stream import BodySender
 from cometdoor.host.connection_reuse import ConnectionReuse
 from cometdoor.host.exchange.backend_exchanges import (
     REUSABLE_CELLS,
@@ -90,14 +91,17 @@
     """
 
     __slots__ = (
+        "_buffered_bytes",
         "_connect_task",
         "_handshake_s",
+        "_has_body_begun",
         "_idle_before_s",
         "_is_sent",
         "_is_write_paused",
         "_last_byte_timer",
         "_parser",
         "_received_bytes",
+        "_response_sender",
         "_sent_at",
         "_transport",
         "address",
@@ -132,7 +136,10 @@
         self._sent_at = 0.0  # loop time at which the request's first bytes were written
         self._last_byte_timer: asyncio.TimerHandle | None = None  # set while the last byte is delayed
         self._handshake_s = 0.0  # duration of the TCP handshake
-        self._received_bytes = 0  # of the response; included in the pool's `buffered_bytes`
+        self._received_bytes = 0  # of the response
+        self._buffered_bytes = 0  # of the response; included in the pool's `buffered_bytes`
+        self._has_body_begun = False  # a request's head was written whose body follows in chunks
+        self._response_sender: BodySender | None = None  # of a response that is streamed
 
     # --- opening ---
 
@@ -184,6 +191,7 @@
     def _write_request(self) -> None:
         assert self._transport is not None and self.exchange is not None
         self._parser.correlate = self.exchange.correlate
+        self._parser.may_stream = self.exchange.start_streaming is not None
         data = self.exchange.serialize()
         self._sent_at = self.pool.loop.time()
         if self.exchange.max_last_byte_delay_s:
@@ -194,13 +202,26 @@
             )
             self._last_byte_timer = self.pool.loop.call_later(delay_s, self._write_last_byte, data[-1:])
             data = data[:-1]
+        elif self.exchange.request_body is not None:
+            self._has_body_begun = True
         else:
             self._is_sent = True
         self._transport.write(data)
         if self._transport.is_closing():
             # The first write failed, so the kernel accepted no byte of the request.
-            self._is_sent = False
+            self._is_sent = self._has_body_begun = False
             self._fail(FailureKind.RESET)
+        elif self.exchange.request_body is not None:
+            self.exchange.request_body.start(self)
+
+    def write_body(self, data: bytes, is_last: bool) -> bool:
+        """Write a chunk of a request's body; return whether more may be written at once."""
+        if self._transport is None or self._transport.is_closing() or self.exchange is None:
+            return False
+        self._is_sent = is_last
+        if data:
+            self._transport.write(data)
+        return not self._is_write_paused
 
     def _write_last_byte(self, data: bytes) -> None:
         """Write the delayed last byte, unless the connection has ended meanwhile.
@@ -230,7 +251,7 @@
             return AttemptStage.WRITTEN
         return (
             AttemptStage.PARTIALLY_WRITTEN
-            if self._is_sent or self._last_byte_timer is not None
+            if self._is_sent or self._has_body_begun or self._last_byte_timer is not None
             else AttemptStage.CONNECTED
         )
 
@@ -256,8 +277,10 @@
         self._is_write_paused = True
 
     def resume_writing(self) -> None:
-        """Record that the transport has written all bytes."""
+        """Record that the transport has written all bytes, and go on with a request's body."""
         self._is_write_paused = False
+        if self._has_body_begun and self.exchange is not None and self.exchange.request_body is not None:
+            self.exchange.request_body.on_drained()
 
     # --- reading the response ---
 
@@ -267,6 +290,7 @@
             self.abort()  # no request is in progress that the bytes could answer
             return
         self._received_bytes += len(data)
+        self._buffered_bytes += len(data)
         self.pool.buffered_bytes += len(data)
         parser = self._parser
         try:
@@ -276,6 +300,11 @@
                 self._fail(FailureKind.TOO_LARGE if parser.is_too_large else FailureKind.MALFORMED)
                 return
             parser.is_reusable = False  # extra bytes followed a valid response
+        if parser.streamed_head is not None:
+            if not self._send_on(parser.streamed_head):
+                self._fail(FailureKind.TOO_LARGE)
+                return
+            self._release_buffer()
         if parser.response is not None:
             self._finish_with_response(parser.response)
         elif self._received_bytes - parser.body_bytes - parser.framing_limit() > MAX_HEAD_BYTES:
@@ -285,6 +314,29 @@
         elif self.timer is None and self.pool.response_limits.has_read_timeout:
             self.timer = self.pool.loop.call_later(RESPONSE_READ_TIMEOUT_S, self._on_response_timeout)
 
+    def _send_on(self, head: Response) -> bool:
+        """Pass on what was received of a streamed response, and stop reading until it has been sent.
+
+        Returns False if the owner of the exchange does not take it.
+        """
+        assert self.exchange is not None and self._transport is not None
+        if self._response_sender is None:
+            assert self.exchange.start_streaming is not None
+            sender = self.exchange.start_streaming(head, self._parser.announced_bytes)
+            if sender is None:
+                return False
+            sender.on_drained = self._resume_reading
+            self._response_sender = sender
+        sender = self._response_sender
+        sender.send(self._parser.take_body(), is_last=self._parser.response is not None)
+        if sender.queued_bytes and not self._transport.is_closing():
+            self._transport.pause_reading()
+        return True
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def _finish_with_response(self, response: Response) -> None:
         self._finish(result_of_response(self.pool.classify_response(response)), response)
 
@@ -305,7 +357,8 @@
                 self._fail_malformed()
                 return
             if self._parser.response is not None:
-                self._finish_with_response(self._parser.response)
+                if self._parser.streamed_head is None or self._send_on(self._parser.streamed_head):
+                    self._finish_with_response(self._parser.response)
                 return
         self._on_disconnected(FailureKind.CLOSED)
 
@@ -345,6 +398,12 @@
         self._cancel_timer()
         self._cancel_last_byte()
         self._release_buffer()
+        self._received_bytes = 0
+        self._has_body_begun = False
+        if self._response_sender is not None:
+            self._response_sender.on_drained = lambda: None
+            self._response_sender = None
+            self._resume_reading()
         self._parser.reset()
         if exchange is not None and exchange.request_id and result.outcome is not Outcome.OK:
             self.failed_request_ids = self.failed_request_ids | {exchange.request_id}
@@ -392,8 +451,8 @@
             self._connect_task.cancel()
 
     def _release_buffer(self) -> None:
-        self.pool.buffered_bytes -= self._received_bytes
-        self._received_bytes = 0
+        self.pool.buffered_bytes -= self._buffered_bytes
+        self._buffered_bytes = 0
 
     def _cancel_timer(self) -> None:
         if self.timer is not None:
--- a/cometdoor/http/client_connection.py
+++ b/cometdoor/http/client_connection.py
@@ -15,21 +15,25 @@
 
 import httptools
 
+from cometdoor.host.body_stream import CHUNK_BYTES, BodyReceiver
 from cometdoor.host.link_scheduler import ScheduledTransport
 from cometdoor.http.connection_owner import ClientConnectionOwner
+from cometdoor.http.incoming_body import MAX_SMALL_BODY_BYTES, IncomingBody
 from cometdoor.http.messages import (
     BODILESS_STATUSES,
     MAX_FRAMING_PER_BODY_BYTE,
-    REASON_PHRASES,
     BadRequestError,
     ClientRequest,
     Headers,
     Response,
-    end_to_end_headers,
+    announced_body_bytes,
+    response_head,
 )
 from cometdoor.http.sockets import is_readable
+from cometdoor.http.streamed_response import StreamedResponse
 
 READ_CHUNK_BYTES = 8 * 1024  # maximum input parsed at once; `received_bytes` is exact to one chunk
+RETRY_AFTER_REJECTION: Headers = [(b"Retry-After", b"1")]
 MAX_PIPELINED_REQUESTS = 4  # requests waiting on one connection; at this number reading from it pauses
 MAX_REQUESTS_PER_READ = 16  # pipelined requests in one read; input with more is rejected
 MAX_LINGER_BYTES = 1 << 20  # maximum input discarded on a closing connection; with more it is aborted
@@ -67,8 +71,9 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._target = bytearray()
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._message_bytes = self._body_bytes = self._chunk_bytes = 0
+        self._body = IncomingBody(owner.loop, owner.memory, self._on_memory_granted, self._on_memory_timeout)
+        self._unparsed = b""  # the part of a read that is parsed once there is memory for the body
+        self._message_bytes = self._chunk_bytes = 0
         self._incomplete_request: ClientRequest | None = None  # head received, body still incomplete
         # Whether a request, or its head, has begun and its last byte has not been received.
         self._is_in_request = self._is_in_head = self._is_chunked = False
@@ -76,10 +81,11 @@
         self._is_reading_paused = self._is_writing_paused = False
         self._ignores_input = False  # discards input: it was malformed, or the connection is closing
         self._is_closing = False
-        self._discarded_bytes = 0
         self.service_name: str | None = None
         # The service that counts this client's unread response bytes, and how many it has counted.
         self._counted_unread_bytes: tuple[Any, int] | None = None
+        self._streamed_response: StreamedResponse | None = None  # to the request in progress
+        self._linger_bytes = MAX_LINGER_BYTES  # remaining input that is discarded on a closing connection
         self._linger_extensions = 10  # remaining linger timeouts while the client reads its last response
         self._response_expires_at = 0.0  # loop time until which the client waits for its last response
 
@@ -90,23 +96,31 @@
         self._transport = cast(asyncio.Transport, transport)
         if self._owner.link is not None:
             self._transport = self._owner.link.wrap(self._transport)
+            if isinstance(self._transport, ScheduledTransport):
+                self._transport.on_drained = self._on_written
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
         """Parse input, and start serving complete requests."""
         if self._ignores_input:
-            self._discarded_bytes += len(data)
-            if self._discarded_bytes > MAX_LINGER_BYTES:
+            self._linger_bytes -= len(data)
+            if self._linger_bytes < 0:
                 self.abort()
             return
-        for offset in range(0, len(data), READ_CHUNK_BYTES):
-            self._feed_parser(
-                data if len(data) <= READ_CHUNK_BYTES else data[offset : offset + READ_CHUNK_BYTES]
-            )
-            if self._ignores_input:
-                break
+        self._parse(data)
         self._handle_next()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse input in pieces, up to the point from which there is no memory for the body."""
+        offset = 0
+        while offset < len(data) and not self._ignores_input:
+            if self._body.waits_for_memory():
+                self._unparsed += data[offset:]
+                return
+            size = CHUNK_BYTES if self._body.is_large else READ_CHUNK_BYTES
+            self._feed_parser(data[offset : offset + size])
+            offset += size
+
     def _feed_parser(self, data: bytes) -> None:
         """Parse a chunk of input.
 
@@ -137,8 +151,8 @@
 
     def _head_bytes(self) -> int:
         """Return the size of the head, with trailers and what the framing of chunks has beyond its limit."""
-        framing_limit = MAX_FRAMING_PER_BODY_BYTE * self._body_bytes if self._is_chunked else 0
-        return self._message_bytes - self._body_bytes - framing_limit
+        framing_limit = MAX_FRAMING_PER_BODY_BYTE * self._body.size if self._is_chunked else 0
+        return self._message_bytes - self._body.size - framing_limit
 
     def pause_writing(self) -> None:
         """Start no further requests, so that responses that the client does not read don't accumulate."""
@@ -147,8 +161,18 @@
     def resume_writing(self) -> None:
         """Start pending requests again."""
         self._is_writing_paused = False
+        self._on_written()
         self._handle_next()
 
+    def _on_written(self) -> None:
+        """Go on with a streamed response: what was written has gone to the client or the link."""
+        if self._streamed_response is not None and not self._is_behind():
+            self._streamed_response.on_drained()
+
+    def _is_behind(self) -> bool:
+        """Return whether written bytes wait for the client or for the link."""
+        return self._is_writing_paused or self._waits_for_link()
+
     def eof_received(self) -> None:
         """Treat the end of input as the client's disconnection."""
         self._on_disconnected()
@@ -158,6 +182,9 @@
         """Cancel the request in progress and remove the connection from its owner."""
         self._on_disconnected()
         self._owner.on_closed(self)
+        if isinstance(self._transport, ScheduledTransport):
+            self._transport.on_drained = None
+        self._body.close()
         self._transport = self._parser = None  # breaks the reference cycle of parser and connection
         if self._counted_unread_bytes is not None:
             self.update_unread_bytes()
@@ -167,8 +194,9 @@
     def on_message_begin(self) -> None:
         """Reset the parsing state for a new request."""
         self._target.clear()
-        self._headers, self._body = [], []
-        self._message_bytes = self._body_bytes = 0
+        self._headers = []
+        self._body.drop()
+        self._message_bytes = 0
         self._is_in_request = self._is_in_head = True
         self._is_chunked = False
         self.is_unused = False
@@ -191,6 +219,16 @@
         )
         self._owner.reader.read(request)
         self._is_chunked = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
+        request.arrived_at = time.monotonic()
+        self._body.reserve(announced_body_bytes(self._headers), self._memory_wait_s(request))
+        if not self._body.waits_for_memory():
+            self._invite_body()
+
+    def _memory_wait_s(self, request: ClientRequest) -> float:
+        return request.remaining_ms / 1000.0 or self._owner.limits.read_timeout_s
+
+    def _invite_body(self) -> None:
+        """Send the interim response for which a client waits before it sends the body (RFC 9110, 10.1.1)."""
         if (
             any(
                 name.lower() == b"expect" and value.lower() == b"100-continue"
@@ -198,25 +236,46 @@
             )
             and self.request is None
             and not self._pipelined
+            and self._transport is not None
         ):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _on_memory_granted(self) -> None:
+        """Read the body that has waited for memory."""
+        if self._ignores_input:
+            return
+        self._invite_body()
+        unparsed, self._unparsed = self._unparsed, b""
+        self._parse(unparsed)
+        self._handle_next()
+
+    def _on_memory_timeout(self) -> None:
+        """Reject a request for whose body there was no memory in time; none of it was forwarded."""
+        self._linger_bytes = max(self._linger_bytes, self._owner.limits.max_body_bytes)
+        self._reject_input(BadRequestError(503, "no memory for the body"))
+        self._handle_next()
+
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body, up to the size limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._owner.limits.max_body_bytes:
-            raise BadRequestError(413, "the body is too large")
+        max_body_bytes = self._owner.limits.max_body_bytes
         self._body.append(body)
+        if self._body.size > max_body_bytes:
+            raise BadRequestError(413, "the body is too large")
+        if self._is_chunked and self._body.size > MAX_SMALL_BODY_BYTES and not self._body.is_large:
+            assert self._incomplete_request is not None
+            self._body.reserve(max_body_bytes, self._memory_wait_s(self._incomplete_request))
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         assert self._parser is not None and self._incomplete_request is not None
         request, self._incomplete_request = self._incomplete_request, None
         self._is_in_request = False
-        request.body = b"".join(self._body)
+        if not self._body.is_large:
+            request.arrived_at = time.monotonic()
+        self._body.finish(request)
         request.received_bytes = self._message_bytes + self._chunk_bytes  # too high by one chunk at most
         request.keep_alive = self._parser.should_keep_alive()
-        request.arrived_at = time.monotonic()
+        request.is_http_1_0 = self._parser.get_http_version() == "1.0"
         self._pipelined.append(request)
         if len(self._pipelined) > MAX_REQUESTS_PER_READ:
             raise BadRequestError(400, "too many requests at once")
@@ -232,7 +291,8 @@
         ):
             request = self.request = self._pipelined.popleft()
             if request.rejection is not None:
-                self.respond(request.rejection[0], [], request.rejection[1])
+                status, reason = request.rejection
+                self.respond(status, RETRY_AFTER_REJECTION if status == 503 else [], reason)
             elif request.is_health_check:
                 self.respond(200 if self._owner.handler.is_ready else 503, [], b"")
             else:
@@ -257,7 +317,9 @@
             self._timeouts.move_to(None, self)
             return
         should_pause = not self._is_closing and (
-            self._ignores_input or len(self._pipelined) >= MAX_PIPELINED_REQUESTS
+            self._ignores_input
+            or len(self._pipelined) >= MAX_PIPELINED_REQUESTS
+            or self._body.waits_for_memory()
         )
         if should_pause != self._is_reading_paused:
             self._is_reading_paused = should_pause
@@ -269,6 +331,8 @@
             self._timeouts.move_to(self._timeouts.lingering, self)
         elif self.request is not None:
             self._timeouts.move_to(None, self)  # the request's own deadline limits the wait
+        elif self._body.waits_for_memory():
+            self._timeouts.move_to(None, self)  # likewise, for memory
         elif self._is_in_request:
             self._timeouts.move_to(self._timeouts.awaiting_request, self)
         elif not self.is_unused:
@@ -280,18 +344,62 @@
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write the final response to the request in progress; does nothing without a request."""
         request, self.request = self.request, None
-        if request is None or self._transport is None or self._is_finished():
+        if request is None:
+            return
+        request.release_body()
+        if self._transport is None or self._is_finished():
             return
-        # A draining frontend closes the connection only after the responses to pipelined requests.
         self._response_expires_at = request.arrived_at + request.remaining_ms / 1000.0
-        keep_alive = request.keep_alive and not (self._owner.is_draining and not self._pipelined)
-        lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b""))]
-        if status not in BODILESS_STATUSES:
-            lines.append(b"Content-Length: %d\r\n" % len(body))
-        lines += [b"%s: %s\r\n" % header for header in end_to_end_headers(headers)]
-        lines.append(b"\r\n" if keep_alive else b"Connection: close\r\n\r\n")
-        lines.append(body)
-        self._transport.write(b"".join(lines))
+        keep_alive = self._may_keep_alive(request)
+        framing = b"" if status in BODILESS_STATUSES else b"Content-Length: %d\r\n" % len(body)
+        self._transport.write(response_head(status, headers, framing, keep_alive) + body)
+        self._finish_response(request, keep_alive)
+
+    def respond_streamed(
+        self, status: int, headers: Headers, body_bytes: int | None, body: BodyReceiver
+    ) -> None:
+        """Write the head of the final response, and then its body as it comes, until the client's deadline.
+
+        The request stays in progress until the body is complete. A body of unknown length is chunked; for a
+        client of HTTP/1.0 it ends with the connection.
+        """
+        request = self.request
+        if request is None or self._transport is None or self._is_finished():
+            return  # the body gets no consumer, and is cancelled
+        request.release_body()
+        is_chunked = body_bytes is None and not request.is_http_1_0
+        request.keep_alive = self._may_keep_alive(request) and (body_bytes is not None or is_chunked)
+        if body_bytes is not None:
+            framing = b"Content-Length: %d\r\n" % body_bytes
+        else:
+            framing = b"Transfer-Encoding: chunked\r\n" if is_chunked else b""
+        self._response_expires_at = request.arrived_at + request.remaining_ms / 1000.0
+        self._transport.write(response_head(status, headers, framing, request.keep_alive))
+        self._streamed_response = StreamedResponse(self, body, is_chunked)
+        self._streamed_response.start(self._owner.loop, self._response_expires_at - time.monotonic())
+
+    def write_body(self, data: bytes) -> bool:
+        """Write a part of a streamed response; return whether more may be written at once."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        self._transport.write(data)
+        return not self._is_behind()
+
+    def end_response(self) -> None:
+        """Finish a streamed response."""
+        request, self.request = self.request, None
+        self._streamed_response = None
+        if request is not None and self._transport is not None:
+            self._finish_response(request, request.keep_alive)
+
+    def _may_keep_alive(self, request: ClientRequest) -> bool:
+        """Return whether the connection stays open after the response.
+
+        A draining frontend closes the connection only after the responses to pipelined requests.
+        """
+        return request.keep_alive and not (self._owner.is_draining and not self._pipelined)
+
+    def _finish_response(self, request: ClientRequest, keep_alive: bool) -> None:
         if request.service is not None:
             self.update_unread_bytes(request.service.http)
         if not keep_alive:
@@ -340,7 +448,7 @@
         self._ignores_input = True
         self._is_in_request = False
         self._incomplete_request = None
-        self._pipelined.clear()
+        self._clear_pipelined()
         self._pipelined.append(
             ClientRequest(b"", b"", [], keep_alive=False, rejection=(error.status, str(error).encode()))
         )
@@ -352,7 +460,7 @@
         client before the response.
         """
         self._ignores_input = True
-        self._pipelined.clear()
+        self._clear_pipelined()
         if self._transport is not None and not self._is_closing:
             self._is_closing = True
             self._transport.write_eof()
@@ -362,11 +470,23 @@
 
     def _on_disconnected(self) -> None:
         self._ignores_input = True
-        self._pipelined.clear()
+        self._clear_pipelined()
         self._timeouts.move_to(None, self)
+        streamed_response, self._streamed_response = self._streamed_response, None
+        if streamed_response is not None:
+            streamed_response.cancel()
         if self.request is not None:
             request, self.request = self.request, None
             self._owner.handler.on_client_disconnected(self, request)
+            request.release_body()
+
+    def _clear_pipelined(self) -> None:
+        """Drop the requests that wait, and the body of an incomplete one."""
+        for request in self._pipelined:
+            request.release_body()
+        self._pipelined.clear()
+        self._body.drop()
+        self._unparsed = b""
 
     # --- timeouts and closing ---
 
--- a/cometdoor/http/connection_owner.py
+++ b/cometdoor/http/connection_owner.py
@@ -6,6 +6,7 @@
 from typing import Protocol, TypeVar
 
 from cometdoor.host.link_scheduler import LinkScheduler
+from cometdoor.host.memory_account import MemoryAccount
 from cometdoor.http.client_limits import ClientLimits
 from cometdoor.http.connection_timeouts import ConnectionTimeouts, TimedConnection
 from cometdoor.http.messages import ClientRequest, RequestReader
@@ -39,6 +40,7 @@
     timeouts: ConnectionTimeouts[ConnectionT]
     connections_with_unread_responses: dict[ConnectionT, None]
     link: LinkScheduler | None
+    memory: MemoryAccount | None
 
     def on_closed(self, connection: ConnectionT) -> None:
         """Remove a closed connection."""
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -11,6 +11,7 @@
 from cometdoor.host.address import Address
 from cometdoor.host.fair_share import DescriptorQuota, client_connection_limit
 from cometdoor.host.link_scheduler import LinkScheduler
+from cometdoor.host.memory_account import MemoryAccount
 from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.client_limits import ClientLimits
@@ -51,6 +52,8 @@
         Connections whose clients have not read all of their responses.
     link : LinkScheduler | None
         Schedules the bytes that are sent to clients; None sends them at once.
+    memory : MemoryAccount | None
+        Account of the bytes held for bodies; None holds each body up to its limit.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -64,6 +67,7 @@
     timeouts: ConnectionTimeouts[ClientConnection] = field(init=False)
     connections_with_unread_responses: dict[ClientConnection, None] = field(default_factory=dict)
     link: LinkScheduler | None = None
+    memory: MemoryAccount | None = None
     _listeners: list[socket.socket] = field(default_factory=list)
     _is_accepting: bool = False
     _last_sweep_at: float = 0.0
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from cometdoor.errors import CometdoorError
+from cometdoor.http.large_body import LargeBody
 
 MAX_REQUEST_BODY_BYTES = 64 * 1024
 # The platform's limit is 64 KiB, but its servers send up to 380 kB on some days, on which rejecting these
@@ -87,7 +88,8 @@
     received_bytes : int
         Received size of head and body.
     arrived_at : float
-        When its last byte was received, in seconds of the system's monotonic clock.
+        When its last byte was received, in seconds of the system's monotonic clock. Of a request with a large
+        body, when its head was received.
     rejection : tuple[int, bytes] | None
         Status and body of the error response to invalid input.
     trace : bytes
@@ -106,6 +108,8 @@
         The mesh's route. Before the route lookup it is the pair of host and idempotency key.
     exchange : Any
         The service client's `ClientExchange` for it.
+    large_body : LargeBody | None
+        Its body in place of `body`, if it is too large to be copied.
     """
 
     method: bytes
@@ -113,6 +117,7 @@
     headers: Headers
     body: bytes = b""
     keep_alive: bool = True
+    is_http_1_0: bool = False
     received_bytes: int = 0
     arrived_at: float = 0.0
     rejection: tuple[int, bytes] | None = None
@@ -126,6 +131,13 @@
     service: Any = None
     route: Any = None
     exchange: Any = None
+    large_body: LargeBody | None = None
+
+    def release_body(self) -> None:
+        """Drop a large body on behalf of the client's connection; only the first call has an effect."""
+        body, self.large_body = self.large_body, None
+        if body is not None:
+            body.release()
 
 
 @dataclass(slots=True)
@@ -179,6 +191,19 @@
     return [header for header in headers if header[0].lower() not in excluded_names]
 
 
+def announced_body_bytes(headers: Headers) -> int:
+    """Return the Content-Length of a request whose framing was checked; 0 without one."""
+    return next((int(value) for name, value in headers if name.lower() == b"content-length"), 0)
+
+
+def response_head(status: int, headers: Headers, framing: bytes, keep_alive: bool) -> bytes:
+    """Return the head of a response to a client; `framing` is the line that delimits its body, if any."""
+    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"")), framing]
+    lines += [b"%s: %s\r\n" % header for header in end_to_end_headers(headers)]
+    lines.append(b"\r\n" if keep_alive else b"Connection: close\r\n\r\n")
+    return b"".join(lines)
+
+
 def check_framing(headers: HeadersByName, max_body_bytes: int = MAX_REQUEST_BODY_BYTES) -> None:
     """Check the length of a body, to prevent request smuggling and bodies above the limit.
 
--- a/cometdoor/http/response_limits.py
+++ b/cometdoor/http/response_limits.py
@@ -17,9 +17,10 @@
         Whether a response must be complete soon after its first byte. Otherwise only its request's deadline,
         which the owner of the exchange applies, ends it.
     max_body_bytes : int
-        Largest body.
+        Largest body that is held whole. A larger one is streamed if its exchange allows that, and rejected
+        otherwise.
     max_body_bytes_if_full : int
-        Largest body while the pool's buffer is full.
+        The same, while the pool's buffer is full.
     may_end_with_connection : bool
         Whether a response without a length is complete when its connection ends (RFC 9112, 6.3).
     """
--- a/cometdoor/http/response_parser.py
+++ b/cometdoor/http/response_parser.py
@@ -20,6 +20,7 @@
 from cometdoor.http.response_limits import ResponseLimits
 
 MAX_INTERIM_RESPONSES = 16  # 1xx responses to one request
+MAX_LENGTH_DIGITS = 15  # of a Content-Length
 LINE_END_BYTES = b"\r\n"
 
 
@@ -58,6 +59,12 @@
         Whether the response in progress has no length, and ends with the connection.
     body_bytes : int
         Body bytes received so far, without chunk headers.
+    announced_bytes : int | None
+        Length of the body of the response in progress, if its head says so.
+    may_stream : bool
+        Set by the exchange in progress: whether a response above the size limit is streamed.
+    streamed_head : Response | None
+        Head of the response in progress once it is streamed: its body is not collected, see `take_body`.
     correlate : Callable[[Response], ResponseCorrelation] | None
         Set by the exchange in progress; with None any response belongs to it.
     """
@@ -67,9 +74,11 @@
         "_headers",
         "_interim_count",
         "_is_buffer_full",
+        "_is_discarding",
         "_is_in_head",
         "_limits",
         "_parser",
+        "announced_bytes",
         "body_bytes",
         "correlate",
         "has_extra_bytes",
@@ -77,8 +86,10 @@
         "is_in_response",
         "is_reusable",
         "is_too_large",
+        "may_stream",
         "needs_end_of_connection",
         "response",
+        "streamed_head",
     )
 
     def __init__(self, is_buffer_full: Callable[[], bool], limits: ResponseLimits) -> None:
@@ -87,6 +98,10 @@
         self.is_reusable = self.has_extra_bytes = self.is_in_response = self.is_too_large = False
         self.is_chunked = self.needs_end_of_connection = False
         self._limits = limits
+        self.may_stream = False
+        self.announced_bytes: int | None = None
+        self.streamed_head: Response | None = None
+        self._is_discarding = False  # the large body of a response to another request
         self.body_bytes = 0
         self.correlate: Callable[[Response], ResponseCorrelation] | None = None
         self._is_buffer_full = is_buffer_full
@@ -100,7 +115,17 @@
         """Discard the response of the last exchange."""
         self._headers, self._body, self.response, self.correlate = [], [], None, None
         self.body_bytes = self._interim_count = 0
-        self.is_chunked = self.needs_end_of_connection = False
+        self.may_stream = False
+        self._start_message()
+
+    def _start_message(self) -> None:
+        self.is_chunked = self.needs_end_of_connection = self._is_discarding = False
+        self.announced_bytes = self.streamed_head = None
+
+    def take_body(self) -> list[bytes]:
+        """Return the chunks of a streamed body that were received since the last call."""
+        body, self._body = self._body, []
+        return body
 
     def framing_limit(self) -> int:
         """Return how many bytes of the response in progress may be chunk headers."""
@@ -141,7 +166,7 @@
         if self.response is None:
             self._headers, self._body = [], []
             self._is_in_head = self.is_in_response = True
-            self.is_chunked = self.needs_end_of_connection = False
+            self._start_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are discarded."""
@@ -179,23 +204,36 @@
             if value != b"chunked":
                 raise MalformedResponseError("Transfer-Encoding is not chunked")
             self.is_chunked = True
-        elif not value.isdigit() or len(value) > 9:
-            raise MalformedResponseError("Content-Length is not a number of at most 9 digits")
+        elif not value.isdigit() or len(value) > MAX_LENGTH_DIGITS:
+            raise MalformedResponseError(f"Content-Length is no number of {MAX_LENGTH_DIGITS} digits at most")
         else:
-            self._check_body_size(int(value))
+            self.announced_bytes = int(value)
+            self._limit_body_size(self.announced_bytes)
 
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body, up to the size limit."""
         self.body_bytes += len(body)
-        self._check_body_size(self.body_bytes)
+        if self._is_discarding:
+            return
+        self._limit_body_size(self.body_bytes)
         self._body.append(body)
 
-    def _check_body_size(self, body_bytes: int) -> None:
-        if body_bytes > self._limits.max_body_bytes or (
+    def _limit_body_size(self, body_bytes: int) -> None:
+        """Stream or reject a response whose body is above the size limit."""
+        is_above_limit = body_bytes > self._limits.max_body_bytes or (
             body_bytes > self._limits.max_body_bytes_if_full and self._is_buffer_full()
-        ):
+        )
+        if not is_above_limit or self.streamed_head is not None:
+            return
+        if not self.may_stream:
             self.is_too_large = True
             raise MalformedResponseError("the body is larger than the limit")
+        assert self._parser is not None
+        head = Response(self._parser.get_status_code(), self._headers, b"")
+        if self._belongs_to_exchange(head):
+            self.streamed_head = head
+        else:
+            self._is_discarding, self._body = True, []
 
     def feed_end_of_connection(self) -> None:
         """Complete the response in progress, if it ends with the connection.
@@ -208,6 +246,15 @@
         if self.needs_end_of_connection and self.response is None:
             self.on_message_complete()
 
+    def _belongs_to_exchange(self, response: Response) -> bool:
+        """Return whether a response belongs to the exchange in progress, given its head."""
+        if self.correlate is None:
+            return True
+        correlation = self.correlate(response)
+        if correlation is ResponseCorrelation.AMBIGUOUS:
+            raise MalformedResponseError("the response can't be assigned to a request")
+        return correlation is ResponseCorrelation.MATCHES
+
     def on_message_complete(self) -> None:
         """Store the complete response, unless it is interim or belongs to another request."""
         assert self._parser is not None
@@ -215,15 +262,11 @@
         if status < 200 or self.response is not None:
             self.is_in_response, self.has_extra_bytes = False, True
             return
-        response = Response(status, self._headers, b"".join(self._body))
-        if self.correlate is not None:
-            correlation = self.correlate(response)
-            if correlation is ResponseCorrelation.AMBIGUOUS:
-                raise MalformedResponseError("the response can't be assigned to a request")
-            if correlation is ResponseCorrelation.OTHER_REQUEST:
-                # A late response to an earlier request; the expected response may still follow.
-                self.is_in_response, self.body_bytes, self.has_extra_bytes = False, 0, True
-                return
+        response = self.streamed_head or Response(status, self._headers, b"".join(self._body))
+        if self._is_discarding or (self.streamed_head is None and not self._belongs_to_exchange(response)):
+            # A late response to an earlier request; the expected response may still follow.
+            self.is_in_response, self.body_bytes, self.has_extra_bytes = False, 0, True
+            return
         self.response = response
         self.is_in_response = False
         self.is_reusable = not self.needs_end_of_connection and self._parser.should_keep_alive()
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -20,6 +20,7 @@
     KEEPALIVE_TIMEOUT_S,
     Handler,
     OnReply,
+    OnStreamedReply,
     PeerConnection,
     PeerError,
     PendingCall,
@@ -142,7 +143,12 @@
         return True
 
     def call(
-        self, peer: str, message: Message, on_reply: OnReply, channel: str = ""
+        self,
+        peer: str,
+        message: Message,
+        on_reply: OnReply,
+        channel: str = "",
+        on_streamed_reply: OnStreamedReply | None = None,
     ) -> PendingCall | PeerError:
         """Send a message that awaits a reply.
 
@@ -156,6 +162,8 @@
             Called once, later, with the reply or a `PeerError`, unless the call is cancelled or discarded.
         channel : str
             Name of a separate connection to the peer; calls of one channel share it.
+        on_streamed_reply : OnStreamedReply | None
+            Called in place of `on_reply` with a reply whose body follows in chunks.
 
         Returns
         -------
@@ -174,7 +182,7 @@
             log.error("message dropped", step="encode", peer=peer, error=str(error))
             return PeerError("encode", peer, str(error), False)
         call = connection.pending_calls[self.last_call_id] = PendingCall(
-            connection, self.last_call_id, on_reply, written
+            connection, self.last_call_id, on_reply, written, on_streamed_reply
         )
         return call
 
@@ -182,12 +190,12 @@
         """Close idle and unresponsive connections, and ping silent ones that owe a reply."""
         now = self.loop.time()
         for connection in [*self._outbound.values(), *self._inbound]:
-            if connection.pending_calls:
+            if connection.awaits_data():
                 connection.last_used_at = now
             elif connection.peer and connection.is_open and now - connection.last_used_at > IDLE_TIMEOUT_S:
                 connection.close("idle timeout")
-            if not connection.is_open or not connection.pending_calls:
-                if not connection.pending_calls:
+            if not connection.is_open or not connection.awaits_data():
+                if not connection.awaits_data():
                     # Silence is normal without a call; the next call must lead to a ping before the timeout.
                     connection.last_received_at = max(
                         connection.last_received_at, now - KEEPALIVE_PING_AFTER_S
--- a/cometdoor/wire/forwarding.py
+++ b/cometdoor/wire/forwarding.py
@@ -8,7 +8,7 @@
 class ForwardRequest(msgspec.Struct, tag="r", array_like=True):
     """A request for the backend beside the called proxy.
 
-    The reply is a `ForwardResponse`, `NotExecuted` or `AttemptFailed`.
+    The reply is a `ForwardResponse`, `StreamedForwardResponse`, `NotExecuted` or `AttemptFailed`.
     """
 
     attempt_id: bytes
@@ -28,6 +28,21 @@
     is_retry: bool = False  # an earlier attempt of the same request may have arrived
 
 
+class StreamedForwardRequest(msgspec.Struct, tag="rs", array_like=True):
+    """A request whose body follows in chunks once the called proxy grants credit for it."""
+
+    request: ForwardRequest  # with an empty body
+    body_bytes: int
+
+
+class StreamedForwardResponse(msgspec.Struct, tag="as", array_like=True):
+    """The head of the backend's response, whose body follows in chunks."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body_bytes: int | None  # None: not known before the end
+
+
 class ForwardResponse(msgspec.Struct, tag="a", array_like=True):
     """The complete response of the backend."""
 
--- a/cometdoor/wire/frames.py
+++ b/cometdoor/wire/frames.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from cometdoor.errors import CometdoorError
+from cometdoor.wire.body_streams import BodyAborted, BodyChunk, BodyCredit
 from cometdoor.wire.budget import LeaseGrant, LeaseRequest
 from cometdoor.wire.call_control import CallRejected, CancelCall, Ping, Pong
 from cometdoor.wire.consensus import (
@@ -27,7 +28,14 @@
     TransferChunk,
     TransferChunkAck,
 )
-from cometdoor.wire.forwarding import AttemptFailed, ForwardRequest, ForwardResponse, NotExecuted
+from cometdoor.wire.forwarding import (
+    AttemptFailed,
+    ForwardRequest,
+    ForwardResponse,
+    NotExecuted,
+    StreamedForwardRequest,
+    StreamedForwardResponse,
+)
 from cometdoor.wire.gossip import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -77,6 +85,11 @@
     | LeaseGrant
     | OperationRequest
     | OperationReply
+    | StreamedForwardRequest
+    | StreamedForwardResponse
+    | BodyChunk
+    | BodyCredit
+    | BodyAborted
 )
 
 
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -9,16 +9,19 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
 import structlog
 
 from cometdoor.errors import CometdoorError
+from cometdoor.host.body_stream import WINDOW_BYTES, BodyConsumer, BodyReceiver, BodySender
 from cometdoor.host.link_scheduler import LinkScheduler, ScheduledTransport
+from cometdoor.wire.body_streams import BodyAborted, BodyChunk, BodyCredit
 from cometdoor.wire.call_control import CallRejected, CancelCall, Ping, Pong
 from cometdoor.wire.connection_statistics import ConnectionStatistics
+from cometdoor.wire.forwarding import StreamedForwardResponse
 from cometdoor.wire.frames import (
     Frame,
     FrameDecoder,
@@ -60,7 +63,21 @@
         self.may_have_arrived = may_have_arrived
 
 
+@dataclass(frozen=True, slots=True)
+class StreamedReply:
+    """A reply whose body follows; the body is cancelled unless its receiver is started at once."""
+
+    head: StreamedForwardResponse
+    body: BodyReceiver
+
+    @property
+    def status(self) -> int:
+        """The response's status."""
+        return self.head.status
+
+
 OnReply = Callable[[Message | PeerError], None]
+OnStreamedReply = Callable[[StreamedReply], None]
 
 
 @dataclass(slots=True)
@@ -71,6 +88,7 @@
     call_id: int
     on_reply: OnReply | None  # None after the reply, a failure or a cancellation
     encoded_frame: bytes
+    on_streamed_reply: OnStreamedReply | None = None  # None: such a reply is a failure of the peer
 
     def cancel(self) -> bool:
         """Stop waiting for the reply and notify the peer.
@@ -82,8 +100,8 @@
         """
         if self.on_reply is None:
             return False
-        self.on_reply = None
-        self.connection.pending_calls.pop(self.call_id, None)
+        self.on_reply = self.on_streamed_reply = None
+        self.connection.forget_call(self.call_id)
         if not self.was_sent() and self.connection.remove_unsent(self.encoded_frame):
             return True
         if self.connection.discard_queued(-self.call_id):
@@ -91,14 +109,22 @@
         self.connection.write(Frame(0, False, CancelCall(self.call_id)))
         return False
 
+    def send_body(self, chunks: Iterable[bytes]) -> None:
+        """Send the body of a `StreamedForwardRequest` as the peer grants credit for it."""
+        sender = BodySender(
+            lambda data, is_last: self.connection.write_chunk(self.call_id, False, BodyChunk(data, is_last))
+        )
+        sender.send(chunks, is_last=True)
+        self.connection.body_senders[self.call_id] = sender
+
     def was_sent(self) -> bool:
         """Return whether the peer may have received any part of the call."""
         return self.connection.was_sent(self.call_id)
 
     def discard(self) -> None:
         """Stop waiting for the reply without notifying the peer."""
-        self.on_reply = None
-        self.connection.pending_calls.pop(self.call_id, None)
+        self.on_reply = self.on_streamed_reply = None
+        self.connection.forget_call(self.call_id)
 
 
 class PeerConnectionOwner(Protocol):
@@ -124,12 +150,16 @@
         self.pending_calls: dict[int, PendingCall] = {}
         # By id of a call of the peer: called if the peer cancels it or the connection closes.
         self.cancel_callbacks: dict[int, Callable[[], None]] = {}
+        # Bodies on their way, by id of their call: those of calls or replies sent here, and those received.
+        self.body_senders: dict[int, BodySender] = {}
+        self.body_receivers: dict[int, BodyReceiver] = {}
         self.is_closed = False
         self.is_open = False
         self._connections = connections
         self._frame_decoder = FrameDecoder()
         # Encoded frames, each with the id of the peer's call, or the negative id of a call of this side.
-        self._outgoing: list[tuple[int, bytes]] = []
+        # The flag: it must not overtake large frames that wait for the link.
+        self._outgoing: list[tuple[int, bytes, bool]] = []
         self._transport: asyncio.Transport | None = None
         self._is_flush_scheduled = False
         self._last_sent_id = 0  # calls with higher ids have not been written to this connection
@@ -185,14 +215,20 @@
 
     def _dispatch(self, frame: Frame) -> None:
         message = frame.message
-        if frame.is_reply:
+        if isinstance(message, BodyChunk | BodyCredit | BodyAborted):
+            self._dispatch_body(frame.call_id, message)
+        elif frame.is_reply:
             call = self.pending_calls.pop(frame.call_id, None)
-            if call is not None:
+            self._stop_sending(frame.call_id)
+            if call is not None and isinstance(message, StreamedForwardResponse):
+                self._pass_streamed_reply(call, message)
+            elif call is not None:
                 self._pass_reply(call, message)
         elif isinstance(message, Ping):
             self.write(Frame(frame.call_id, True, Pong()))
         elif isinstance(message, CancelCall):
             on_cancel = self.cancel_callbacks.pop(message.call_id, None)
+            self.end_body(message.call_id)
             if on_cancel is not None:
                 on_cancel()
             else:
@@ -214,9 +250,96 @@
             )
             self.respond(call_id, CallRejected("its handler failed"))
 
+    # --- bodies in chunks ---
+
+    def _dispatch_body(self, call_id: int, message: BodyChunk | BodyCredit | BodyAborted) -> None:
+        """Pass a chunk to its receiver, or credit to its sender; those of calls that are over are dropped."""
+        match message:
+            case BodyCredit():
+                sender = self.body_senders.get(message.call_id)
+                if sender is not None:
+                    sender.add_credit(message.size)
+            case BodyChunk():
+                receiver = self.body_receivers.get(call_id)
+                if receiver is not None:
+                    if message.is_last:
+                        del self.body_receivers[call_id]
+                    receiver.receive(message.data, message.is_last)
+            case BodyAborted():
+                receiver = self.body_receivers.pop(call_id, None)
+                if receiver is not None:
+                    receiver.fail()
+
+    def _pass_streamed_reply(self, call: PendingCall, head: StreamedForwardResponse) -> None:
+        def cancel() -> None:
+            self.body_receivers.pop(call.call_id, None)
+            self.write(Frame(0, False, CancelCall(call.call_id)))
+
+        receiver = self.body_receivers[call.call_id] = self._new_receiver(call.call_id, cancel)
+        on_streamed_reply, call.on_streamed_reply = call.on_streamed_reply, None
+        if on_streamed_reply is None:
+            self._pass_reply(call, PeerError("answer", self.peer, "a reply in parts was not expected", True))
+        else:
+            call.on_reply = None
+            on_streamed_reply(StreamedReply(head, receiver))
+        if not receiver.has_consumer:
+            receiver.cancel()
+
+    def _new_receiver(self, call_id: int, cancel: Callable[[], None]) -> BodyReceiver:
+        return BodyReceiver(lambda size: self._grant_credit(call_id, size), cancel)
+
+    def _grant_credit(self, call_id: int, size: int) -> None:
+        self.write(Frame(0, False, BodyCredit(call_id, size)))
+
+    def receive_body(self, call_id: int, consumer: BodyConsumer) -> BodyReceiver:
+        """Receive the body of a call of the peer, which sends none of it before it is granted credit."""
+        receiver = self.body_receivers[call_id] = self._new_receiver(
+            call_id, lambda: self._discard_receiver(call_id)
+        )
+        receiver.start(consumer)
+        return receiver
+
+    def _discard_receiver(self, call_id: int) -> None:
+        self.body_receivers.pop(call_id, None)
+
+    def respond_streamed(self, call_id: int, head: StreamedForwardResponse) -> BodySender:
+        """Reply to a call with a head; the body goes through the sender, and `end_body` follows it."""
+        self.write(Frame(call_id, True, head))
+        sender = BodySender(
+            lambda data, is_last: self.write_chunk(call_id, True, BodyChunk(data, is_last)), WINDOW_BYTES
+        )
+        self.body_senders[call_id] = sender
+        return sender
+
+    def abort_body(self, call_id: int) -> None:
+        """Notify the peer that the rest of the body of a reply will not come."""
+        self._stop_sending(call_id)
+        self.cancel_callbacks.pop(call_id, None)
+        self.write_chunk(call_id, True, BodyAborted())
+
+    def end_body(self, call_id: int) -> None:
+        """Forget the bodies of a call that is over."""
+        self._stop_sending(call_id)
+        self.body_receivers.pop(call_id, None)
+
+    def _stop_sending(self, call_id: int) -> None:
+        sender = self.body_senders.pop(call_id, None)
+        if sender is not None:
+            sender.stop()
+
+    def forget_call(self, call_id: int) -> None:
+        """Stop waiting for the reply to a call of this side, and stop sending its body."""
+        self.pending_calls.pop(call_id, None)
+        self._stop_sending(call_id)
+
+    def awaits_data(self) -> bool:
+        """Return whether the peer owes a reply or a part of one."""
+        return bool(self.pending_calls or self.body_receivers)
+
     def _pass_reply(self, call: PendingCall, reply: Message | PeerError) -> None:
         """Pass a reply to its caller; a failure there concerns neither the connection nor its other calls."""
         on_reply, call.on_reply = call.on_reply, None
+        call.on_streamed_reply = None
         if on_reply is None:
             return
         try:
@@ -237,6 +360,7 @@
         replaced by a rejection of the call.
         """
         self.cancel_callbacks.pop(call_id, None)
+        self.end_body(call_id)
         if not call_id:
             return
         try:
@@ -245,7 +369,11 @@
             log.error("message dropped", step="encode", peer=self.peer, error=str(error))
             self.write(Frame(call_id, True, CallRejected("the reply can't be encoded")))
 
-    def write(self, frame: Frame) -> bytes:
+    def write_chunk(self, call_id: int, is_reply: bool, message: BodyChunk | BodyAborted) -> None:
+        """Queue a part of a body; a part never overtakes another one."""
+        self.write(Frame(call_id, is_reply, message), is_in_order=True)
+
+    def write(self, frame: Frame, is_in_order: bool = False) -> bytes:
         """Queue a frame for the next flush, and return its bytes, which identify it for `remove_unsent`.
 
         Raises
@@ -255,7 +383,8 @@
         """
         data = encode(frame)
         if not self.is_closed:
-            self._outgoing.append((frame.call_id if frame.is_reply else -frame.call_id, data))
+            key = frame.call_id if frame.is_reply else -frame.call_id
+            self._outgoing.append((key, data, is_in_order))
             if self.is_open and not self._is_flush_scheduled:
                 self._is_flush_scheduled = True
                 self._connections.loop.call_soon(self._flush)
@@ -267,7 +396,7 @@
         Otherwise a request that is cancelled while the connection is being dialled would be executed once the
         connection is open.
         """
-        for index, (_, queued) in enumerate(self._outgoing):
+        for index, (_, queued, _) in enumerate(self._outgoing):
             if queued is data:
                 del self._outgoing[index]
                 return True
@@ -291,13 +420,28 @@
             if isinstance(self._transport, ScheduledTransport):
                 self._write_scheduled(self._transport, outgoing)
             else:
-                self._transport.write(b"".join([data for _, data in outgoing]))
+                self._transport.write(b"".join([data for _, data, _ in outgoing]))
+
+    def _write_scheduled(
+        self, transport: ScheduledTransport, outgoing: list[tuple[int, bytes, bool]]
+    ) -> None:
+        """Write short frames together, and each large one by itself, so that it can be discarded.
 
-    def _write_scheduled(self, transport: ScheduledTransport, outgoing: list[tuple[int, bytes]]) -> None:
-        """Write short frames together, and each large one by itself, so that it can be discarded."""
-        transport.write_short(b"".join([data for _, data in outgoing if len(data) <= LARGE_FRAME_BYTES]))
-        for key, data in outgoing:
-            if len(data) > LARGE_FRAME_BYTES:
+        Parts of bodies have no key: what was sent of a body can't be taken back.
+        """
+        transport.write_short(
+            b"".join(
+                [
+                    data
+                    for _, data, is_in_order in outgoing
+                    if len(data) <= LARGE_FRAME_BYTES and not is_in_order
+                ]
+            )
+        )
+        for key, data, is_in_order in outgoing:
+            if is_in_order:
+                transport.write_in_order(data)
+            elif len(data) > LARGE_FRAME_BYTES:
                 transport.write_message(key, data)
 
     def discard_queued(self, key: int) -> bool:
@@ -332,10 +476,15 @@
             self._transport.abort()
         pending_calls, self.pending_calls = self.pending_calls, {}
         cancel_callbacks, self.cancel_callbacks = self.cancel_callbacks, {}
+        receivers, self.body_receivers = self.body_receivers, {}
+        for call_id in list(self.body_senders):
+            self._stop_sending(call_id)
         for call in pending_calls.values():
             failed_step = step if was_open else "connect"
             may_have_arrived = self.was_sent(call.call_id)
             self._pass_reply(call, PeerError(failed_step, self.peer, reason, may_have_arrived))
+        for receiver in receivers.values():
+            receiver.fail()
         for on_cancel in cancel_callbacks.values():
             on_cancel()
 
--- a/simulation/exchange/backend.py
+++ b/simulation/exchange/backend.py
@@ -6,11 +6,12 @@
 from itertools import product
 from typing import cast
 
-from cometdoor.dataplane.inbound_proxy import MAX_RESPONSE_BYTES, InboundProxy
+from cometdoor.dataplane.inbound_proxy import MAX_WHOLE_RESPONSE_BYTES, InboundProxy
+from cometdoor.host.body_stream import BodySender
 from cometdoor.host.exchange.backend_exchanges import BackendExchangeEvent, BackendExchangeState
 from cometdoor.host.exchange.table import Conclusion, ConnectionState, TableCell
 from cometdoor.host.fair_share import DescriptorQuota
-from cometdoor.wire.forwarding import AttemptFailed, ForwardResponse, NotExecuted
+from cometdoor.wire.forwarding import AttemptFailed, ForwardResponse, NotExecuted, StreamedForwardResponse
 from cometdoor.wire.frames import Message
 from cometdoor.wire.gossip import Backend
 from cometdoor.wire.peer_connection import PeerConnection
@@ -47,7 +48,12 @@
         serialize_head(101, ("Upgrade", "else"), ("Connection", "upgrade")),
     ],
     BackendExchangeEvent.TOO_LARGE: [
-        serialize_head(200, ("Cometdoor-Attempt-Id", OWN_ID), ("Content-Length", str(MAX_RESPONSE_BYTES + 1)))
+        serialize_head(
+            503,
+            ("Cometdoor-Attempt-Id", OWN_ID),
+            ("Cometdoor-Not-Executed", "1"),
+            ("Content-Length", str(MAX_WHOLE_RESPONSE_BYTES + 1)),
+        )
         + b"a"
     ],
     BackendExchangeEvent.INTERIM: [serialize_head(100), serialize_head(103, ("Link", "x"))],
@@ -55,6 +61,7 @@
         serialize_response(OWN_ID),
         serialize_response(OWN_ID, body=b""),
         serialize_response(OWN_ID, body=b"a line\n"),
+        serialize_response(OWN_ID, body=b"x" * (MAX_WHOLE_RESPONSE_BYTES + 1)),
         serialize_response(OWN_ID, 404, is_sealed=False),
         serialize_response(OWN_ID, 409),
         serialize_response(OWN_ID, 500),
@@ -126,6 +133,18 @@
         self.cancel_callbacks.pop(number, None)
         self.replies.append(message)
 
+    def respond_streamed(self, number: int, head: StreamedForwardResponse) -> BodySender:
+        """Record a response once its last chunk was sent."""
+
+        def write(data: bytes, is_last: bool) -> None:
+            if is_last:
+                self.respond(number, ForwardResponse(head.status, head.headers, b""))
+
+        return BodySender(write, UNLIMITED_BYTES)
+
+    def abort_body(self, number: int) -> None:
+        self.respond(number, AttemptFailed("reset", 1.0))
+
 
 class BackendExchangePlayer:
     """Brings an exchange with a scripted backend into a state, and causes events."""
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -68,6 +68,7 @@
     seeds: list[str],
     service: str = SERVICE,
     bandwidth_mbps: float = 0.0,
+    memory_mb: float = 0.0,
 ) -> Path:
     core = role == "controlplane"
     listen = (
@@ -88,8 +89,8 @@
     ]
     if core:
         lines.append(f'data-directory = "{folder / address}"')
-    if bandwidth_mbps:
-        lines += ["[limits]", f"bandwidth-mbps = {bandwidth_mbps}"]
+    limits = {"bandwidth-mbps": bandwidth_mbps, "memory-mb": memory_mb}
+    lines += ["[limits]", *(f"{name} = {value}" for name, value in limits.items() if value)]
     lines += ["[listen-addresses]", *(f'{name} = "{address}:{port}"' for name, port in listen.items())]
     path = folder / f"{address}.toml"
     path.write_text("\n".join(lines) + "\n")
@@ -110,6 +111,7 @@
         self.backends = {address: Backend(address, self.traffic_log) for address in self.planes}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.bandwidth_mbps = 0.0  # of each data plane's link; 0: unlimited
+        self.memory_mb = 0.0  # of each data plane; 0: as without a setting
 
     async def start(self) -> None:
         for address in [*self.core, *self.planes]:
@@ -123,7 +125,8 @@
         service = self.backends[address].service if address in self.backends else SERVICE
         seeds = [f"{address}:{CONTROL_PORT}" for address in self.core]
         bandwidth_mbps = self.bandwidth_mbps if role == "dataplane" else 0.0
-        return role, settings(self.folder, role, address, seeds, service, bandwidth_mbps)
+        memory_mb = self.memory_mb if role == "dataplane" else 0.0
+        return role, settings(self.folder, role, address, seeds, service, bandwidth_mbps, memory_mb)
 
     async def launch(self, address: str, is_first: bool = True) -> None:
         """Start the process of an address; a restarted process (not `is_first`) appends to the same log."""
--- a/stories/dataplane/test_service_client.py
+++ b/stories/dataplane/test_service_client.py
@@ -15,7 +15,7 @@
 from cometdoor.dataplane.adaptive_throttling import AdaptiveThrottle
 from cometdoor.dataplane.attempt_replies import classify_reply
 from cometdoor.dataplane.backend_endpoints import BackendEndpoint
-from cometdoor.dataplane.client_exchange import ClientExchange
+from cometdoor.dataplane.client_exchange import BackendReply, ClientExchange
 from cometdoor.dataplane.service_client import ServiceClient
 from cometdoor.http.messages import ClientRequest
 from cometdoor.wire.connections import PeerConnections
@@ -33,7 +33,7 @@
     def __init__(self) -> None:
         self.notifications: list[str] = []
 
-    def on_response(self, response: ForwardResponse) -> None:
+    def on_response(self, response: BackendReply) -> None:
         self.notifications.append(f"served {response.status}")
 
     def on_rejected(self, retry_after_ms: float) -> None:
--- a/stories/mesh/test_response_forms.py
+++ b/stories/mesh/test_response_forms.py
@@ -6,10 +6,11 @@
 
 from ward import each, test
 
-from simulation.mesh import SimulatedMesh, simulated_mesh
-from standins.http_client import Headers, http_request
+from simulation.mesh import simulated_mesh
+from simulation.scripted_backend import response_head, take_over_backends
+from standins.http_client import Headers, http_request, read_message
 from standins.mesh import route
-from standins.mesh_backend import APPLICATION_PORT, HOST, OUTBOUND_PORT, Backend
+from standins.mesh_backend import HOST, OUTBOUND_PORT
 
 DEADLINE_MS = 6000
 MIB = 1 << 20
@@ -59,43 +60,28 @@
 }
 
 
-class SlowBackend(Backend):
-    """A backend that answers in the form that the request's path names; an empty step ends the connection."""
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-                fields = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines)}
-                size, steps = FORMS[lines[0].split("/")[2].replace("_", " ").removesuffix(" HTTP")]
-                head = (
-                    f"HTTP/1.1 200 OK\r\nCometdoor-Attempt-Id: {fields['cometdoor-attempt-id']}\r\n"
-                    f"Cometdoor-Response-Seal: {secrets.token_hex(6)}\r\n"
-                ).encode()
-                for delay_s, data in steps(head, body_of(fields["cometdoor-attempt-id"], size)):
-                    await asyncio.sleep(delay_s)
-                    if not data:
-                        return
-                    writer.write(data)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+async def serve_in_form(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer in the form that the request's path names; an empty step ends the connection."""
+    try:
+        while True:
+            _, fields, _ = await read_message(reader)
+            size, steps = FORMS[fields[""].split("/")[2].replace("_", " ").removesuffix(" HTTP")]
+            attempt = fields["cometdoor-attempt-id"]
+            for delay_s, data in steps(response_head(attempt), body_of(attempt, size)):
+                await asyncio.sleep(delay_s)
+                if not data:
+                    return
+                writer.write(data)
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
 
 
 def body_of(attempt: str, size: int) -> bytes:
     return (attempt.encode() * (size // len(attempt) + 1))[:size]
 
 
-async def replace_backend(mesh: SimulatedMesh, address: str) -> None:
-    """Take over the port of the backend at an address, whose heartbeats go on."""
-    backend = mesh.backends[address]
-    assert backend._server is not None
-    backend._server.close()
-    slow = SlowBackend(address, mesh.traffic_log)
-    await asyncio.start_server(slow._serve, address, APPLICATION_PORT)
-
-
 async def request(address: str, kind: str, form: str) -> str:
     """Make one request; return how it ended, empty if its response came whole."""
     attempt = secrets.token_hex(8)
@@ -130,9 +116,7 @@
         if event == "after SIGTERM":
             mesh.as_backend(leaving, mesh.backends[leaving].drain(0.5))
             mesh.wait(1.5)
-        for address in mesh.planes:
-            mesh.as_backend(address, replace_backend(mesh, address))
-        mesh.wait(0.1)
+        take_over_backends(mesh, serve_in_form)
         if event == "after SIGTERM":
             mesh.terminate(leaving)
             mesh.wait(0.3)
