Client connections: an offer of another protocol leaves the request as it is

Cause: httptools stops at the end of such a head and hands the rest back as another protocol; the request counted as complete and the rest was dropped.

Change: the offer is ignored (RFC 9110, 7.8). A new parser gets the head without it, and then the body, so the reader, the limits and Expect see one ordinary request. CONNECT is rejected with 400, as before.

--- a/cometdoor/http/client_connection.py
+++ b/cometdoor/http/client_connection.py
@@ -27,6 +27,7 @@
     Headers,
     Response,
     announced_body_bytes,
+    request_head,
     response_head,
 )
 from cometdoor.http.sockets import is_readable
@@ -76,7 +77,7 @@
         self._message_bytes = self._chunk_bytes = 0
         self._incomplete_request: ClientRequest | None = None  # head received, body still incomplete
         # Whether a request, or its head, has begun and its last byte has not been received.
-        self._is_in_request = self._is_in_head = self._is_chunked = False
+        self._is_in_request = self._is_in_head = self._is_chunked = self._is_upgrade_offered = False
         self._pipelined: deque[ClientRequest] = deque()
         self._is_reading_paused = self._is_writing_paused = False
         self._ignores_input = False  # discards input: it was malformed, or the connection is closing
@@ -130,12 +131,8 @@
         self._chunk_bytes = len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # httptools raises this instead of a parser error. The bytes after an Upgrade are not HTTP, so the
-            # request is the connection's last one.
-            self._ignores_input = True
-            if self._pipelined:
-                self._pipelined[-1].keep_alive = False
+        except httptools.HttpParserUpgrade as offer:
+            self._decline_upgrade(data[offer.args[0] :])
         except httptools.HttpParserError as error:
             # httptools wraps exceptions of callbacks; the original exception is the context.
             cause = error.__context__
@@ -149,6 +146,21 @@
             if self._is_in_request and self._head_bytes() > self._owner.limits.max_head_bytes:
                 self._reject_input(BadRequestError(431, "the head is too large"))
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Serve a request that offers another protocol as HTTP/1.1 (RFC 9110, 7.8); `rest` follows its head.
+
+        httptools stops at the end of such a head, and regards what follows as the other protocol. A new
+        parser gets the head without the offer, and then the body.
+        """
+        assert self._parser is not None
+        method, version = self._parser.get_method(), self._parser.get_http_version()
+        head = request_head(method, bytes(self._target), version, self._headers)
+        self._is_upgrade_offered = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._feed_parser(head)
+        if rest and not self._ignores_input:
+            self._parse(rest)
+
     def _head_bytes(self) -> int:
         """Return the size of the head, with trailers and what the framing of chunks has beyond its limit."""
         framing_limit = MAX_FRAMING_PER_BODY_BYTE * self._body.size if self._is_chunked else 0
@@ -214,6 +226,11 @@
         """Pass the head to the reader; httptools turns a BadRequestError into a parser error."""
         assert self._parser is not None and self._transport is not None
         self._is_in_head = False
+        if self._parser.get_method() == b"CONNECT":
+            raise BadRequestError(400, "CONNECT is not supported")
+        self._is_upgrade_offered = self._parser.should_upgrade()
+        if self._is_upgrade_offered:
+            return
         request = self._incomplete_request = ClientRequest(
             self._parser.get_method(), bytes(self._target), self._headers
         )
@@ -266,7 +283,9 @@
             self._body.reserve(max_body_bytes, self._memory_wait_s(self._incomplete_request))
 
     def on_message_complete(self) -> None:
-        """Queue a complete request."""
+        """Queue a complete request; one that offers another protocol is parsed once more."""
+        if self._is_upgrade_offered:
+            return
         assert self._parser is not None and self._incomplete_request is not None
         request, self._incomplete_request = self._incomplete_request, None
         self._is_in_request = False
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -196,6 +196,13 @@
     return next((int(value) for name, value in headers if name.lower() == b"content-length"), 0)
 
 
+def request_head(method: bytes, target: bytes, version: str, headers: Headers) -> bytes:
+    """Return the head of a request without an offer to change the protocol (RFC 9110, 7.8)."""
+    lines = [b"%s %s HTTP/%s\r\n" % (method, target, version.encode())]
+    lines += [b"%s: %s\r\n" % header for header in headers if header[0].lower() != b"upgrade"]
+    return b"".join([*lines, b"\r\n"])
+
+
 def response_head(status: int, headers: Headers, framing: bytes, keep_alive: bool) -> bytes:
     """Return the head of a response to a client; `framing` is the line that delimits its body, if any."""
     lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"")), framing]
