A data plane that stood still executes nothing that may have lain unread for too long

Cause: the age of a request counted from when it was read, at both hops, and a data plane did not notice that it stood still.

Change: a pause monitor (a timer of 0.1 s that is 0.3 s late). What is read in the half second after a pause counts from its beginning: not executed if its deadline may have passed, at either hop; a keyed request is rejected with 503 and Retry-After. Queued requests past their deadline are rejected before one starts. Claims are given up after 2.7 s instead of 2.9: with 0.3 s unnoticed both fit into the slack.

--- a/cometdoor/dataplane/inbound_proxy.py
+++ b/cometdoor/dataplane/inbound_proxy.py
@@ -19,6 +19,7 @@
 from cometdoor.host.attempt_outcome import AttemptResult
 from cometdoor.host.clock import now_ms
 from cometdoor.host.fair_share import DescriptorQuota
+from cometdoor.host.pause_monitor import PauseMonitor
 from cometdoor.http.backend_exchange import BackendExchange
 from cometdoor.http.backend_pool import BackendConnectionPool
 from cometdoor.http.messages import Response, end_to_end_headers
@@ -65,6 +66,8 @@
         Notified when a connection to the backend fails, and when the backend has recovered.
     used_memory_bytes
         Returns the bytes that the process holds for bodies; with many, smaller responses are streamed.
+    pause_monitor
+        Tells how long requests may have lain unread; None counts them from when they are read.
     """
 
     def __init__(
@@ -73,8 +76,11 @@
         descriptors: DescriptorQuota,
         drain_s: float,
         health_listener: BackendHealthListener | None = None,
+        *,
         used_memory_bytes: Callable[[], int] = lambda: 0,
+        pause_monitor: PauseMonitor | None = None,
     ) -> None:
+        self._pause_monitor = pause_monitor
         self.backend: Backend | None = None
         self.slots = ConcurrencySlots()
         self._loop = loop
@@ -204,6 +210,11 @@
         if backend.state != "ready":
             connection.respond(call_id, NotExecuted(f"the backend is {backend.state}"))
             return
+        if self._pause_monitor is not None:
+            forward_request.remaining_ms -= self._pause_monitor.input_age_s(self._loop.time()) * 1000.0
+        if forward_request.remaining_ms <= 0.0:
+            connection.respond(call_id, NotExecuted("its deadline may have passed in a pause"))
+            return
         now = now_ms()
         slot_request = self.slots.new_request(
             RequestKind(
@@ -318,6 +329,8 @@
             request.respond(message)
 
     def _start_queued(self) -> None:
+        if self.slots.queued:
+            self._reject(self.slots.remove_overdue(now_ms()), "full")
         while self._may_start() and (slot_request := self.slots.start_next(now_ms())) is not None:
             self._start(self._queued_requests.pop(slot_request.number))
 
--- a/cometdoor/dataplane/outbound_proxy.py
+++ b/cometdoor/dataplane/outbound_proxy.py
@@ -27,6 +27,7 @@
 from cometdoor.wire.keys import OperationReply, OperationRequest
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # the first configuration arrives within one second of the start
+PAUSE_RETRY_AFTER_S = 0.1  # a request that is sent again after a pause arrives at once
 log = structlog.get_logger()
 
 
@@ -165,6 +166,16 @@
         if request.remaining_ms <= 0:
             request.remaining_ms = route.timeout_ms
         request.remaining_ms = min(request.remaining_ms, route.timeout_ms)
+        if request.unread_s and (
+            route.route_type == "keyed" or request.unread_s * 1000.0 >= request.remaining_ms
+        ):
+            # Its deadline may have passed; or the claim of its key's first execution may have expired since
+            # it was sent, though the key's window had not ended then.
+            log.warning(
+                "request may be old after a pause", step="accept", unread_s=round(request.unread_s, 2)
+            )
+            connection.respond(503, [(b"Retry-After", b"%.3f" % PAUSE_RETRY_AFTER_S)], b"")
+            return
         if route.route_type == "keyed" and key:
             self.keyed_requests.accept(self._new_outbound_request(connection, request, key))
             return
--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -26,6 +26,7 @@
 from cometdoor.host.listening import ListenStep, listen_all
 from cometdoor.host.memory_account import MemoryAccount, body_memory_bytes
 from cometdoor.host.node_settings import NodeSettings
+from cometdoor.host.pause_monitor import TICK_INTERVAL_S, PauseMonitor
 from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.host.settings_validation import SettingsError
 from cometdoor.http.client_connection import ClientConnection
@@ -87,6 +88,7 @@
         self._link = LinkScheduler(loop, node_settings.limits.bandwidth_mbps, node_settings.ip_address)
         self.connections = PeerConnections(loop, self._receive, self._link)
         internal_address = node_settings.internal_address(ROLE)
+        self._pause_monitor = PauseMonitor(loop.time())
         self.memory = MemoryAccount(body_memory_bytes(node_settings.limits.memory_mb))
         incarnation = secrets.token_hex(4)
         record = NodeRecord(
@@ -106,7 +108,8 @@
             descriptors,
             node_settings.bound_value("drain-s", 2.0),
             self.backend_lifecycle,
-            self.memory.used_bytes,
+            used_memory_bytes=self.memory.used_bytes,
+            pause_monitor=self._pause_monitor,
         )
         self.outbound_proxy = OutboundProxy(
             node_settings,
@@ -128,6 +131,7 @@
             ClientLimits(16 << 10, 64 << 20, 3.2, 15.5),
             link=self._link,
             memory=self.memory,
+            pause_monitor=self._pause_monitor,
         )
         self.backend_frontend = Frontend(
             loop, JsonApiReader(MAX_HEARTBEAT_BYTES), descriptors, BackendApi(self.backend_lifecycle)
@@ -159,6 +163,7 @@
         self.gossip_server.start()
         RepeatingTimer(self._loop, ENDPOINT_REFRESH_INTERVAL_S, self._refresh_endpoints).start()
         RepeatingTimer(self._loop, REPORT_INTERVAL_S, self._report).start()
+        RepeatingTimer(self._loop, TICK_INTERVAL_S, self._tick).start()
 
     def apply_settings(self, node_settings: NodeSettings) -> None:
         """Apply a reloaded settings file: seed nodes immediately; other settings apply at the next start."""
@@ -248,6 +253,9 @@
             backends.sort(key=lambda endpoint: endpoint.backend.instance)
         self.outbound_proxy.update_endpoints(backend_endpoints)
 
+    def _tick(self) -> None:
+        self._pause_monitor.tick(self._loop.time())
+
     def _report(self) -> None:
         self.outbound_proxy.report()
         self.inbound_proxy.report()
--- a/cometdoor/http/client_connection.py
+++ b/cometdoor/http/client_connection.py
@@ -236,11 +236,19 @@
         )
         self._owner.reader.read(request)
         self._is_chunked = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
-        request.arrived_at = time.monotonic()
+        self._set_arrival(request)
         self._body.reserve(announced_body_bytes(self._headers), self._memory_wait_s(request))
         if not self._body.waits_for_memory():
             self._invite_body()
 
+    def _set_arrival(self, request: ClientRequest) -> None:
+        """Set the time of arrival; after a pause of the process it may have been at the pause's beginning."""
+        now = time.monotonic()
+        monitor = self._owner.pause_monitor
+        unread_s = 0.0 if monitor is None else monitor.input_age_s(now)
+        request.unread_s = max(request.unread_s, unread_s)
+        request.arrived_at = now - unread_s
+
     def _memory_wait_s(self, request: ClientRequest) -> float:
         return request.remaining_ms / 1000.0 or self._owner.limits.read_timeout_s
 
@@ -290,7 +298,7 @@
         request, self._incomplete_request = self._incomplete_request, None
         self._is_in_request = False
         if not self._body.is_large:
-            request.arrived_at = time.monotonic()
+            self._set_arrival(request)
         self._body.finish(request)
         request.received_bytes = self._message_bytes + self._chunk_bytes  # too high by one chunk at most
         request.keep_alive = self._parser.should_keep_alive()
--- a/cometdoor/http/connection_owner.py
+++ b/cometdoor/http/connection_owner.py
@@ -7,6 +7,7 @@
 
 from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.host.memory_account import MemoryAccount
+from cometdoor.host.pause_monitor import PauseMonitor
 from cometdoor.http.client_limits import ClientLimits
 from cometdoor.http.connection_timeouts import ConnectionTimeouts, TimedConnection
 from cometdoor.http.messages import ClientRequest, RequestReader
@@ -41,6 +42,7 @@
     connections_with_unread_responses: dict[ConnectionT, None]
     link: LinkScheduler | None
     memory: MemoryAccount | None
+    pause_monitor: PauseMonitor | None
 
     def on_closed(self, connection: ConnectionT) -> None:
         """Remove a closed connection."""
--- a/cometdoor/http/frontend.py
+++ b/cometdoor/http/frontend.py
@@ -12,6 +12,7 @@
 from cometdoor.host.fair_share import DescriptorQuota, client_connection_limit
 from cometdoor.host.link_scheduler import LinkScheduler
 from cometdoor.host.memory_account import MemoryAccount
+from cometdoor.host.pause_monitor import PauseMonitor
 from cometdoor.host.repeating_timer import RepeatingTimer
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.client_limits import ClientLimits
@@ -54,6 +55,8 @@
         Schedules the bytes that are sent to clients; None sends them at once.
     memory : MemoryAccount | None
         Account of the bytes held for bodies; None holds each body up to its limit.
+    pause_monitor : PauseMonitor | None
+        Tells how long requests may have lain unread; None counts them from when they are read.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -68,6 +71,7 @@
     connections_with_unread_responses: dict[ClientConnection, None] = field(default_factory=dict)
     link: LinkScheduler | None = None
     memory: MemoryAccount | None = None
+    pause_monitor: PauseMonitor | None = None
     _listeners: list[socket.socket] = field(default_factory=list)
     _is_accepting: bool = False
     _last_sweep_at: float = 0.0
--- a/cometdoor/http/messages.py
+++ b/cometdoor/http/messages.py
@@ -90,6 +90,8 @@
     arrived_at : float
         When its last byte was received, in seconds of the system's monotonic clock. Of a request with a large
         body, when its head was received.
+    unread_s : float
+        How long it may have lain unread before that, in seconds, since the process stood still.
     rejection : tuple[int, bytes] | None
         Status and body of the error response to invalid input.
     trace : bytes
@@ -120,6 +122,7 @@
     is_http_1_0: bool = False
     received_bytes: int = 0
     arrived_at: float = 0.0
+    unread_s: float = 0.0
     rejection: tuple[int, bytes] | None = None
     is_health_check: bool = False
     trace: bytes = b""
--- a/cometdoor/keys/claims.py
+++ b/cometdoor/keys/claims.py
@@ -17,8 +17,9 @@
 from cometdoor.wire.peer_connection import PeerError, PendingCall
 
 # Claims that are not confirmed by then are given up. It is part of `IDEMPOTENCY_WINDOW_SLACK_MS`: a repeated
-# attempt at the end of the window may be claimed this much later.
-CLAIM_DEADLINE_S = 2.9
+# attempt at the end of the window may be claimed this much later, beside the time for which it may have lain
+# unread unnoticed (`host.pause_monitor.PAUSE_DETECTION_S`).
+CLAIM_DEADLINE_S = 2.7
 RETRY_DELAY_S = 0.06  # delay before the next attempt if no replica could order the claims
 CALL_TIMEOUT_S = 0.7  # timeout of one attempt, after which another replica is tried
 # The first attempts follow redirects to another leader immediately, later ones after a delay: during a leader
