Soak: bodies of all sizes, pauses in responses, planned replacements, wide links

Change: uploads of 1 byte to 24 MiB, plain and keyed, whose bytes the backend compares by a digest; responses that pause for 1.4 s in the middle; downloads of 3 MiB; a data plane that gets SIGTERM after its backend has drained, and must end within its grace period.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -20,6 +20,7 @@
 from standins.http_client import http_request
 from standins.mesh_backend import (
     CONTROL_PORT,
+    DIGEST_HEADER,
     HOST,
     INTERNAL_PORT,
     OUTBOUND_PORT,
@@ -28,9 +29,11 @@
     SERVICE,
     Backend,
     TrafficLog,
+    body_digest,
 )
 
 ROOT = Path(__file__).parents[1]
+DEFAULT_DEADLINE_MS = 2000  # of a client's request
 
 
 def route(
@@ -110,6 +113,7 @@
         self.traffic_log = TrafficLog()
         self.backends = {address: Backend(address, self.traffic_log) for address in self.planes}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.deadlines_ms: dict[str, int] = {}  # of clients' requests, by kind
         self.bandwidth_mbps = 0.0  # of each data plane's link; 0: unlimited
         self.memory_mb = 0.0  # of each data plane; 0: as without a setting
 
@@ -207,12 +211,15 @@
                 await asyncio.sleep(0.05)
         return True
 
-    async def request(self, address: str, kind: str, key: str = "", max_attempts: int = 2) -> int:
+    async def request(
+        self, address: str, kind: str, key: str = "", max_attempts: int = 2, body: bytes = b""
+    ) -> int:
         """Make a client's request with retries; return the last status, 0 if there was no response."""
         self.traffic_log.request_count += 1
         status = 0
         for _ in range(max_attempts):
-            status, pause_s = await self.attempt_once(address, kind, key)
+            deadline_ms = self.deadlines_ms.get(kind, DEFAULT_DEADLINE_MS)
+            status, pause_s = await self.attempt_once(address, kind, key, deadline_ms, body)
             if status == 200:
                 break
             await asyncio.sleep(pause_s)
@@ -220,7 +227,12 @@
         return status
 
     async def attempt_once(
-        self, address: str, kind: str, key: str = "", deadline_ms: int = 2000
+        self,
+        address: str,
+        kind: str,
+        key: str = "",
+        deadline_ms: int = DEFAULT_DEADLINE_MS,
+        body: bytes = b"",
     ) -> tuple[int, float]:
         """Make one attempt; return its status (0 for no response) and the pause before a retry in seconds."""
         traffic_log = self.traffic_log
@@ -228,6 +240,9 @@
         headers = {"Host": HOST, "Cometdoor-Attempt-Id": attempt, "Cometdoor-Deadline-Ms": str(deadline_ms)}
         if key:
             headers["Cometdoor-Idempotency-Key"] = key
+        if body:
+            headers[DIGEST_HEADER] = body_digest(body)
+        request_body = body
         try:
             status, fields, body = await http_request(
                 address,
@@ -235,6 +250,7 @@
                 "GET" if kind == "idempotent" else "POST",
                 f"/{kind}/1",
                 headers,
+                request_body,
                 timeout_s=deadline_ms / 1000.0 + 1.0,
             )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
--- a/standins/mesh_backend.py
+++ b/standins/mesh_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 import secrets
 import time
@@ -21,10 +22,16 @@
 )
 
 
+DIGEST_HEADER = "x-body-digest"  # of a client: digest of the body that it sends
 PADDING = b"."  # pads the body of a response to its size
 SERVICE, HOST = "pitches", "pitches.example"
 
 
+def body_digest(body: bytes) -> str:
+    """Return the digest of a body for `DIGEST_HEADER`."""
+    return hashlib.sha256(body).hexdigest()
+
+
 @dataclass
 class TrafficLog:
     """Executions as logged by the backends, and results as logged by the clients."""
@@ -53,6 +60,8 @@
         self.body_bytes: dict[
             str, int
         ] = {}  # minimum size of a response's body, by the first segment of the path
+        # Silence in the middle of a response in seconds, by the first segment of the path.
+        self.response_pause_s: dict[str, float] = {}
         self.responses_to_drop = 0  # how many of the next responses are not sent
         self.heartbeat_interval_s = 0.5
         self.runs = 0
@@ -143,7 +152,7 @@
         self._connections.add(writer)
         try:
             while True:
-                _, fields, _ = await read_message(reader)
+                _, fields, request_body = await read_message(reader)
                 if fields[""].startswith("GET /health "):
                     self.health_checks_answered += 1
                     status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
@@ -165,6 +174,11 @@
                     )
                     continue
                 attempt, key = fields["cometdoor-attempt-id"], fields.get("cometdoor-idempotency-key")
+                digest = fields.get(DIGEST_HEADER, body_digest(request_body))
+                if digest != body_digest(request_body):
+                    self._traffic_log.violations.append(
+                        f"changed: {attempt} was executed with {len(request_body)} bytes of another body"
+                    )
                 self._traffic_log.runs[attempt] += 1
                 self.runs += 1
                 self.last_run_at = time.monotonic()
@@ -185,12 +199,17 @@
                 body = attempt.encode().ljust(self.body_bytes.get(kind, 0), PADDING)
                 seal = secrets.token_hex(6)
                 self._traffic_log.seals[seal] = attempt
-                writer.write(
+                response = (
                     f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
                     f"Cometdoor-Attempt-Id: {attempt}\r\n"
                     f"Cometdoor-Response-Seal: {seal}\r\n\r\n".encode()
                     + body
                 )
+                if pause_s := self.response_pause_s.get(kind, 0.0):
+                    writer.write(response[: len(response) // 2])
+                    await asyncio.sleep(pause_s)
+                    response = response[len(response) // 2 :]
+                writer.write(response)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -2,10 +2,12 @@
 
 Six data planes with narrow links, of which two serve files and the rates that searches look up; three
 control planes. For each seed two or three faults overlap in each round, among them restarts of backends at
-their address and late heartbeats of former ones, while an operator sends valid and invalid changes
-(`standins/soak_operator.py`). Afterwards, without faults:
+their address, late heartbeats of former ones, and data planes that get SIGTERM after their backend has left,
+while an operator sends valid and invalid changes (`standins/soak_operator.py`). Clients send bodies of all
+sizes, and some responses pause in the middle. Seeds with an even number have links without a limit, and
+larger bodies. Afterwards, without faults:
 
-- no response belonged to another request, no key was executed twice;
+- no response belonged to another request, no key was executed twice, no body was changed;
 - no process has logged an error (violated invariants are logged as errors) or ended by itself;
 - nearly all requests in the seconds without faults at the end are served;
 - the newest acknowledged configuration is read back at each control plane, and no invalid one was accepted;
@@ -39,8 +41,13 @@
 BANDWIDTH_MBPS = 3.5
 ROUNDS, ROUND_S = 3, 4.0
 CALM_BEFORE_S, CALM_S = 4.0, 4.0
-REQUESTS_PER_S = {"search": 12.0, "keyed": 8.0, "maps": 4.0}
+REQUESTS_PER_S = {"search": 12.0, "keyed": 8.0, "maps": 4.0, "plans": 1.5, "orders": 1.5, "tours": 2.0}
 MAP_BYTES = 60_000
+MAX_BODY_BYTES = {"narrow": 60_000, "wide": 24 << 20}  # of an upload, by the mesh's links
+WIDE_MAP_BYTES = 3 << 20
+RESPONSE_PAUSE_S = 1.4  # in the middle of each response of "tours"
+UPLOAD_DEADLINE_MS = 4000
+DRAIN_S, GRACE_S = 2.0, 6.0
 MIN_CALM_SHARE = 0.98
 MAX_MEMORY_MB = 296  # of a process, as the users' sites have it
 ROUTES = [
@@ -48,7 +55,12 @@
     route("keyed", "keyed", "search"),
     route("rates", service="files", more={"target-latency-s": 0.2, "timeout-s": 0.6}),
     route("maps", "download", "files", {"priority": 2, "target-latency-s": 1.4}),
+    route("plans", service="search", more={"priority": 2, "target-latency-s": 2.0, "timeout-s": 4}),
+    route("orders", "keyed", "search", {"target-latency-s": 2.0, "timeout-s": 4}),
+    route("tours", service="search", more={"priority": 2, "target-latency-s": 4.0, "timeout-s": 4}),
 ]
+UPLOADS = ("plans", "orders")
+KEYED = ("keyed", "orders")
 
 
 class Soak:
@@ -58,7 +70,10 @@
         self.rng = random.Random(seed)
         # Each process and seed has its own network: tests and soak tests may run at the same time.
         self.mesh = Mesh(folder, core=3, planes=6, network=f"127.{1 + (os.getpid() + seed) % 254}")
-        self.mesh.bandwidth_mbps = BANDWIDTH_MBPS
+        self._is_wide = seed % 2 == 0
+        self.mesh.bandwidth_mbps = 0.0 if self._is_wide else BANDWIDTH_MBPS
+        self.mesh.memory_mb = MAX_MEMORY_MB
+        self.mesh.deadlines_ms = dict.fromkeys((*UPLOADS, "tours"), UPLOAD_DEADLINE_MS)
         self.history: list[str] = []
         self.problems: list[str] = []
         self.results: list[tuple[float, str, int]] = []  # start, kind, last status
@@ -73,6 +88,7 @@
             self._reset_backend_connections,
             self._restart_backend,
             self._send_late_heartbeats,
+            lambda: self._terminate(self.rng.choice(self.mesh.planes)),
         ]
         self._operator = SoakOperator(self.mesh, random.Random(seed), ROUTES, self._record)
         self._former_backends: dict[str, Backend] = {}  # by address
@@ -81,7 +97,8 @@
 
     def _new_backend(self, address: str, service: str) -> Backend:
         backend = Backend(address, self.mesh.traffic_log, service)
-        backend.body_bytes = {"maps": MAP_BYTES}
+        backend.body_bytes = {"maps": WIDE_MAP_BYTES if self._is_wide else MAP_BYTES, "tours": 2000}
+        backend.response_pause_s = {"tours": RESPONSE_PAUSE_S}
         if service == "search":
             backend.calls = ["/rates/1", "/rates/2"]
         return backend
@@ -129,6 +146,33 @@
 
         self._start(resume())
 
+    def _terminate(self, address: str) -> None:
+        """Replace a data plane as planned: its backend drains and ends, then it gets SIGTERM."""
+        if not self._is_running(address) or self.mesh.backends[address].state != "ready":
+            return
+        process, backend = self.mesh.processes[address], self.mesh.backends[address]
+        self._record(f"{address} is replaced as planned")
+        self._ended_on_purpose.add(process.pid)
+
+        async def replace() -> None:
+            try:
+                async with asyncio.timeout(2 * DRAIN_S):
+                    await backend.drain(DRAIN_S)
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                backend.kill()
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(process.wait(), GRACE_S)
+            except TimeoutError:
+                self.problems.append(f"{address} did not end within {GRACE_S:g} s of SIGTERM")
+                process.kill()
+            await self.mesh.launch(address, is_first=False)
+            self.mesh.backends[address] = self._new_backend(address, backend.service)
+            await self.mesh.start_backend(address)
+
+        self._start(replace())
+
     def _drop_responses(self) -> None:
         address = self.rng.choice(self.mesh.planes)
         self._record(f"the backend at {address} loses its next five responses")
@@ -170,8 +214,14 @@
 
     async def _request(self, kind: str, number: int) -> None:
         started_at = time.monotonic()
-        key = f"k-{number // 2}" if kind == "keyed" else ""  # each key is sent twice
-        status = await self.mesh.request(self.rng.choice(self.mesh.planes), kind, key, max_attempts=3)
+        key = f"{kind}-{number // 2}" if kind in KEYED else ""  # each key is sent twice
+        address, body = self.rng.choice(self.mesh.planes), b""
+        if kind in UPLOADS:
+            # Sizes are spread evenly over their orders of magnitude.
+            max_bytes = MAX_BODY_BYTES["wide" if self._is_wide else "narrow"]
+            size = int(max_bytes ** random.Random(f"{kind} {number // 2}").random())
+            body = random.Random(size).randbytes(size)
+        status = await self.mesh.request(address, kind, key, max_attempts=3, body=body)
         self.results.append((started_at, kind, status))
 
     async def _send(self, kind: str, per_s: float, until: float) -> None:
