Peer connections: a streamed reply is forgotten once all of it was sent, and a shutdown waits for it

Cause: found by reading. The sender of a streamed response and the callback that cancels its call stayed in the tables of their connection after the last chunk, with the request; a proxy that shut down counted the exchange with the backend, not the chunks that waited for credit, and could cut them off.

Change: the last chunk removes both; the shutdown waits for bodies, within its grace period as before.

Measured: the stories of response forms check that no call is left on any connection; one of the two fails without the removal (tried; the other has only one hop's proxies left to look at), both pass with it.

--- a/cometdoor/dataplane/process.py
+++ b/cometdoor/dataplane/process.py
@@ -282,6 +282,7 @@
             self.outbound_proxy.open_requests()
             or self.inbound_proxy.in_flight_count()
             or self._link.queued_bytes
+            or self.connections.sends_bodies()
             or self.outbound_frontend.connections
         ):
             self.outbound_frontend.close_idle()
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -107,6 +107,14 @@
                 if not connection.is_open:
                     self._backoff_until[key[0]] = self.loop.time() + RECONNECT_BACKOFF_S
 
+    def has_calls(self) -> bool:
+        """Return whether any call to or from a peer is incomplete."""
+        return any(connection.has_calls() for connection in [*self._outbound.values(), *self._inbound])
+
+    def sends_bodies(self) -> bool:
+        """Return whether the body of any call or reply was not sent to its end."""
+        return any(connection.body_senders for connection in [*self._outbound.values(), *self._inbound])
+
     def _connection_to(self, peer: str, channel: str) -> PeerConnection | None:
         """Return the connection to a peer, dialling it if there is none; None while backing off."""
         connection = self._outbound.get((peer, channel))
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -111,11 +111,14 @@
 
     def send_body(self, chunks: Iterable[bytes]) -> None:
         """Send the body of a `StreamedForwardRequest` as the peer grants credit for it."""
-        sender = BodySender(
-            lambda data, is_last: self.connection.write_chunk(self.call_id, False, BodyChunk(data, is_last))
-        )
+
+        def write(data: bytes, is_last: bool) -> None:
+            self.connection.write_chunk(self.call_id, False, BodyChunk(data, is_last))
+            if is_last:
+                self.connection.body_senders.pop(self.call_id, None)
+
+        sender = self.connection.body_senders[self.call_id] = BodySender(write)
         sender.send(chunks, is_last=True)
-        self.connection.body_senders[self.call_id] = sender
 
     def was_sent(self) -> bool:
         """Return whether the peer may have received any part of the call."""
@@ -303,11 +306,19 @@
         self.body_receivers.pop(call_id, None)
 
     def respond_streamed(self, call_id: int, head: StreamedForwardResponse) -> BodySender:
-        """Reply to a call with a head; the body goes through the sender, and `end_body` follows it."""
+        """Reply to a call with a head; the body goes through the returned sender.
+
+        The call may be cancelled until all of the body was sent.
+        """
+
+        def write(data: bytes, is_last: bool) -> None:
+            self.write_chunk(call_id, True, BodyChunk(data, is_last))
+            if is_last:
+                self.cancel_callbacks.pop(call_id, None)
+                self.end_body(call_id)
+
         self.write(Frame(call_id, True, head))
-        sender = BodySender(
-            lambda data, is_last: self.write_chunk(call_id, True, BodyChunk(data, is_last)), WINDOW_BYTES
-        )
+        sender = BodySender(write, WINDOW_BYTES)
         self.body_senders[call_id] = sender
         return sender
 
@@ -332,6 +343,10 @@
         self.pending_calls.pop(call_id, None)
         self._stop_sending(call_id)
 
+    def has_calls(self) -> bool:
+        """Return whether any call, reply or body on this connection is incomplete."""
+        return bool(self.pending_calls or self.cancel_callbacks or self.body_senders or self.body_receivers)
+
     def awaits_data(self) -> bool:
         """Return whether the peer owes a reply or a part of one."""
         return bool(self.pending_calls or self.body_receivers)
--- a/stories/mesh/test_large_bodies.py
+++ b/stories/mesh/test_large_bodies.py
@@ -105,7 +105,7 @@
         plane = mesh.data_plane(address)
         memory, operations = plane.memory, plane.outbound_proxy.keyed_requests.operations
         assert memory.used_bytes() == operations.stored_bytes(), (address, memory.used_bytes())
-        assert not memory.waiting
+        assert not memory.waiting and not plane.connections.has_calls()
         # Small bodies and stored responses never wait for room.
         assert memory.peak_bytes - memory.small_bytes <= MEMORY_BYTES, (address, memory.peak_bytes)
 
--- a/stories/mesh/test_response_forms.py
+++ b/stories/mesh/test_response_forms.py
@@ -127,3 +127,8 @@
             )
 
         assert not [problem for problem in mesh.run(request_all()) if problem]
+        mesh.wait(1.0)
+        remaining = [
+            address for address in mesh.planes[1:] if mesh.data_plane(address).connections.has_calls()
+        ]
+        assert not remaining, remaining
