Outbound proxy: a client that leaves takes its waiting request along, whatever its kind

Cause: only idempotent requests were cancelled, since an execution must not be aborted halfway. The caller's proxy can't tell an execution from a wait; the inbound proxy can.

Change: the cancellation is passed on for all kinds but keyed requests. The inbound proxy drops what waits, and goes on with what is executed, as before.

--- a/cometdoor/dataplane/outbound_proxy.py
+++ b/cometdoor/dataplane/outbound_proxy.py
@@ -16,7 +16,6 @@
 from cometdoor.dataplane.client_exchange import BackendReply
 from cometdoor.dataplane.keyed_requests import KeyedRequests
 from cometdoor.dataplane.outbound_request import OutboundRequest
-from cometdoor.dataplane.request_classes import IDEMPOTENT_ROUTE_TYPES
 from cometdoor.dataplane.service_client import ServiceClient
 from cometdoor.host.interfaces import ResponseListener
 from cometdoor.host.memory_account import MemoryAccount
@@ -197,18 +196,17 @@
         return outbound_request
 
     def on_client_disconnected(self, connection: ClientConnection, request: ClientRequest) -> None:
-        """Cancel the client's request if it is idempotent; otherwise it continues without a client."""
+        """Cancel the client's request; what a backend executes goes on unless it is idempotent.
+
+        The inbound proxy knows which it is: what waits for a slot there is dropped, whatever its kind.
+        """
         outbound_request = self._outbound_requests.pop(connection, None)
         if outbound_request is None or outbound_request.request is not request:
             return
         outbound_request.connection = None
         if outbound_request.key:
             self.keyed_requests.on_client_disconnected(outbound_request)
-        elif (
-            outbound_request.service_client is not None
-            and outbound_request.exchange is not None
-            and request.route.route_type in IDEMPOTENT_ROUTE_TYPES
-        ):
+        elif outbound_request.service_client is not None and outbound_request.exchange is not None:
             outbound_request.service_client.on_client_disconnected(outbound_request.exchange)
         outbound_request.exchange = None  # breaks a reference cycle
 
--- a/stories/mesh/test_cancellation.py
+++ b/stories/mesh/test_cancellation.py
@@ -59,6 +59,32 @@
         assert working_backends(mesh) == 0
 
 
+# Issue 72, part 4 (GONE): 36 of 60 requests ran 0.9 to 2.5 s after their clients had left.
+@test("requests that wait for a slot are not executed after their clients have left, {kind}")
+def _(kind: str = each("idempotent", "non_idempotent")) -> None:
+    with simulated_mesh(seed=57, planes=3) as mesh:
+        more: dict[str, object] = {"timeout-s": 5, "target-latency-s": 5}
+        for backend in mesh.backends.values():
+            backend.capacity = 2
+        mesh.run(mesh.start_configured(routes=[route(kind, kind, more=more)]))
+        for backend in mesh.backends.values():
+            backend.service_time_s = lambda: 1.0
+
+        async def send_all() -> list[asyncio.StreamWriter]:
+            return await asyncio.gather(
+                *(send_without_reading(mesh, mesh.planes[0], kind, str(number)) for number in range(24))
+            )
+
+        writers = mesh.run(send_all())
+        assert mesh.traffic_log.runs.total() == 6
+        for writer in writers:
+            writer.transport.abort()
+        mesh.wait(CANCELLED_WITHIN_S)
+        mesh.wait(6.0)
+        assert mesh.traffic_log.runs.total() == 6, mesh.traffic_log.runs
+        assert not mesh.find_violations(), mesh.find_violations()
+
+
 @test("when a client leaves, its keyed request goes on, and a repeat gets the response")
 def _() -> None:
     with simulated_mesh(seed=55, planes=4) as mesh:
