Peer connections: the bodies of a connection have a module of their own; a failing consumer ends one body

Change: ConnectionBodies holds senders and receivers; a consumer that raises ends its body alone, with the event "body handler failed" (runbook). What is on the wire is unchanged.

--- a/cometdoor/dataplane/inbound_request.py
+++ b/cometdoor/dataplane/inbound_request.py
@@ -29,7 +29,7 @@
     def start(self, writer: RequestBodyWriter) -> None:
         """Ask for the body: its request has a slot, and its head was written."""
         self._writer = writer
-        self._receiver = self._connection.receive_body(self._call_id, self)
+        self._receiver = self._connection.bodies.receive_with_call(self._call_id, self)
         self._receiver.grant(WINDOW_BYTES)
 
     def on_drained(self) -> None:
--- a/cometdoor/wire/connections.py
+++ b/cometdoor/wire/connections.py
@@ -113,7 +113,7 @@
 
     def sends_bodies(self) -> bool:
         """Return whether the body of any call or reply was not sent to its end."""
-        return any(connection.body_senders for connection in [*self._outbound.values(), *self._inbound])
+        return any(connection.bodies.is_sending for connection in [*self._outbound.values(), *self._inbound])
 
     def _connection_to(self, peer: str, channel: str) -> PeerConnection | None:
         """Return the connection to a peer, dialling it if there is none; None while backing off."""
--- a/cometdoor/wire/peer_connection.py
+++ b/cometdoor/wire/peer_connection.py
@@ -16,10 +16,11 @@
 import structlog
 
 from cometdoor.errors import CometdoorError
-from cometdoor.host.body_stream import WINDOW_BYTES, BodyConsumer, BodyReceiver, BodySender
+from cometdoor.host.body_stream import BodyReceiver, BodySender
 from cometdoor.host.link_scheduler import LinkScheduler, ScheduledTransport
 from cometdoor.wire.body_streams import BodyAborted, BodyChunk, BodyCredit
 from cometdoor.wire.call_control import CallRejected, CancelCall, Ping, Pong
+from cometdoor.wire.connection_bodies import ConnectionBodies
 from cometdoor.wire.connection_statistics import ConnectionStatistics
 from cometdoor.wire.forwarding import StreamedForwardResponse
 from cometdoor.wire.frames import (
@@ -111,14 +112,7 @@
 
     def send_body(self, chunks: Iterable[bytes]) -> None:
         """Send the body of a `StreamedForwardRequest` as the peer grants credit for it."""
-
-        def write(data: bytes, is_last: bool) -> None:
-            self.connection.write_chunk(self.call_id, False, BodyChunk(data, is_last))
-            if is_last:
-                self.connection.body_senders.pop(self.call_id, None)
-
-        sender = self.connection.body_senders[self.call_id] = BodySender(write)
-        sender.send(chunks, is_last=True)
+        self.connection.bodies.send_with_call(self.call_id, chunks)
 
     def was_sent(self) -> bool:
         """Return whether the peer may have received any part of the call."""
@@ -153,9 +147,7 @@
         self.pending_calls: dict[int, PendingCall] = {}
         # By id of a call of the peer: called if the peer cancels it or the connection closes.
         self.cancel_callbacks: dict[int, Callable[[], None]] = {}
-        # Bodies on their way, by id of their call: those of calls or replies sent here, and those received.
-        self.body_senders: dict[int, BodySender] = {}
-        self.body_receivers: dict[int, BodyReceiver] = {}
+        self.bodies = ConnectionBodies(self.write, peer)
         self.is_closed = False
         self.is_open = False
         self._connections = connections
@@ -219,10 +211,10 @@
     def _dispatch(self, frame: Frame) -> None:
         message = frame.message
         if isinstance(message, BodyChunk | BodyCredit | BodyAborted):
-            self._dispatch_body(frame.call_id, message)
+            self.bodies.dispatch(frame.call_id, message)
         elif frame.is_reply:
             call = self.pending_calls.pop(frame.call_id, None)
-            self._stop_sending(frame.call_id)
+            self.bodies.stop_sending(frame.call_id)
             if call is not None and isinstance(message, StreamedForwardResponse):
                 self._pass_streamed_reply(call, message)
             elif call is not None:
@@ -231,7 +223,7 @@
             self.write(Frame(frame.call_id, True, Pong()))
         elif isinstance(message, CancelCall):
             on_cancel = self.cancel_callbacks.pop(message.call_id, None)
-            self.end_body(message.call_id)
+            self.bodies.end(message.call_id)
             if on_cancel is not None:
                 on_cancel()
             else:
@@ -253,57 +245,24 @@
             )
             self.respond(call_id, CallRejected("its handler failed"))
 
-    # --- bodies in chunks ---
-
-    def _dispatch_body(self, call_id: int, message: BodyChunk | BodyCredit | BodyAborted) -> None:
-        """Pass a chunk to its receiver, or credit to its sender; those of calls that are over are dropped."""
-        match message:
-            case BodyCredit():
-                sender = self.body_senders.get(message.call_id)
-                if sender is not None:
-                    sender.add_credit(message.size)
-            case BodyChunk():
-                receiver = self.body_receivers.get(call_id)
-                if receiver is not None:
-                    if message.is_last:
-                        del self.body_receivers[call_id]
-                    receiver.receive(message.data, message.is_last)
-            case BodyAborted():
-                receiver = self.body_receivers.pop(call_id, None)
-                if receiver is not None:
-                    receiver.fail()
-
     def _pass_streamed_reply(self, call: PendingCall, head: StreamedForwardResponse) -> None:
+        """Pass the head of a reply to its caller; the body is cancelled unless its receiver is started."""
+
         def cancel() -> None:
-            self.body_receivers.pop(call.call_id, None)
             self.write(Frame(0, False, CancelCall(call.call_id)))
 
-        receiver = self.body_receivers[call.call_id] = self._new_receiver(call.call_id, cancel)
+        body = self.bodies.receive_with_reply(call.call_id, cancel)
         on_streamed_reply, call.on_streamed_reply = call.on_streamed_reply, None
         if on_streamed_reply is None:
             self._pass_reply(call, PeerError("answer", self.peer, "a reply in parts was not expected", True))
         else:
             call.on_reply = None
-            on_streamed_reply(StreamedReply(head, receiver))
-        if not receiver.has_consumer:
-            receiver.cancel()
-
-    def _new_receiver(self, call_id: int, cancel: Callable[[], None]) -> BodyReceiver:
-        return BodyReceiver(lambda size: self._grant_credit(call_id, size), cancel)
-
-    def _grant_credit(self, call_id: int, size: int) -> None:
-        self.write(Frame(0, False, BodyCredit(call_id, size)))
-
-    def receive_body(self, call_id: int, consumer: BodyConsumer) -> BodyReceiver:
-        """Receive the body of a call of the peer, which sends none of it before it is granted credit."""
-        receiver = self.body_receivers[call_id] = self._new_receiver(
-            call_id, lambda: self._discard_receiver(call_id)
-        )
-        receiver.start(consumer)
-        return receiver
-
-    def _discard_receiver(self, call_id: int) -> None:
-        self.body_receivers.pop(call_id, None)
+            try:
+                on_streamed_reply(StreamedReply(head, body))
+            except Exception as error:
+                log.error("reply handler failed", step="answer", peer=self.peer, error=repr(error))
+        if not body.has_consumer:
+            body.cancel()
 
     def respond_streamed(self, call_id: int, head: StreamedForwardResponse) -> BodySender:
         """Reply to a call with a head; the body goes through the returned sender.
@@ -311,45 +270,30 @@
         The call may be cancelled until all of the body was sent.
         """
 
-        def write(data: bytes, is_last: bool) -> None:
-            self.write_chunk(call_id, True, BodyChunk(data, is_last))
-            if is_last:
-                self.cancel_callbacks.pop(call_id, None)
-                self.end_body(call_id)
+        def on_sent() -> None:
+            self.cancel_callbacks.pop(call_id, None)
+            self.bodies.end(call_id)
 
         self.write(Frame(call_id, True, head))
-        sender = BodySender(write, WINDOW_BYTES)
-        self.body_senders[call_id] = sender
-        return sender
+        return self.bodies.send_with_reply(call_id, on_sent)
 
     def abort_body(self, call_id: int) -> None:
         """Notify the peer that the rest of the body of a reply will not come."""
-        self._stop_sending(call_id)
         self.cancel_callbacks.pop(call_id, None)
-        self.write_chunk(call_id, True, BodyAborted())
-
-    def end_body(self, call_id: int) -> None:
-        """Forget the bodies of a call that is over."""
-        self._stop_sending(call_id)
-        self.body_receivers.pop(call_id, None)
-
-    def _stop_sending(self, call_id: int) -> None:
-        sender = self.body_senders.pop(call_id, None)
-        if sender is not None:
-            sender.stop()
+        self.bodies.abort_reply(call_id)
 
     def forget_call(self, call_id: int) -> None:
         """Stop waiting for the reply to a call of this side, and stop sending its body."""
         self.pending_calls.pop(call_id, None)
-        self._stop_sending(call_id)
+        self.bodies.stop_sending(call_id)
 
     def has_calls(self) -> bool:
         """Return whether any call, reply or body on this connection is incomplete."""
-        return bool(self.pending_calls or self.cancel_callbacks or self.body_senders or self.body_receivers)
+        return bool(self.cancel_callbacks or self.bodies.is_sending or self.awaits_data())
 
     def awaits_data(self) -> bool:
         """Return whether the peer owes a reply or a part of one."""
-        return bool(self.pending_calls or self.body_receivers)
+        return bool(self.pending_calls) or self.bodies.is_receiving
 
     def _pass_reply(self, call: PendingCall, reply: Message | PeerError) -> None:
         """Pass a reply to its caller; a failure there concerns neither the connection nor its other calls."""
@@ -375,7 +319,7 @@
         replaced by a rejection of the call.
         """
         self.cancel_callbacks.pop(call_id, None)
-        self.end_body(call_id)
+        self.bodies.end(call_id)
         if not call_id:
             return
         try:
@@ -384,13 +328,11 @@
             log.error("message dropped", step="encode", peer=self.peer, error=str(error))
             self.write(Frame(call_id, True, CallRejected("the reply can't be encoded")))
 
-    def write_chunk(self, call_id: int, is_reply: bool, message: BodyChunk | BodyAborted) -> None:
-        """Queue a part of a body; a part never overtakes another one."""
-        self.write(Frame(call_id, is_reply, message), is_in_order=True)
-
     def write(self, frame: Frame, is_in_order: bool = False) -> bytes:
         """Queue a frame for the next flush, and return its bytes, which identify it for `remove_unsent`.
 
+        A frame `is_in_order` overtakes no other frame that waits for the link.
+
         Raises
         ------
         UnencodableFrameError
@@ -491,15 +433,11 @@
             self._transport.abort()
         pending_calls, self.pending_calls = self.pending_calls, {}
         cancel_callbacks, self.cancel_callbacks = self.cancel_callbacks, {}
-        receivers, self.body_receivers = self.body_receivers, {}
-        for call_id in list(self.body_senders):
-            self._stop_sending(call_id)
         for call in pending_calls.values():
             failed_step = step if was_open else "connect"
             may_have_arrived = self.was_sent(call.call_id)
             self._pass_reply(call, PeerError(failed_step, self.peer, reason, may_have_arrived))
-        for receiver in receivers.values():
-            receiver.fail()
+        self.bodies.fail_all()
         for on_cancel in cancel_callbacks.values():
             on_cancel()
 
