Client connections: a target in absolute form is served with the host that it names

Cause: the mesh's readers took paths only; the older proxy had the form already.

Change: the form has one module, http/request_target.py, which the older proxy uses too; the mesh's requests and the JSON APIs take it. What is neither a path nor such a URL gets 400, as before; now also at the APIs.

--- a/cometdoor/dataplane/outbound_request.py
+++ b/cometdoor/dataplane/outbound_request.py
@@ -10,6 +10,7 @@
 from cometdoor.dataplane.service_client import ServiceClient
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.messages import BadRequestError, ClientRequest, Headers, parse_decimal, validate_headers
+from cometdoor.http.request_target import use_origin_form
 from cometdoor.wire.peer_connection import StreamedReply
 
 DEADLINE_HEADER = b"cometdoor-deadline-ms"
@@ -45,14 +46,13 @@
             With status 400 or 413, if a field is missing, malformed, repeated, or announces a body that is
             too long.
         """
+        use_origin_form(request)
         fields = validate_headers(request, MESH_SINGLE_VALUE_HEADERS, self.max_body_bytes)
         request.trace = fields.get(ATTEMPT_ID_HEADER, b"")
         if not request.trace:
             raise BadRequestError(400, "Cometdoor-Attempt-Id is missing")
         if not fields.get(b"host"):
             raise BadRequestError(400, "Host is missing")
-        if not request.target.startswith(b"/"):
-            raise BadRequestError(400, "the target is no path")
         try:
             request.remaining_ms = (
                 parse_decimal(fields[DEADLINE_HEADER]) if DEADLINE_HEADER in fields else 0.0
--- a/cometdoor/http/json_api.py
+++ b/cometdoor/http/json_api.py
@@ -6,6 +6,7 @@
 
 from cometdoor.http.client_connection import ClientConnection
 from cometdoor.http.messages import ClientRequest, validate_headers
+from cometdoor.http.request_target import use_origin_form
 
 BASE_VERSION_HEADER = b"cometdoor-base-version"
 JSON_API_SINGLE_VALUE_HEADERS = frozenset(
@@ -26,8 +27,9 @@
         Raises
         ------
         BadRequestError
-            If a header is ambiguous, or the body is larger than the limit.
+            If a header is ambiguous, the body is larger than the limit, or the target is no path or URL.
         """
+        use_origin_form(request)
         headers = validate_headers(request, JSON_API_SINGLE_VALUE_HEADERS, self._max_body_bytes)
         request.trace = headers.get(BASE_VERSION_HEADER, b"")
 
--- a/cometdoor/services/request_reader.py
+++ b/cometdoor/services/request_reader.py
@@ -10,6 +10,7 @@
 from cometdoor.balancing import api
 from cometdoor.balancing.api import Effect
 from cometdoor.http.messages import BadRequestError, ClientRequest, parse_decimal, validate_headers
+from cometdoor.http.request_target import AbsoluteTarget, set_origin_form
 from cometdoor.services.request_targets import RoutingError, parse_host, split_target
 from cometdoor.services.routing_table import RoutingTable
 
@@ -80,10 +81,7 @@
             # RFC 9112, 3.2.2: the target's authority takes precedence over Host, and is forwarded as Host.
             parse_host(host)
             host = authority
-            request.headers = [
-                (name, authority if name.lower() == b"host" else value) for name, value in request.headers
-            ]
-            request.target = target
+            set_origin_form(request, AbsoluteTarget(authority, target))
         header_value = headers.get(b"x-qos")
         match = self._routes.find(host, path, header_value.decode("latin-1") if header_value else None)
         service = self._services[match.service]
--- a/cometdoor/services/request_targets.py
+++ b/cometdoor/services/request_targets.py
@@ -9,12 +9,12 @@
 import re
 
 from cometdoor.errors import CometdoorError
+from cometdoor.http.request_target import split_absolute_target
 
 MAX_HOST_LENGTH = 253
 HOST_LABEL = re.compile(r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?")
 IP_LITERAL = re.compile(r"\[[0-9A-Fa-f:.]{2,45}\]")
 AUTHORITY = re.compile(rb"(\[[^\]]*\]|[^:\[\]@]*)(?::(\d{0,5}))?")
-ABSOLUTE_TARGET = re.compile(rb"(?i:https?)://([^/?#]*)([^#]*)")
 PERCENT_ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})")
 MALFORMED_ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
@@ -116,11 +116,10 @@
         if b"#" in target:
             raise RoutingError(400, "the target has a fragment")
         return None, target
-    match = ABSOLUTE_TARGET.fullmatch(target)
-    if match is None:
+    absolute_target = split_absolute_target(target)
+    if absolute_target is None:
         raise RoutingError(400, "the target is no path")
-    path_and_query: bytes = match[2]
-    return match[1], path_and_query if path_and_query.startswith(b"/") else b"/" + path_and_query
+    return absolute_target
 
 
 def path_segments(path: bytes) -> Segments:
