--- a/benchmarks/downloads.py
+++ b/benchmarks/downloads.py
@@ -117,7 +117,8 @@
     first_byte_ms, mib_per_s = median(meshed.first_byte_ms), median(meshed.mib_per_s)
     print_progress(
         f"{kind:>5}: first byte {first_byte_ms:6.1f} ms (direct {median(direct.first_byte_ms):.1f}),"
-        f" {mib_per_s:6.1f} MiB/s (direct {median(direct.mib_per_s):.1f}), {len(meshed.failures)} lost {meshed.failures or ''}"
+        f" {mib_per_s:6.1f} MiB/s (direct {median(direct.mib_per_s):.1f}),"
+        f" {len(meshed.failures)} lost {meshed.failures or ''}"
     )
     return {
         f"{kind}_first_byte_ms": first_byte_ms,
--- a/stories/mesh/test_large_bodies.py
+++ b/stories/mesh/test_large_bodies.py
@@ -11,7 +11,7 @@
 
 from simulation.mesh import SimulatedMesh, simulated_mesh
 from simulation.scripted_backend import response_head, take_over_backends
-from standins.http_client import read_message
+from standins.http_client import Headers, http_request, read_message
 from standins.mesh import route
 from standins.mesh_backend import HOST, OUTBOUND_PORT
 
@@ -157,3 +157,72 @@
         assert mesh.run(upload(mesh.planes[0], "idempotent", body)) == (200, True)
         mesh.wait(0.1)
         check_memory(mesh)
+
+
+EARLY_BYTES = {"small": 20, "streamed": 700_000}
+READING = ("reads on", "reads on after 1.5 s", "closes")
+
+
+async def respond_early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Serve a backend's connection: answer the head, and then read the body as the request's path says."""
+    try:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            size, reading = head.split(" ")[1].split("/")[2:]
+            attempt = head.split("cometdoor-attempt-id: ")[1].split("\r\n")[0]
+            runs[attempt] += 1
+            body = attempt.encode().ljust(EARLY_BYTES[size], b".")
+            writer.write(response_head(attempt) + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            if reading == "2":
+                return
+            await asyncio.sleep(1.5 * int(reading))
+            await reader.readexactly(int(head.split("content-length: ")[1].split("\r\n")[0]))
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
+async def upload_to_early(address: str, kind: str, size: str, reading: int, body: bytes) -> str:
+    """Upload a body whose response comes before its end; return how that ended, empty if it came whole."""
+    attempt = secrets.token_hex(8)
+    headers: Headers = {
+        "Host": HOST,
+        "Cometdoor-Attempt-Id": attempt,
+        "Cometdoor-Deadline-Ms": str(DEADLINE_MS),
+    }
+    if kind == "keyed":
+        headers["Cometdoor-Idempotency-Key"] = attempt
+    name = f"{kind}, {size}, {READING[reading]}"
+    try:
+        status, _, answer = await http_request(
+            address, OUTBOUND_PORT, "POST", f"/{kind}/{size}/{reading}", headers, body, DEADLINE_MS / 1000
+        )
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        return f"{name}: {error!r}"
+    is_whole = status == 200 and answer == attempt.encode().ljust(EARLY_BYTES[size], b".")
+    return "" if is_whole else f"{name}: {status}, {len(answer)} bytes"
+
+
+@test("a response that comes before the end of a long upload reaches its client whole")
+def _() -> None:
+    with simulated_mesh(seed=43, planes=3) as mesh:
+        start(mesh)
+        take_over_backends(mesh, respond_early)
+        body = random.Random(43).randbytes(MIB)
+
+        async def upload_all() -> list[str]:
+            return await asyncio.gather(
+                *(
+                    upload_to_early(mesh.planes[0], kind, size, reading, body)
+                    for kind in KINDS
+                    for size in EARLY_BYTES
+                    for reading in range(len(READING))
+                )
+            )
+
+        problems = [problem for problem in mesh.run(upload_all()) if problem]
+        assert not problems, problems
+        assert set(runs.values()) == {1}, runs
+        mesh.wait(2.0)
+        check_memory(mesh)
