--- a/standins/soak.py
+++ b/standins/soak.py
@@ -218,13 +218,8 @@
 
     # --- traffic ---
 
-    async def _request(self, kind: str, number: int, first_sent_at: float | None = None) -> None:
-        """Make a request; a repeat counts as sent when its key was sent first.
-
-        The outcome of a key may have been lost with its owner, or be a failure of the time of the faults, and
-        its repeats get just that until the window ends.
-        """
-        started_at = time.monotonic() if first_sent_at is None else first_sent_at
+    async def _request(self, kind: str, number: int) -> None:
+        started_at = time.monotonic()
         key = f"{kind}-{number // 2}" if kind in KEYED else ""  # each key is sent twice
         address, body = self.rng.choice(self.mesh.planes), b""
         if kind in UPLOADS:
@@ -239,11 +234,10 @@
 
     async def _repeat(self, kind: str, number: int, until: float) -> None:
         """Send a key again at the end of its window, or after it."""
-        first_sent_at = time.monotonic()
         offset_s = self.rng.choice((self.rng.uniform(-2.0, 0.0), self.rng.uniform(0.0, 1.0)))
         await asyncio.sleep(IDEMPOTENCY_WINDOW_S + offset_s)
         if time.monotonic() < until:
-            await self._request(kind, number, first_sent_at)
+            await self._request(kind, number)
 
     async def _send(self, kind: str, per_s: float, until: float) -> None:
         number = 0
